--- /dev/null
+++ b/control/loop.go
@@ -0,0 +1,82 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// Loop is the control goroutine's queue of functions.
+type Loop struct {
+	mu    sync.Mutex
+	queue []func()
+	wake  chan struct{}
+}
+
+// New returns a loop that runs once Run is called.
+func New() *Loop { return &Loop{wake: make(chan struct{}, 1)} }
+
+// Post implements chestnutcleat.Loop.
+func (l *Loop) Post(f func()) {
+	l.mu.Lock()
+	l.queue = append(l.queue, f)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// After implements chestnutcleat.Loop; the timer is stopped only in the control goroutine.
+func (l *Loop) After(d time.Duration, f func()) chestnutcleat.Timer {
+	t := &timer{}
+	run := func() {
+		if !t.stopped {
+			t.stopped = true
+			f()
+		}
+	}
+	t.inner = time.AfterFunc(d, func() { l.Post(run) })
+	return t
+}
+
+// Run runs posted functions until ctx is done.
+func (l *Loop) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.wake:
+			l.drain(ctx)
+		}
+	}
+}
+
+func (l *Loop) drain(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.mu.Lock()
+		batch := l.queue
+		l.queue = nil
+		l.mu.Unlock()
+		if len(batch) == 0 {
+			return
+		}
+		for _, f := range batch {
+			f()
+		}
+	}
+}
+
+// Do runs f in the control goroutine and waits for its end.
+func (l *Loop) Do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	l.Post(func() { f(); close(done) })
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/control/loop_test.go
@@ -0,0 +1,57 @@
+package control_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/control"
+)
+
+// A timer that is stopped after it was queued must not run: a lease would act on a cancelled step.
+func TestStoppedTimerDoesNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		l := control.New()
+		go l.Run(ctx)
+		ran := false
+		var timer chestnutcleat.Timer
+		l.Post(func() {
+			timer = l.After(time.Second, func() { ran = true })
+			l.After(time.Second, func() {})
+		})
+		synctest.Wait()
+		l.Post(func() {
+			time.Sleep(2 * time.Second)
+			timer.Stop()
+		})
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		is.True(!ran)
+	})
+}
+
+// Results of Async must arrive in the control goroutine, in which state needs no lock.
+func TestAsyncDeliversInLoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		l := control.New()
+		go l.Run(ctx)
+		count := 0
+		for range 100 {
+			chestnutcleat.Async(l, time.Second, func(context.Context) (int, error) { return 1, nil }, func(n int, _ error) { count += n })
+		}
+		synctest.Wait()
+		got := 0
+		is.NoErr(l.Do(ctx, func() { got = count }))
+		is.Equal(got, 100)
+	})
+}
--- /dev/null
+++ b/key.go
@@ -0,0 +1,50 @@
+package chestnutcleat
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kind tells what an owner owns.
+type Kind string
+
+// Kinds that have an owner.
+const (
+	KindProgram  Kind = "program"
+	KindCustomer Kind = "customer"
+	KindUpstream Kind = "upstream"
+)
+
+// SlotCount is the number of slots of a fleet.
+const SlotCount = 4096
+
+// Slot is a unit of ownership.
+type Slot uint16
+
+// Key names a piece of control state that has one owner.
+type Key struct {
+	Kind Kind   `json:"kind"`
+	ID   string `json:"id"`
+}
+
+// ProgramKey returns the key of a customer's program.
+func ProgramKey(c CustomerID, p ProgramID) Key {
+	return Key{Kind: KindProgram, ID: fmt.Sprintf("%d:%s/%s", len(c), c, p)}
+}
+
+// CustomerKey returns the key of a customer.
+func CustomerKey(c CustomerID) Key { return Key{Kind: KindCustomer, ID: string(c)} }
+
+// UpstreamKey returns the key of an upstream.
+func UpstreamKey(u UpstreamID) Key { return Key{Kind: KindUpstream, ID: string(u)} }
+
+// Slot returns the slot that the key belongs to.
+func (k Key) Slot() Slot {
+	var d xxhash.Digest
+	d.Reset()
+	d.WriteString(string(k.Kind))
+	d.WriteString("\x00")
+	d.WriteString(k.ID)
+	return Slot(d.Sum64() % SlotCount)
+}
--- /dev/null
+++ b/peers.go
@@ -0,0 +1,33 @@
+package chestnutcleat
+
+import "context"
+
+// Method names a message type between VMs.
+type Method string
+
+// Methods between VMs.
+const (
+	MethodProbe    Method = "probe"
+	MethodRelay    Method = "relay"
+	MethodRenew    Method = "renew"
+	MethodAppend   Method = "append"
+	MethodPromise  Method = "promise"
+	MethodHandover Method = "handover"
+	MethodTake     Method = "take"
+	MethodBegin    Method = "begin"
+	MethodStart    Method = "start"
+	MethodSettle   Method = "settle"
+	MethodAcquire  Method = "acquire"
+	MethodRelease  Method = "release"
+	MethodUsage    Method = "usage"
+	MethodFetch    Method = "fetch"
+	MethodProgram  Method = "program"
+	MethodSuspect  Method = "suspect"
+	MethodStatus   Method = "status"
+)
+
+// Peers sends requests to other VMs.
+type Peers interface {
+	// Call sends request to the VM at address to and decodes the answer into reply.
+	Call(ctx context.Context, to Address, method Method, request, reply any) error
+}
--- /dev/null
+++ b/platform.go
@@ -0,0 +1,52 @@
+package chestnutcleat
+
+import (
+	"context"
+	"errors"
+)
+
+// Errors of the platform.
+var (
+	// ErrConflict reports that an object's version is not the expected one.
+	ErrConflict = errors.New("object version conflict")
+	// ErrNotFound reports that an object does not exist.
+	ErrNotFound = errors.New("object not found")
+)
+
+// MaxObjectBytes is the largest value that the platform holds.
+const MaxObjectBytes = 1 << 20
+
+// ObjectName names an object of the platform, with parts separated by slashes.
+type ObjectName string
+
+// Object is a value of the platform's object API.
+type Object struct {
+	Name    ObjectName `json:"name"`
+	Version Version    `json:"version"`
+	Data    []byte     `json:"data"`
+}
+
+// Platform is the platform's object API.
+type Platform interface {
+	// Get returns an object or ErrNotFound.
+	Get(ctx context.Context, name ObjectName) (Object, error)
+	// Put writes an object if its version is still o.Version, else it returns ErrConflict.
+	// Version 0 creates the object. Any other error leaves the outcome unknown.
+	Put(ctx context.Context, o Object) (Version, error)
+	// Delete removes an object if its version is still the given one.
+	Delete(ctx context.Context, name ObjectName, v Version) error
+	// List returns the objects whose names start with prefix.
+	List(ctx context.Context, prefix ObjectName) ([]Object, error)
+	// Watch waits for objects under one of the prefixes that changed after version after.
+	// Versions are fleet-wide, so one watch covers several prefixes.
+	Watch(ctx context.Context, prefixes []ObjectName, after Version) ([]Object, error)
+	// VMs returns the platform's lagging list of VMs.
+	VMs(ctx context.Context) ([]ListedVM, error)
+}
+
+// ListedVM is an entry of the platform's lagging list.
+type ListedVM struct {
+	ID      VMID    `json:"id"`
+	Address Address `json:"address"`
+	Leaving bool    `json:"leaving,omitempty"`
+}
--- /dev/null
+++ b/problem.go
@@ -0,0 +1,99 @@
+package chestnutcleat
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Code is the stable code of a problem.
+type Code string
+
+// Codes of problems that callers see.
+const (
+	CodeBadRequest    Code = "bad-request"
+	CodeTooLarge      Code = "too-large"
+	CodeKeyMissing    Code = "key-missing"
+	CodeKeyUnknown    Code = "key-unknown"
+	CodeKeyWithdrawn  Code = "key-withdrawn"
+	CodeKeyExposed    Code = "key-exposed"
+	CodeRouteUnknown  Code = "route-unknown"
+	CodeForbidden     Code = "forbidden"
+	CodeRate          Code = "rate-exceeded"
+	CodeProgramGone   Code = "program-unknown"
+	CodeProgramEnded  Code = "program-ended"
+	CodeOrder         Code = "order-unknown"
+	CodeHistory       Code = "history-mismatch"
+	CodeCallReused    Code = "call-id-reused"
+	CodeBudget        Code = "budget-exhausted"
+	CodeLoop          Code = "loop-limit"
+	CodeDeadline      Code = "deadline-exceeded"
+	CodeNoUpstream    Code = "no-upstream"
+	CodeBusy          Code = "busy"
+	CodeCrash         Code = "crashes-upstreams"
+	CodeUpstreamError Code = "upstream-error"
+	CodeInterrupted   Code = "interrupted"
+	CodeOwnerLost     Code = "owner-unavailable"
+	CodeLeaving       Code = "leaving"
+	CodeInternal      Code = "internal"
+)
+
+var statusOf = map[Code]int{
+	CodeBadRequest:    http.StatusBadRequest,
+	CodeTooLarge:      http.StatusRequestEntityTooLarge,
+	CodeKeyMissing:    http.StatusUnauthorized,
+	CodeKeyUnknown:    http.StatusUnauthorized,
+	CodeKeyWithdrawn:  http.StatusUnauthorized,
+	CodeKeyExposed:    http.StatusBadRequest,
+	CodeRouteUnknown:  http.StatusNotFound,
+	CodeForbidden:     http.StatusForbidden,
+	CodeRate:          http.StatusTooManyRequests,
+	CodeProgramGone:   http.StatusNotFound,
+	CodeProgramEnded:  http.StatusConflict,
+	CodeOrder:         http.StatusConflict,
+	CodeHistory:       http.StatusConflict,
+	CodeCallReused:    http.StatusUnprocessableEntity,
+	CodeBudget:        http.StatusPaymentRequired,
+	CodeLoop:          http.StatusConflict,
+	CodeDeadline:      http.StatusGatewayTimeout,
+	CodeNoUpstream:    http.StatusServiceUnavailable,
+	CodeBusy:          http.StatusServiceUnavailable,
+	CodeCrash:         http.StatusConflict,
+	CodeUpstreamError: http.StatusBadGateway,
+	CodeInterrupted:   http.StatusBadGateway,
+	CodeOwnerLost:     http.StatusServiceUnavailable,
+	CodeLeaving:       http.StatusServiceUnavailable,
+	CodeInternal:      http.StatusInternalServerError,
+}
+
+// Problem is an error that a caller sees, as an RFC 9457 problem document.
+type Problem struct {
+	Code    Code    `json:"code"`
+	Status  int     `json:"status"`
+	Title   string  `json:"title"`
+	Detail  string  `json:"detail,omitempty"`
+	Outcome Outcome `json:"outcome"`
+	// Retry is the number of seconds after which a new attempt makes sense; zero means none.
+	Retry float64 `json:"retry,omitempty"`
+	Call  CallID  `json:"call,omitempty"`
+}
+
+// NewProblem returns a problem with the status that belongs to its code.
+func NewProblem(c Code, o Outcome, format string, args ...any) *Problem {
+	s, ok := statusOf[c]
+	if !ok {
+		s = http.StatusInternalServerError
+	}
+	return &Problem{Code: c, Status: s, Title: http.StatusText(s), Detail: fmt.Sprintf(format, args...), Outcome: o}
+}
+
+// WithRetry sets when a new attempt makes sense.
+func (p *Problem) WithRetry(d time.Duration) *Problem {
+	p.Retry = d.Seconds()
+	return p
+}
+
+// Error implements error.
+func (p *Problem) Error() string {
+	return fmt.Sprintf("%s (%s): %s", p.Code, p.Outcome, p.Detail)
+}
