Add message transport between VMs and the event catalogue

Cause: owners, witnesses and entry VMs exchange typed requests; redirects and problems must keep their type on the way. Excluded: one connection for many requests (drpc carries one request per connection at a time; a small pool per VM does instead); generated code. Change: package vm with drpc and CBOR over TCP, and an in-memory network with delay, loss and one-way cuts for virtual-time tests; package event. Conclusion: state machines can be built and tested over either transport.

--- /dev/null
+++ b/event/doc.go
@@ -0,0 +1,2 @@
+// Package event lists the numbered log events.
+package event
--- /dev/null
+++ b/event/process.go
@@ -0,0 +1,9 @@
+package event
+
+// Events of the process.
+var (
+	Started  = add(701, Info, "process started", "")
+	Stopping = add(702, Info, "graceful shutdown started", "")
+	Stopped  = add(703, Info, "process stopped", "")
+	Cut      = add(704, Error, "shutdown interrupted requests", "Raise grace in the settings if requests take longer than it.")
+)
--- /dev/null
+++ b/vm/doc.go
@@ -0,0 +1,3 @@
+// Package vm carries messages between VMs: drpc with CBOR over TCP, and in
+// memory with faults for tests.
+package vm
--- /dev/null
+++ b/vm/reply.go
@@ -0,0 +1,40 @@
+package vm
+
+import (
+	"errors"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// reply is the answer to any request; typed errors keep their type on the way.
+type reply struct {
+	Body     []byte                  `json:"body,omitempty"`
+	Error    string                  `json:"error,omitempty"`
+	NotOwner *chestnutcleat.NotOwner `json:"owner,omitempty"`
+	Problem  *chestnutcleat.Problem  `json:"problem,omitempty"`
+}
+
+func replyOf(body []byte, err error) reply {
+	r := reply{Body: body}
+	if err == nil {
+		return r
+	}
+	if errors.As(err, &r.NotOwner) || errors.As(err, &r.Problem) {
+		return r
+	}
+	r.Error = err.Error()
+	return r
+}
+
+// open decodes the body or returns the error that the peer answered.
+func (r *reply) open(into any) error {
+	switch {
+	case r.NotOwner != nil:
+		return r.NotOwner
+	case r.Problem != nil:
+		return r.Problem
+	case r.Error != "":
+		return &RemoteError{Text: r.Error}
+	}
+	return Encoding{}.Unmarshal(r.Body, into)
+}
--- /dev/null
+++ b/vm/server.go
@@ -0,0 +1,30 @@
+package vm
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+)
+
+// maxMessageBytes is above the largest manifest part and the largest batch of records.
+const maxMessageBytes = 8 << 20
+
+// Serve answers requests on a listener until ctx is done.
+func Serve(ctx context.Context, l net.Listener, m *Mux) error {
+	o := drpcserver.Options{Manager: managerOptions()}
+	if err := drpcserver.NewWithOptions(m, o).Serve(ctx, l); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("serve VMs on %s: %w", l.Addr(), err)
+	}
+	return nil
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader:     drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		SoftCancel: true,
+	}
+}
--- /dev/null
+++ b/vm/vm_test.go
@@ -0,0 +1,115 @@
+package vm_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/vm"
+)
+
+func newMux() *vm.Mux {
+	m := vm.NewMux()
+	vm.Handle(m, chestnutcleat.MethodTake, func(_ context.Context, r chestnutcleat.TakeRequest) (chestnutcleat.TakeReply, error) {
+		switch r.Customer {
+		case "moved":
+			return chestnutcleat.TakeReply{}, &chestnutcleat.NotOwner{Key: chestnutcleat.CustomerKey("moved"), Place: chestnutcleat.Place{VM: "b", Epoch: 7}}
+		case "refused":
+			return chestnutcleat.TakeReply{}, chestnutcleat.NewProblem(chestnutcleat.CodeBusy, chestnutcleat.NotRun, "busy").WithRetry(time.Second)
+		case "broken":
+			return chestnutcleat.TakeReply{}, errors.New("broken")
+		}
+		return chestnutcleat.TakeReply{Admitted: true, Retry: time.Millisecond * time.Duration(r.Count)}, nil
+	})
+	return m
+}
+
+// Typed errors that lose their type on the way would hide redirects and outcomes from the sender.
+func TestErrorsKeepTheirType(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- vm.Serve(ctx, l, newMux()) }()
+	c := vm.NewClient()
+	memory := vm.NewNetwork(1)
+	memory.Attach("b", newMux())
+	peers := map[string]chestnutcleat.Peers{"tcp": c, "memory": memory.From("a")}
+	address := map[string]chestnutcleat.Address{"tcp": chestnutcleat.Address(l.Addr().String()), "memory": "b"}
+	for name, p := range peers {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			call := func(c chestnutcleat.CustomerID) (chestnutcleat.TakeReply, error) {
+				var r chestnutcleat.TakeReply
+				err := p.Call(ctx, address[name], chestnutcleat.MethodTake, chestnutcleat.TakeRequest{Customer: c, Count: 3}, &r)
+				return r, err
+			}
+			r, err := call("c")
+			is.NoErr(err)
+			is.Equal(r.Retry, 3*time.Millisecond)
+			var moved *chestnutcleat.NotOwner
+			_, err = call("moved")
+			is.True(errors.As(err, &moved))
+			is.Equal(moved.Place.Epoch, chestnutcleat.Epoch(7))
+			var refused *chestnutcleat.Problem
+			_, err = call("refused")
+			is.True(errors.As(err, &refused))
+			is.Equal(refused.Retry, 1.0)
+			var remote *vm.RemoteError
+			_, err = call("broken")
+			is.True(errors.As(err, &remote))
+		})
+	}
+	c.Close()
+	cancel()
+	<-done
+}
+
+// A cut in one direction must lose the answer although the request took effect.
+func TestCutOneWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := vm.NewNetwork(1)
+		n.Delay = time.Millisecond
+		ran := 0
+		m := vm.NewMux()
+		vm.Handle(m, chestnutcleat.MethodTake, func(context.Context, chestnutcleat.TakeRequest) (chestnutcleat.Ack, error) {
+			ran++
+			return chestnutcleat.Ack{}, nil
+		})
+		n.Attach("b", m)
+		n.Cut("b", "a")
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var r chestnutcleat.Ack
+		err := n.From("a").Call(ctx, "b", chestnutcleat.MethodTake, chestnutcleat.TakeRequest{}, &r)
+		is.True(errors.Is(err, vm.ErrUnreachable))
+		is.Equal(ran, 1)
+	})
+}
+
+func BenchmarkCallTCP(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	go vm.Serve(ctx, l, newMux())
+	c := vm.NewClient()
+	defer c.Close()
+	for b.Loop() {
+		var r chestnutcleat.TakeReply
+		if err := c.Call(ctx, chestnutcleat.Address(l.Addr().String()), chestnutcleat.MethodTake, chestnutcleat.TakeRequest{Customer: "c", Count: 1}, &r); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
