--- /dev/null
+++ b/control/endpoint.go
@@ -0,0 +1,60 @@
+package control
+
+import (
+	"context"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/vm"
+)
+
+// ownership tells whether this VM may act as owner; it is used only in the control goroutine.
+type ownership interface {
+	// Check returns nil if this VM owns the key's slot and its lease is valid.
+	Check(k chestnutcleat.Key) error
+}
+
+// endpoint is a request that the owner of a key answers.
+type endpoint[Req, Resp any] struct {
+	method chestnutcleat.Method
+	key    func(Req) chestnutcleat.Key
+	// run answers a request in the control goroutine, now or later.
+	run func(Req, func(Resp))
+}
+
+// result is an answer or the error that takes its place.
+type result[Resp any] struct {
+	value Resp
+	err   error
+}
+
+// serve answers a request if this VM is the owner.
+// The lease is checked again before the answer leaves, as the VM may have been paused or replaced while the request waited.
+func (e *endpoint[Req, Resp]) serve(ctx context.Context, l *Loop, o ownership, r Req) (Resp, error) {
+	out := make(chan result[Resp], 1)
+	k := e.key(r)
+	l.Post(func() {
+		if err := o.Check(k); err != nil {
+			out <- result[Resp]{err: err}
+			return
+		}
+		e.run(r, func(v Resp) {
+			if err := o.Check(k); err != nil {
+				out <- result[Resp]{err: err}
+				return
+			}
+			out <- result[Resp]{value: v}
+		})
+	})
+	select {
+	case a := <-out:
+		return a.value, a.err
+	case <-ctx.Done():
+		var none Resp
+		return none, ctx.Err()
+	}
+}
+
+// register lets other VMs send the request.
+func (e *endpoint[Req, Resp]) register(m *vm.Mux, l *Loop, o ownership) {
+	vm.Handle(m, e.method, func(ctx context.Context, r Req) (Resp, error) { return e.serve(ctx, l, o, r) })
+}
