Add settings, the platform client and its stand-in

Excluded: the HTTP fault interface has no per-client faults; the stand-in keeps deleted names for ever. Change: package document decodes JSON with comments strictly and reports all errors with file, line and field; settings uses it. standin/platform holds the store, its HTTP handler and an in-memory client for virtual time. platform holds the HTTP client and the Watcher. chestnutcleat.Object gains Deleted, so that a watch can report removals; ErrTooLarge is new.

--- /dev/null
+++ b/document/document.go
@@ -0,0 +1,89 @@
+package document
+
+import (
+	"fmt"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// Document holds the positions of the fields of a decoded document and its errors.
+type Document struct {
+	File   string
+	Errors Errors
+
+	newlines []int
+	lines    map[string]int
+}
+
+// Decode reads JSON with comments strictly: unknown and repeated fields and wrong types are errors of the document.
+func Decode[T any](file string, data []byte) (T, *Document) {
+	var v T
+	d := &Document{File: file, lines: map[string]int{}}
+	for i, c := range data {
+		if c == '\n' {
+			d.newlines = append(d.newlines, i)
+		}
+	}
+	root, err := hujson.Parse(data)
+	if err != nil {
+		d.syntax(err)
+		return v, d
+	}
+	decode(d, "", root, &v)
+	return v, d
+}
+
+var syntaxPattern = regexp.MustCompile(`^hujson: line (\d+), column (\d+): (.*)$`)
+
+func (d *Document) syntax(err error) {
+	m := syntaxPattern.FindStringSubmatch(err.Error())
+	if m == nil {
+		d.addAt(1, "", "expected JSON with comments: %v", err)
+		return
+	}
+	line, _ := strconv.Atoi(m[1])
+	d.addAt(line, "", "expected JSON with comments: column %s: %s", m[2], m[3])
+}
+
+// Add records an error of a field at the field's line, or at its parent's line if the field is missing.
+func (d *Document) Add(field, format string, args ...any) {
+	d.addAt(d.Line(field), field, format, args...)
+}
+
+func (d *Document) addAt(line int, field, format string, args ...any) {
+	d.Errors = append(d.Errors, &Error{File: d.File, Line: line, Field: field, Text: fmt.Sprintf(format, args...)})
+}
+
+// Line returns the line of a field, or of the closest parent that is present.
+func (d *Document) Line(field string) int {
+	for field != "" {
+		if l, ok := d.lines[field]; ok {
+			return l
+		}
+		field = field[:max(strings.LastIndexAny(field, ".["), 0)]
+	}
+	return max(d.lines[""], 1)
+}
+
+// Has reports whether a field is present.
+func (d *Document) Has(field string) bool {
+	_, ok := d.lines[field]
+	return ok
+}
+
+// Err returns all errors in the order of their lines, or nil.
+func (d *Document) Err() error {
+	if len(d.Errors) == 0 {
+		return nil
+	}
+	sort.SliceStable(d.Errors, func(i, j int) bool { return d.Errors[i].Line < d.Errors[j].Line })
+	return d.Errors
+}
+
+func (d *Document) lineAt(offset int) int {
+	return sort.SearchInts(d.newlines, offset) + 1
+}
--- a/platform.go
+++ b/platform.go
@@ -11,6 +11,8 @@
 	ErrConflict = errors.New("object version conflict")
 	// ErrNotFound reports that an object does not exist.
 	ErrNotFound = errors.New("object not found")
+	// ErrTooLarge reports that a value is above MaxObjectBytes.
+	ErrTooLarge = errors.New("object is too large")
 )
 
 // MaxObjectBytes is the largest value that the platform holds.
@@ -24,6 +26,8 @@
 	Name    ObjectName `json:"name"`
 	Version Version    `json:"version"`
 	Data    []byte     `json:"data"`
+	// Deleted is set by Watch for an object that was removed.
+	Deleted bool `json:"deleted,omitempty"`
 }
 
 // Platform is the platform's object API.
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads the settings of a VM's process.
+package settings
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,149 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/document"
+)
+
+// DefaultGrace is the time that a graceful shutdown may take.
+const DefaultGrace = 30 * time.Second
+
+// Settings is what one process of chestnutcleat serve is told about its VM.
+type Settings struct {
+	VM        chestnutcleat.VMID          `json:"vm"`
+	Domain    chestnutcleat.FailureDomain `json:"domain"`
+	Region    chestnutcleat.Region        `json:"region"`
+	Addresses Addresses                   `json:"addresses"`
+	// Platform is the URL of the platform's object API.
+	Platform string `json:"platform"`
+	// Seeds are addresses of other VMs, for the case that the platform is down at the start.
+	Seeds []chestnutcleat.Address `json:"seeds,omitempty"`
+	// Folder is the data folder of a VM with a disk; empty for none.
+	Folder string `json:"folder,omitempty"`
+	Log    Log    `json:"log,omitempty"`
+	// Grace is the time after which a graceful shutdown interrupts requests.
+	Grace chestnutcleat.Duration `json:"grace,omitempty"`
+}
+
+// Addresses are the addresses that a process listens on.
+type Addresses struct {
+	Callers   chestnutcleat.Address `json:"callers"`
+	Operators chestnutcleat.Address `json:"operators"`
+	VMs       chestnutcleat.Address `json:"vms"`
+}
+
+// Log tells what is logged and how.
+type Log struct {
+	// Level is debug, info, warning or error.
+	Level string `json:"level,omitempty"`
+	// Format is json or text.
+	Format string `json:"format,omitempty"`
+}
+
+var (
+	levels  = []string{"debug", "info", "warning", "error"}
+	formats = []string{"json", "text"}
+)
+
+// Load reads a settings file and returns all its errors at once as document.Errors.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(path, data)
+}
+
+// Parse decodes and validates settings; file names the source in errors.
+func Parse(file string, data []byte) (Settings, error) {
+	s, d := document.Decode[Settings](file, data)
+	s.setDefaults()
+	s.validate(d)
+	return s, d.Err()
+}
+
+func (s *Settings) setDefaults() {
+	if s.Log.Level == "" {
+		s.Log.Level = "info"
+	}
+	if s.Log.Format == "" {
+		s.Log.Format = "json"
+	}
+	s.Grace = chestnutcleat.Duration(s.Grace.Or(DefaultGrace))
+}
+
+func (s *Settings) validate(d *document.Document) {
+	if len(d.Errors) > 0 && len(d.Errors[0].Field) == 0 {
+		return
+	}
+	required(d, "vm", string(s.VM), "the id of this VM")
+	required(d, "domain", string(s.Domain), "the failure domain of this VM")
+	required(d, "region", string(s.Region), "the region of this VM")
+	address(d, "addresses.callers", s.Addresses.Callers)
+	address(d, "addresses.operators", s.Addresses.Operators)
+	address(d, "addresses.vms", s.Addresses.VMs)
+	s.distinct(d)
+	if u, err := url.Parse(s.Platform); err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		complain(d, "platform", "expected the URL of the platform, such as \"http://10.0.0.9:8400\", found %q", s.Platform)
+	}
+	for i, a := range s.Seeds {
+		address(d, fmt.Sprintf("seeds[%d]", i), a)
+	}
+	if s.Folder != "" && !filepath.IsAbs(s.Folder) {
+		complain(d, "folder", "expected an absolute path, found %q", s.Folder)
+	}
+	oneOf(d, "log.level", s.Log.Level, levels)
+	oneOf(d, "log.format", s.Log.Format, formats)
+	if s.Grace < 0 {
+		complain(d, "grace", "expected a duration above 0, found %q", time.Duration(s.Grace))
+	}
+}
+
+// distinct checks that no two listeners share an address; port 0 lets the system choose.
+func (s *Settings) distinct(d *document.Document) {
+	a := s.Addresses
+	same := func(x, y chestnutcleat.Address) bool { return x != "" && x == y && !strings.HasSuffix(string(x), ":0") }
+	if same(a.Operators, a.Callers) {
+		complain(d, "addresses.operators", "expected another address than addresses.callers, found %q", a.Operators)
+	}
+	if same(a.VMs, a.Callers) || same(a.VMs, a.Operators) {
+		complain(d, "addresses.vms", "expected an address of its own, found %q", a.VMs)
+	}
+}
+
+func required(d *document.Document, field, value, what string) {
+	if value == "" {
+		complain(d, field, "expected %s, found nothing", what)
+	}
+}
+
+func address(d *document.Document, field string, a chestnutcleat.Address) {
+	if _, err := netip.ParseAddrPort(string(a)); err != nil {
+		complain(d, field, "expected IP:port, such as \"10.0.0.1:8000\", found %q", a)
+	}
+}
+
+func oneOf(d *document.Document, field, value string, list []string) {
+	if !slices.Contains(list, value) {
+		complain(d, field, "expected one of %s, found %q", strings.Join(list, ", "), value)
+	}
+}
+
+// complain adds an error unless decoding already found one in the field.
+func complain(d *document.Document, field, format string, args ...any) {
+	for _, e := range d.Errors {
+		if e.Field == field {
+			return
+		}
+	}
+	d.Add(field, format, args...)
+}
--- /dev/null
+++ b/standin/platform/doc.go
@@ -0,0 +1,2 @@
+// Package platform is a stand-in for the platform's object API, with faults.
+package platform
