--- /dev/null
+++ b/engine/chat.go
@@ -0,0 +1,106 @@
+package engine
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// Chat is the body of a chat completions request; fields that it does not know are passed on.
+type Chat struct {
+	Model    chestnutcleat.ModelName
+	Messages []Message
+	Stream   bool
+	// MaxTokens bounds the output; zero means that the caller set no bound.
+	MaxTokens chestnutcleat.Tokens
+
+	fields map[string]json.RawMessage
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *Chat) UnmarshalJSON(data []byte) error {
+	c.fields = nil
+	if err := json.Unmarshal(data, &c.fields); err != nil {
+		return err
+	}
+	var completion chestnutcleat.Tokens
+	targets := map[string]any{"model": &c.Model, "messages": &c.Messages, "stream": &c.Stream, "max_tokens": &c.MaxTokens, "max_completion_tokens": &completion}
+	for name, target := range targets {
+		raw, ok := c.fields[name]
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal(raw, target); err != nil {
+			return fmt.Errorf("field %q: %w", name, err)
+		}
+	}
+	if c.MaxTokens < 0 || completion < 0 {
+		return errors.New("field \"max_tokens\" is negative")
+	}
+	if completion > 0 && (c.MaxTokens == 0 || completion < c.MaxTokens) {
+		c.MaxTokens = completion
+	}
+	return c.validate()
+}
+
+func (c *Chat) validate() error {
+	if c.Model == "" {
+		return errors.New("field \"model\" is empty")
+	}
+	if len(c.Messages) == 0 {
+		return errors.New("field \"messages\" is empty")
+	}
+	for i, m := range c.Messages {
+		if m.Role == "" {
+			return fmt.Errorf("message %d has no role", i)
+		}
+	}
+	var n int
+	if raw, ok := c.fields["n"]; ok && (json.Unmarshal(raw, &n) != nil || n > 1) {
+		return errors.New("field \"n\" must be 1")
+	}
+	return nil
+}
+
+// MarshalJSON implements json.Marshaler.
+func (c Chat) MarshalJSON() ([]byte, error) {
+	out := make(map[string]any, len(c.fields)+5)
+	for k, v := range c.fields {
+		out[k] = v
+	}
+	out["model"] = c.Model
+	if _, ok := c.fields["messages"]; !ok {
+		out["messages"] = c.Messages
+	}
+	delete(out, "max_completion_tokens")
+	delete(out, "max_tokens")
+	if c.MaxTokens > 0 {
+		out["max_tokens"] = c.MaxTokens
+	}
+	delete(out, "stream")
+	if c.Stream {
+		out["stream"] = true
+		// Usage is needed to count tokens against budgets, also when the caller did not ask for it.
+		out["stream_options"] = map[string]bool{"include_usage": true}
+	}
+	return json.Marshal(out)
+}
+
+// WantsUsage reports whether the caller asked for usage in a stream.
+func (c Chat) WantsUsage() bool {
+	var o struct {
+		Include bool `json:"include_usage"`
+	}
+	return json.Unmarshal(c.fields["stream_options"], &o) == nil && o.Include
+}
+
+// Prompt estimates the number of prompt tokens.
+func (c Chat) Prompt() chestnutcleat.Tokens {
+	var n chestnutcleat.Tokens
+	for _, m := range c.Messages {
+		n += m.Tokens()
+	}
+	return n
+}
--- /dev/null
+++ b/engine/message.go
@@ -0,0 +1,72 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// Message is one message of a chat.
+type Message struct {
+	Role string `json:"role"`
+	// Content is a JSON string, an array of parts, or null.
+	Content    json.RawMessage `json:"content"`
+	ToolCalls  json.RawMessage `json:"tool_calls,omitempty"`
+	ToolCallID string          `json:"tool_call_id,omitempty"`
+}
+
+// NewMessage returns a message with text content.
+func NewMessage(role, text string) Message {
+	c, err := json.Marshal(text)
+	if err != nil {
+		c = []byte(`""`)
+	}
+	return Message{Role: role, Content: c}
+}
+
+// Text returns the text content, or the compact JSON of a content that is not a string.
+func (m Message) Text() string {
+	var s string
+	if json.Unmarshal(m.Content, &s) == nil {
+		return s
+	}
+	return string(compact(m.Content))
+}
+
+// Tokens estimates the number of tokens at four bytes each.
+func (m Message) Tokens() chestnutcleat.Tokens {
+	return chestnutcleat.Tokens(len(m.Content)+len(m.ToolCalls)+3) / 4
+}
+
+// Chain returns the digest of the history that ends with m, given the digest of the history before.
+func (m Message) Chain(before chestnutcleat.Digest) chestnutcleat.Digest {
+	var b bytes.Buffer
+	b.Write(before[:])
+	for _, s := range []string{m.Role, m.Text(), string(compact(m.ToolCalls)), m.ToolCallID} {
+		length, _ := json.Marshal(len(s))
+		b.Write(length)
+		b.WriteByte(':')
+		b.WriteString(s)
+	}
+	return chestnutcleat.DigestOf(b.Bytes())
+}
+
+// History returns the chained digests of messages, one entry per message.
+func History(messages []Message) []chestnutcleat.Digest {
+	out := make([]chestnutcleat.Digest, 0, len(messages))
+	var d chestnutcleat.Digest
+	for _, m := range messages {
+		d = m.Chain(d)
+		out = append(out, d)
+	}
+	return out
+}
+
+func compact(raw json.RawMessage) []byte {
+	var b bytes.Buffer
+	if len(raw) == 0 || json.Compact(&b, raw) != nil || b.String() == "null" {
+		return nil
+	}
+	return b.Bytes()
+}
--- /dev/null
+++ b/standin/engine/control.go
@@ -0,0 +1,90 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// load answers with a report that is up to Lag old.
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	running, waiting := e.batch.counts()
+	e.mu.Lock()
+	if now := time.Now(); now.Sub(e.report.Time) >= e.Lag {
+		e.report = chestnutcleat.LoadReport{Running: running, Waiting: waiting, Occupied: e.cache.used, Time: now}
+		for _, p := range e.state.Pins {
+			e.report.Pinned += p.Tokens
+		}
+	}
+	report := e.report
+	e.mu.Unlock()
+	reply(w, report)
+}
+
+func (e *Engine) events(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after is not a number", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	out := e.cache.after(chestnutcleat.Sequence(after))
+	e.mu.Unlock()
+	reply(w, out)
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o chestnutcleat.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.Fencing && o.Fence < e.state.Fence {
+		http.Error(w, "old fencing token", http.StatusConflict)
+		return
+	}
+	e.state.Fence = max(e.state.Fence, o.Fence)
+	if o.Load != "" && !slices.Contains(e.state.Models, o.Load) {
+		e.state.Models = append(e.state.Models, o.Load)
+	}
+	if o.Unload != "" {
+		e.state.Models = slices.DeleteFunc(e.state.Models, func(m chestnutcleat.ModelName) bool { return m == o.Unload })
+	}
+	if o.Role != "" {
+		e.state.Role = o.Role
+	}
+	reply(w, e.state)
+}
+
+// prune drops expired pins; the caller holds the lock.
+func (e *Engine) prune() {
+	now := time.Now()
+	e.state.Pins = slices.DeleteFunc(e.state.Pins, func(p chestnutcleat.Pin) bool { return !p.Expiry.After(now) })
+}
+
+func (e *Engine) showState(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.prune()
+	reply(w, e.state)
+}
+
+func (e *Engine) pin(w http.ResponseWriter, r *http.Request) {
+	var p chestnutcleat.Pin
+	if err := json.NewDecoder(r.Body).Decode(&p); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.Pins = slices.DeleteFunc(e.state.Pins, func(q chestnutcleat.Pin) bool { return q.Program == p.Program })
+	e.state.Pins = append(e.state.Pins, p)
+	e.prune()
+	w.WriteHeader(http.StatusNoContent)
+}
