Add Owners, Directory and the clients of engines and services

Cause: the entry VM needs interfaces to owners and manifest, and HTTP clients that know whether a byte of a request was sent. Excluded: redirects, proxies and compressed answers; connection reuse for calls that may not be repeated, as net/http resends some requests on reused connections. Change: root interfaces Owners and Directory; package upstream (transport that counts written bytes, header allow-lists, typed errors); engine and service clients that check request ids and whole answers.

--- a/engine/completion.go
+++ b/engine/completion.go
@@ -1,6 +1,10 @@
 package engine
 
-import "chestnutcleat.example/chestnutcleat"
+import (
+	"encoding/json"
+
+	"chestnutcleat.example/chestnutcleat"
+)
 
 // Objects of the chat completions protocol.
 const (
@@ -36,4 +40,6 @@
 type Delta struct {
 	Role    string `json:"role,omitempty"`
 	Content string `json:"content,omitempty"`
+	// ToolCalls are passed on as they are.
+	ToolCalls json.RawMessage `json:"tool_calls,omitempty"`
 }
--- a/engine/header.go
+++ b/engine/header.go
@@ -6,7 +6,7 @@
 	HeaderRequest = "X-Request-Id"
 	// HeaderPriority is the priority of a request; a lower number is served first.
 	HeaderPriority = "X-Priority"
-	// HeaderOffset is the number of output tokens that a resumed stream skips; an engine that resumes echoes it.
+	// HeaderOffset is the number of bytes of answer text that a resumed stream skips; an engine that resumes echoes it.
 	HeaderOffset = "X-Resume-Offset"
 	// HeaderFence carries the fencing token of an order.
 	HeaderFence = "X-Fencing-Token"
--- /dev/null
+++ b/service/doc.go
@@ -0,0 +1,2 @@
+// Package service sends calls to plain services over HTTP.
+package service
--- a/standin/engine/complete.go
+++ b/standin/engine/complete.go
@@ -19,6 +19,9 @@
 // length lets a message state how many tokens its answer has.
 var length = regexp.MustCompile(`#tokens=(\d{1,6})`)
 
+// wordBytes is the length of a generated token with its space.
+const wordBytes = 4
+
 // run is one request in progress.
 type run struct {
 	ctx    context.Context
@@ -182,14 +185,15 @@
 	if u.faults.CutHeaders {
 		u.cut()
 	}
-	for i := u.offset; i < len(u.words); i += e.Chunk {
+	first := min(u.offset/wordBytes, len(u.words))
+	for i := first; i < len(u.words); i += e.Chunk {
 		end := min(i+e.Chunk, len(u.words))
 		if u.faults.Cut > 0 && i >= u.faults.Cut {
 			u.cut()
 		}
 		pause(u.ctx, seconds(float64(end-i)/e.Decode))
 		c := u.completion(engine.ObjectChunk)
-		c.Choices = append(c.Choices, engine.Choice{Delta: &engine.Delta{Role: "assistant", Content: strings.Join(u.words[i:end], "")}})
+		c.Choices = append(c.Choices, engine.Choice{Delta: &engine.Delta{Role: "assistant", Content: u.text(i, end)}})
 		u.event(c)
 	}
 	if u.faults.LoseEnd {
@@ -204,6 +208,12 @@
 	fmt.Fprint(u.w, "data: [DONE]\n\n")
 }
 
+// text returns the words from i to end without the part before the resume offset.
+func (u *run) text(i, end int) string {
+	s := strings.Join(u.words[i:end], "")
+	return s[min(max(u.offset-i*wordBytes, 0), len(s)):]
+}
+
 func (u *run) event(c engine.Completion) {
 	data, err := json.Marshal(c)
 	if err != nil {
--- /dev/null
+++ b/upstream/transport.go
@@ -0,0 +1,35 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	idleTimeout = 30 * time.Second
+	idlePerHost = 64
+	maxHeader   = 64 << 10
+)
+
+// NewTransport returns a transport whose connections count what was written.
+// Without reuse each request has a connection of its own, which net/http never retries.
+func NewTransport(reuse bool) *http.Transport {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := d.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c}, nil
+		},
+		DisableKeepAlives:      !reuse,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeader,
+	}
+}
