Join the control state of a VM

Cause: the state machines must run together in one goroutine and reach owners on other VMs. Excluded: a lock per package; a second way to reach the local owner (it uses the same endpoint). Change: control.Node with endpoints, Owners, Directory, gossip items, load summaries, key revocations.

--- /dev/null
+++ b/control/build.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/dispatch"
+	"chestnutcleat.example/chestnutcleat/engine"
+	"chestnutcleat.example/chestnutcleat/lease"
+	"chestnutcleat.example/chestnutcleat/limit"
+	"chestnutcleat.example/chestnutcleat/manifest"
+	"chestnutcleat.example/chestnutcleat/member"
+	"chestnutcleat.example/chestnutcleat/program"
+	"chestnutcleat.example/chestnutcleat/vm"
+)
+
+func (n *Node) buildMembers() {
+	n.members = &member.List{
+		Self:     n.Self,
+		Loop:     n.Loop,
+		Peers:    n.Peers,
+		Seeds:    n.seeds.list,
+		Rand:     n.Rand,
+		Observer: n.Observer,
+		OnItem:   n.onItem,
+		OnRejoin: func(v chestnutcleat.VM) { n.Self = v },
+	}
+	n.members.Register(n.Mux, n.do)
+}
+
+func (n *Node) buildManifests() {
+	n.manifests = &manifest.Store{
+		Loop:       n.Loop,
+		Peers:      n.Peers,
+		Platform:   n.Platform,
+		Observer:   n.Observer,
+		Members:    n.members.Members,
+		VM:         n.Self.ID,
+		Address:    n.Self.Address,
+		Folder:     n.Folder,
+		Rand:       n.Rand,
+		OnWithdraw: n.revoked.withdraw,
+		OnChange:   func(*manifest.View) { n.limits.Refresh() },
+	}
+	vm.Handle(n.Mux, chestnutcleat.MethodFetch, func(_ context.Context, r manifest.FetchRequest) (a manifest.FetchReply, err error) {
+		n.do(func() { a = n.manifests.Fetch(r) })
+		return a, nil
+	})
+	vm.Handle(n.Mux, chestnutcleat.MethodOffer, func(_ context.Context, r manifest.OfferRequest) (chestnutcleat.Ack, error) {
+		n.do(func() { n.manifests.Offer(r.Summary, r.From) })
+		return chestnutcleat.Ack{}, nil
+	})
+}
+
+func (n *Node) buildStates() {
+	n.limits = &limit.Book{Loop: n.Loop, Customer: n.Customer, Observer: n.Observer, VM: n.Self.ID}
+	n.suspects = &program.Suspects{Loop: n.Loop, Observer: n.Observer}
+	n.programs = &program.Book{
+		Loop:     n.Loop,
+		Limits:   n.Limits,
+		Observer: n.Observer,
+		Suspect:  n.suspect,
+		Timeout:  n.timeout,
+	}
+	n.upstreams = &dispatch.Book{
+		Loop:          n.Loop,
+		Upstream:      n.Upstream,
+		Epoch:         func() chestnutcleat.Epoch { return n.keeper.Epoch() },
+		Engine:        n.engine,
+		Observer:      n.Observer,
+		Policy:        n.Policy,
+		Rand:          n.Rand,
+		TakeLoad:      n.takeLoad,
+		LeaseDuration: lease.Duration,
+		OrderDelay:    maxOrderDelay,
+	}
+}
+
+// maxOrderDelay is the longest time that an order may spend on its way to an engine.
+const maxOrderDelay = 5 * time.Second
+
+func (n *Node) buildKeeper() {
+	n.keeper = &lease.Keeper{
+		Self:     n.Self,
+		Loop:     n.Loop,
+		Peers:    n.Peers,
+		Platform: n.Platform,
+		Members:  n.members.Members,
+		States: map[chestnutcleat.Kind]chestnutcleat.Owned{
+			chestnutcleat.KindProgram:  pair{n.programs, n.suspects},
+			chestnutcleat.KindCustomer: n.limits,
+			chestnutcleat.KindUpstream: n.upstreams,
+		},
+		Observer: n.Observer,
+		Rand:     n.Rand,
+	}
+	n.keeper.Register(n.Mux, n.do)
+	n.limits.Journal = n.keeper
+	n.suspects.Journal = n.keeper
+	n.programs.Journal = n.keeper
+}
+
+// timeout returns the longest run time of a call of a route.
+func (n *Node) timeout(name chestnutcleat.RouteName) time.Duration {
+	r, ok := n.Route(name)
+	if !ok {
+		return chestnutcleat.DefaultCallTimeout
+	}
+	return r.Timeout.Or(chestnutcleat.DefaultCallTimeout)
+}
+
+// engine returns the control client of an engine, nil for a service.
+func (n *Node) engine(id chestnutcleat.UpstreamID) chestnutcleat.Engine {
+	u, ok := n.Upstream(id)
+	if !ok || u.Kind != chestnutcleat.UpstreamEngine || n.Transport == nil {
+		return nil
+	}
+	return &engine.Client{Address: u.Address, Transport: n.Transport}
+}
+
+// suspect asks the owner of a fingerprint about its crashes.
+func (n *Node) suspect(r chestnutcleat.SuspectRequest, done func(chestnutcleat.SuspectReply, error)) {
+	work := func(ctx context.Context) (chestnutcleat.SuspectReply, error) {
+		return ask(ctx, &n.asker, &n.endpoints.suspect, r)
+	}
+	chestnutcleat.Async(n.Loop, suspectTimeout, work, done)
+}
+
+// suspectTimeout is above the longest takeover.
+const suspectTimeout = 6 * time.Second
--- a/control/endpoint.go
+++ b/control/endpoint.go
@@ -11,6 +11,8 @@
 type ownership interface {
 	// Check returns nil if this VM owns the key's slot and its lease is valid.
 	Check(k chestnutcleat.Key) error
+	// Wait is Check that waits while the slot is in transfer.
+	Wait(k chestnutcleat.Key, done func(error))
 }
 
 // endpoint is a request that the owner of a key answers.
@@ -32,17 +34,16 @@
 func (e *endpoint[Req, Resp]) serve(ctx context.Context, l *Loop, o ownership, r Req) (Resp, error) {
 	out := make(chan result[Resp], 1)
 	k := e.key(r)
+	answer := func(v Resp) {
+		out <- result[Resp]{value: v, err: o.Check(k)}
+	}
 	l.Post(func() {
-		if err := o.Check(k); err != nil {
-			out <- result[Resp]{err: err}
-			return
-		}
-		e.run(r, func(v Resp) {
-			if err := o.Check(k); err != nil {
+		o.Wait(k, func(err error) {
+			if err != nil {
 				out <- result[Resp]{err: err}
 				return
 			}
-			out <- result[Resp]{value: v}
+			e.run(r, answer)
 		})
 	})
 	select {
--- /dev/null
+++ b/control/gossip.go
@@ -0,0 +1,69 @@
+package control
+
+import (
+	"strings"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/manifest"
+	"chestnutcleat.example/chestnutcleat/vm"
+)
+
+const (
+	// gossipInterval is the time between summaries of this VM's state.
+	gossipInterval = 500 * time.Millisecond
+	// summaryExpiry is how long a summary counts without a newer one.
+	summaryExpiry = 5 * time.Second
+	// versionBits leaves room for the versions of one incarnation.
+	versionBits = 32
+)
+
+// Names of gossip items; the VM's id follows.
+const (
+	itemLoads    = "loads/"
+	itemUsage    = "usage/"
+	itemManifest = "manifest/"
+)
+
+// manifestItem carries a manifest summary with the address of the VM that has it.
+type manifestItem struct {
+	From    chestnutcleat.Address `json:"from"`
+	Summary manifest.Summary      `json:"summary"`
+}
+
+// gossip publishes the summaries of this VM, again and again.
+func (n *Node) gossip() {
+	n.version++
+	id := string(n.Self.ID)
+	expiry := time.Now().Add(summaryExpiry)
+	if l := n.upstreams.Loads(); len(l) > 0 {
+		n.loads.merge(l)
+		if data, err := vm.Encode(l); err == nil {
+			n.members.PutUntil(itemLoads+id, n.version, data, expiry)
+		}
+	}
+	n.members.PutUntil(itemUsage+id, n.version, n.limits.Summary(), expiry)
+	if data, err := vm.Encode(manifestItem{From: n.Self.Address, Summary: n.manifests.Summary()}); err == nil {
+		if old, _, ok := n.members.Get(itemManifest + id); !ok || string(old) != string(data) {
+			n.members.Put(itemManifest+id, n.version, data)
+		}
+	}
+	n.Loop.After(gossipInterval, n.gossip)
+}
+
+// onItem takes a gossip item of another VM.
+func (n *Node) onItem(name string, data []byte) {
+	switch {
+	case name == itemLoads+string(n.Self.ID), name == itemUsage+string(n.Self.ID), name == itemManifest+string(n.Self.ID):
+	case strings.HasPrefix(name, itemLoads):
+		if l, err := vm.Decode[[]chestnutcleat.Load](data); err == nil {
+			n.loads.merge(l)
+		}
+	case strings.HasPrefix(name, itemUsage):
+		n.limits.Merge(data)
+	case strings.HasPrefix(name, itemManifest):
+		if m, err := vm.Decode[manifestItem](data); err == nil {
+			n.manifests.Offer(m.Summary, m.From)
+		}
+	}
+}
