--- a/callsummary.go
+++ b/callsummary.go
@@ -11,8 +11,12 @@
 
 // CallSummary describes one call of a program.
 type CallSummary struct {
-	ID    CallID    `json:"id"`
-	State CallState `json:"state"`
+	ID     CallID    `json:"id"`
+	After  CallID    `json:"after,omitempty"`
+	Parent CallID    `json:"parent,omitempty"`
+	State  CallState `json:"state"`
 	// Outcome is empty while the call runs.
 	Outcome Outcome `json:"outcome,omitempty"`
+	Attempt int     `json:"attempt"`
+	Usage   Usage   `json:"usage"`
 }
--- a/summary.go
+++ b/summary.go
@@ -7,7 +7,8 @@
 	Program ProgramID     `json:"program"`
 	Started time.Time     `json:"started"`
 	Calls   []CallSummary `json:"calls"`
-	// Used and Reserved are tokens of the budget.
+	// Budget, Used and Reserved are tokens.
+	Budget   Tokens `json:"budget"`
 	Used     Tokens `json:"used"`
 	Reserved Tokens `json:"reserved"`
 	Ended    bool   `json:"ended"`
