--- /dev/null
+++ b/dispatch/book_test.go
@@ -0,0 +1,335 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/control"
+	"chestnutcleat.example/chestnutcleat/dispatch"
+)
+
+const up = chestnutcleat.UpstreamID("e1")
+
+// fakeEngine answers the control interface; a failing one returns an error.
+type fakeEngine struct {
+	mu      sync.Mutex
+	failing bool
+	state   chestnutcleat.EngineState
+	orders  []chestnutcleat.Order
+	pins    []chestnutcleat.Pin
+}
+
+func (e *fakeEngine) Load(context.Context) (chestnutcleat.LoadReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.failing {
+		return chestnutcleat.LoadReport{}, errors.New("refused")
+	}
+	return chestnutcleat.LoadReport{}, nil
+}
+
+func (e *fakeEngine) Events(context.Context, chestnutcleat.Sequence) ([]chestnutcleat.CacheEvent, error) {
+	return nil, nil
+}
+
+func (e *fakeEngine) Order(_ context.Context, o chestnutcleat.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, o)
+	if o.Load != "" {
+		e.state.Models = append(e.state.Models, o.Load)
+	}
+	return nil
+}
+
+func (e *fakeEngine) State(context.Context) (chestnutcleat.EngineState, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.state
+	s.Models = slices.Clone(s.Models)
+	return s, nil
+}
+
+// set changes the engine, which other goroutines read.
+func (e *fakeEngine) set(f func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f()
+}
+
+func (e *fakeEngine) Pin(_ context.Context, p chestnutcleat.Pin) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pins = append(e.pins, p)
+	return nil
+}
+
+type fixture struct {
+	*is.I
+	loop    *control.Loop
+	book    *dispatch.Book
+	config  *chestnutcleat.Upstream
+	engine  *fakeEngine
+	replies map[string]chestnutcleat.AcquireReply
+	order   []string
+}
+
+func run(t *testing.T, f func(x *fixture)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		x := &fixture{I: is.New(t), loop: control.New(), engine: &fakeEngine{}, replies: map[string]chestnutcleat.AcquireReply{}}
+		x.config = &chestnutcleat.Upstream{ID: up, Slots: 1, Cache: 1000, Prefill: 1000, Decode: 10}
+		x.book = &dispatch.Book{
+			Loop:          x.loop,
+			Upstream:      func(chestnutcleat.UpstreamID) (chestnutcleat.Upstream, bool) { return *x.config, true },
+			Epoch:         func() chestnutcleat.Epoch { return 7 },
+			Engine:        func(chestnutcleat.UpstreamID) chestnutcleat.Engine { return x.engine },
+			LeaseDuration: 2 * time.Second,
+			OrderDelay:    20 * time.Second,
+		}
+		go x.loop.Run(ctx)
+		x.do(x.book.Run)
+		f(x)
+		x.do(x.book.Stop)
+	})
+}
+
+func (x *fixture) do(f func()) {
+	x.loop.Post(f)
+	synctest.Wait()
+}
+
+func (x *fixture) acquire(id string, change func(*chestnutcleat.AcquireRequest)) {
+	r := chestnutcleat.AcquireRequest{ID: chestnutcleat.RequestID(id), Upstream: up, Output: 10, Repeatable: true, Timeout: time.Minute}
+	if change != nil {
+		change(&r)
+	}
+	x.do(func() {
+		x.book.Acquire(r, func(a chestnutcleat.AcquireReply) {
+			x.replies[id] = a
+			x.order = append(x.order, id)
+		})
+	})
+}
+
+func (x *fixture) release(id string, change func(*chestnutcleat.ReleaseRequest)) {
+	r := chestnutcleat.ReleaseRequest{Ticket: *x.replies[id].Ticket, Elapsed: time.Second}
+	if change != nil {
+		change(&r)
+	}
+	x.do(func() { x.book.Release(r) })
+}
+
+// Guards against a queue that ignores the customer's level or the program's age, and against a second ticket
+// for a repeated request.
+func TestQueueOrder(t *testing.T) {
+	run(t, func(x *fixture) {
+		start := time.Now()
+		at := func(l chestnutcleat.Level, s time.Duration) func(*chestnutcleat.AcquireRequest) {
+			return func(r *chestnutcleat.AcquireRequest) { r.Level, r.Started = l, start.Add(s) }
+		}
+		x.acquire("first", nil)
+		x.acquire("behind", at(1, -time.Hour))
+		x.acquire("young", at(0, 0))
+		x.acquire("old", at(0, -time.Minute))
+		x.acquire("old", at(0, -time.Minute))
+		x.acquire("first", nil)
+		x.release("first", nil)
+		x.release("old", nil)
+		x.release("young", nil)
+		x.Equal(fmt.Sprint(x.order), "[first first old old young behind]")
+	})
+}
+
+// Guards against a customer behind its share that waits forever.
+func TestAgeing(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.acquire("first", nil)
+		x.acquire("behind", func(r *chestnutcleat.AcquireRequest) { r.Level = 1; r.Started = time.Now() })
+		time.Sleep(11 * time.Second)
+		x.acquire("new", func(r *chestnutcleat.AcquireRequest) { r.Started = time.Now() })
+		x.release("first", nil)
+		x.True(x.replies["behind"].Ticket != nil)
+		x.True(x.replies["new"].Ticket == nil)
+	})
+}
+
+// Guards against requests that are held although their deadline has passed or cannot be met.
+func TestDeadlines(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.acquire("first", func(r *chestnutcleat.AcquireRequest) { r.Output = 100 })
+		x.acquire("hopeless", func(r *chestnutcleat.AcquireRequest) { r.Deadline = time.Now().Add(time.Second) })
+		x.Equal(x.replies["hopeless"].Problem.Code, chestnutcleat.CodeBusy)
+		x.Equal(x.replies["hopeless"].Problem.Outcome, chestnutcleat.NotRun)
+		x.True(x.replies["hopeless"].Problem.Retry > 0)
+		x.acquire("late", func(r *chestnutcleat.AcquireRequest) { r.Deadline = time.Now().Add(8 * time.Second) })
+		time.Sleep(8 * time.Second)
+		synctest.Wait()
+		x.Equal(x.replies["late"].Problem.Code, chestnutcleat.CodeDeadline)
+		x.acquire("cancelled", nil)
+		x.do(func() { x.book.Cancel("cancelled") })
+		x.Equal(x.replies["cancelled"].Problem.Code, chestnutcleat.CodeInterrupted)
+	})
+}
+
+// Guards against slots lost with a VM that died while it held a ticket.
+func TestTicketExpiry(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.acquire("first", nil)
+		x.acquire("second", func(r *chestnutcleat.AcquireRequest) { r.Timeout = time.Hour })
+		time.Sleep(time.Minute + 6*time.Second)
+		synctest.Wait()
+		x.True(x.replies["second"].Ticket != nil)
+		x.release("first", nil) // a late return must not free the second ticket's slot
+		x.acquire("third", nil)
+		x.True(x.replies["third"].Ticket == nil)
+	})
+}
+
+// Guards against new work on a leaving upstream.
+func TestLeaving(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.acquire("first", nil)
+		x.acquire("queued", nil)
+		x.do(func() { x.config.Leaving = true })
+		time.Sleep(time.Second)
+		synctest.Wait()
+		x.True(x.replies["queued"].Moved)
+		x.acquire("new", nil)
+		x.True(x.replies["new"].Moved)
+	})
+}
+
+// Guards against traffic on a failed upstream before a probe, and against a rush onto a recovered one.
+func TestBreaker(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.config.Slots = 8
+		x.acquire("crash", nil)
+		x.engine.set(func() { x.engine.failing = true })
+		x.release("crash", func(r *chestnutcleat.ReleaseRequest) { r.Crashed = true })
+		x.acquire("down", nil)
+		x.True(x.replies["down"].Moved)
+		time.Sleep(20 * time.Second)
+		x.acquire("still down", nil)
+		x.True(x.replies["still down"].Moved)
+		x.engine.set(func() { x.engine.failing = false })
+		health := chestnutcleat.HealthDown
+		for i := 0; i < 200 && health == chestnutcleat.HealthDown; i++ {
+			time.Sleep(100 * time.Millisecond)
+			x.do(func() { health = x.book.Loads()[0].Health })
+		}
+		granted := func() int {
+			n := 0
+			for _, r := range x.replies {
+				if r.Ticket != nil {
+					n++
+				}
+			}
+			return n - 1
+		}
+		x.acquire("no probe", func(r *chestnutcleat.AcquireRequest) { r.Repeatable = false })
+		for i := range 8 {
+			x.acquire(fmt.Sprint(i), nil)
+		}
+		x.Equal(granted(), 1)
+		x.release("0", nil)
+		x.Equal(granted(), 3)
+		x.True(x.replies["no probe"].Ticket != nil)
+	})
+}
+
+// Guards against two suspects at the same time on one upstream.
+func TestAlone(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.config.Slots = 3
+		alone := func(r *chestnutcleat.AcquireRequest) { r.Alone = true }
+		x.acquire("a", alone)
+		x.acquire("b", alone)
+		x.acquire("c", nil)
+		x.True(x.replies["b"].Ticket == nil)
+		x.True(x.replies["c"].Ticket != nil)
+		x.release("a", nil)
+		x.True(x.replies["b"].Ticket != nil)
+	})
+}
+
+// Guards against two owners of an engine that ignores fencing giving orders at the same time, and against pins
+// of programs that no longer exist.
+func TestOrdersAndPins(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.config.Models = []chestnutcleat.ModelName{"a", "b"}
+		x.engine.set(func() {
+			x.engine.state.Pins = []chestnutcleat.Pin{{Program: "gone", Expiry: time.Now().Add(time.Hour)}}
+		})
+		x.acquire("first", nil)
+		time.Sleep(21 * time.Second)
+		synctest.Wait()
+		x.engine.set(func() { x.Equal(len(x.engine.orders), 0) })
+		time.Sleep(2 * time.Minute)
+		synctest.Wait()
+		x.engine.set(func() {
+			x.Equal(len(x.engine.orders), 2)
+			x.Equal(x.engine.orders[0].Fence, chestnutcleat.Epoch(7))
+			x.Equal(x.engine.pins[0].Program, "gone")
+			x.True(x.engine.pins[0].Expiry.Before(time.Now()))
+		})
+	})
+}
+
+// Guards against an index that grows without bound or trusts an engine that evicted a prefix.
+func TestCacheIndex(t *testing.T) {
+	run(t, func(x *fixture) {
+		history := func(n int) []chestnutcleat.Digest {
+			return []chestnutcleat.Digest{chestnutcleat.DigestOf([]byte{byte(n)})}
+		}
+		for i := range 20 {
+			id := fmt.Sprint(i)
+			x.acquire(id, func(r *chestnutcleat.AcquireRequest) { r.History, r.Prompt = history(i), 200 })
+			x.release(id, func(r *chestnutcleat.ReleaseRequest) { r.Usage.Prompt = 200 })
+		}
+		x.do(func() { x.Equal(x.book.Loads()[0].Occupied, chestnutcleat.Tokens(1000)) })
+		x.do(func() {
+			x.Equal(x.book.Cached(up, history(19)), chestnutcleat.Tokens(200))
+			x.Equal(x.book.Cached(up, history(0)), chestnutcleat.Tokens(0))
+		})
+	})
+}
+
+// Guards against more requests than slots after a graceful change of the owner.
+func TestExportKeepsTickets(t *testing.T) {
+	run(t, func(x *fixture) {
+		slot := chestnutcleat.UpstreamKey(up).Slot()
+		x.acquire("first", nil)
+		x.acquire("queued", nil)
+		x.do(func() { x.book.Import(slot, x.book.Export(slot), chestnutcleat.Transfer{}) })
+		x.True(x.replies["queued"].Moved)
+		x.acquire("next", nil)
+		x.True(x.replies["next"].Ticket == nil)
+		x.release("first", nil)
+		x.True(x.replies["next"].Ticket != nil)
+	})
+}
+
+// Guards against an upstream overfilled by a successor that doesn't know the tickets of the lost owner.
+func TestLostOwnerStartsSlowly(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.config.Slots = 8
+		x.do(func() { x.book.Import(chestnutcleat.UpstreamKey(up).Slot(), nil, chestnutcleat.Transfer{Lost: true}) })
+		for i := range 8 {
+			x.acquire(fmt.Sprint(i), nil)
+		}
+		x.Equal(len(x.order), 1)
+		x.release("0", nil)
+		x.Equal(len(x.order), 3)
+	})
+}
--- /dev/null
+++ b/dispatch/picker.go
@@ -0,0 +1,182 @@
+package dispatch
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+const (
+	// moveFactor is how much more expensive than the repeated prefill a wait must be before a program moves.
+	// A move also evicts the cache of other programs.
+	moveFactor = 8
+	// defaultPrefill and defaultDecode stand for speeds that the manifest does not state, in tokens per second.
+	defaultPrefill = 4000
+	defaultDecode  = 40
+)
+
+// Picker chooses upstreams from load summaries. It is used by one goroutine at a time.
+type Picker struct {
+	Policy Policy
+	Rand   *rand.Rand
+
+	turn int
+}
+
+var _ chestnutcleat.Picker = (*Picker)(nil)
+
+// Pick implements chestnutcleat.Picker.
+func (p *Picker) Pick(r chestnutcleat.PickRequest) (chestnutcleat.UpstreamID, bool) {
+	switch p.Policy {
+	case PolicyRoundRobin:
+		return p.roundRobin(r)
+	case PolicyLeastOutstanding:
+		return p.leastOutstanding(r)
+	}
+	return p.sticky(r)
+}
+
+// sticky keeps a program on its upstream unless waiting there costs far more than moving.
+func (p *Picker) sticky(r chestnutcleat.PickRequest) (chestnutcleat.UpstreamID, bool) {
+	best, second, current := -1, -1, -1
+	bestCost, secondCost := math.Inf(1), math.Inf(1)
+	// A random start draws equal candidates evenly.
+	start := p.start(len(r.Candidates))
+	for k := range r.Candidates {
+		i := (start + k) % len(r.Candidates)
+		c := &r.Candidates[i]
+		if !usable(c, r.Avoid) {
+			continue
+		}
+		if c.Upstream.ID == r.Current {
+			current = i
+		}
+		v := cost(c, r.Prompt, r.Output)
+		switch {
+		case v < bestCost:
+			second, secondCost = best, bestCost
+			best, bestCost = i, v
+		case v < secondCost:
+			second, secondCost = i, v
+		}
+	}
+	if best < 0 {
+		return "", false
+	}
+	if current >= 0 && !worthMoving(&r.Candidates[current], &r.Candidates[best], r) {
+		return r.Current, true
+	}
+	if p.spread(r, best, second, bestCost, secondCost) {
+		best = second
+	}
+	return r.Candidates[best].Upstream.ID, true
+}
+
+func (p *Picker) start(n int) int {
+	if p.Rand == nil || n == 0 {
+		return 0
+	}
+	return p.Rand.IntN(n)
+}
+
+// spread takes the second best candidate half of the time when it is nearly as good, so that the entry VMs do
+// not all choose the same one between two summaries.
+func (p *Picker) spread(r chestnutcleat.PickRequest, best, second int, bestCost, secondCost float64) bool {
+	if second < 0 || p.Rand == nil || r.Candidates[best].Cached > 0 {
+		return false
+	}
+	return secondCost-bestCost < 0.1*bestCost && p.Rand.IntN(2) == 0
+}
+
+// worthMoving compares the wait that a move saves with what it costs: the repeated prefill and the evictions.
+func worthMoving(current, best *chestnutcleat.Candidate, r chestnutcleat.PickRequest) bool {
+	if current == best {
+		return false
+	}
+	saved := (current.Load.Wait - best.Load.Wait).Seconds()
+	again := max(0, current.Cached-best.Cached)
+	evicted := evictions(best, r.Prompt)
+	return saved > moveFactor*float64(again)/prefill(&best.Upstream)+float64(evicted)/prefill(&best.Upstream)
+}
+
+// evictions returns how many cached tokens a prompt displaces.
+func evictions(c *chestnutcleat.Candidate, prompt chestnutcleat.Tokens) chestnutcleat.Tokens {
+	if c.Upstream.Cache == 0 {
+		return 0
+	}
+	return min(max(0, prompt-c.Cached), max(0, c.Load.Occupied+prompt-c.Cached-c.Upstream.Cache))
+}
+
+// cost is the expected time until the response is complete, plus the prefill that evictions cause.
+func cost(c *chestnutcleat.Candidate, prompt, output chestnutcleat.Tokens) float64 {
+	u := &c.Upstream
+	fresh := max(0, prompt-c.Cached)
+	busy := float64(c.Load.Running+c.Load.Queued) / float64(max(1, u.Slots))
+	return c.Load.Wait.Seconds() +
+		float64(fresh+evictions(c, prompt))/prefill(u) +
+		float64(output)/decode(u) +
+		busy*busyCost
+}
+
+// busyCost orders upstreams without a queue by their use, in seconds.
+const busyCost = 1.0
+
+func (p *Picker) roundRobin(r chestnutcleat.PickRequest) (chestnutcleat.UpstreamID, bool) {
+	for range r.Candidates {
+		c := &r.Candidates[p.turn%len(r.Candidates)]
+		p.turn++
+		if usable(c, r.Avoid) {
+			return c.Upstream.ID, true
+		}
+	}
+	return "", false
+}
+
+func (p *Picker) leastOutstanding(r chestnutcleat.PickRequest) (chestnutcleat.UpstreamID, bool) {
+	best, load := -1, math.MaxInt
+	start := p.start(len(r.Candidates))
+	for k := range r.Candidates {
+		i := (start + k) % len(r.Candidates)
+		c := &r.Candidates[i]
+		if n := c.Load.Running + c.Load.Queued; n < load && usable(c, r.Avoid) {
+			best, load = i, n
+		}
+	}
+	if best < 0 {
+		return "", false
+	}
+	return r.Candidates[best].Upstream.ID, true
+}
+
+func usable(c *chestnutcleat.Candidate, avoid []chestnutcleat.UpstreamID) bool {
+	if c.Upstream.Leaving || c.Load.Health == chestnutcleat.HealthDown || c.Load.Health == chestnutcleat.HealthLeaving {
+		return false
+	}
+	if c.Load.Health == chestnutcleat.HealthProbing && c.Load.Running+c.Load.Queued > 0 {
+		return false
+	}
+	return !slices.Contains(avoid, c.Upstream.ID)
+}
+
+func prefill(u *chestnutcleat.Upstream) float64 {
+	if u.Prefill > 0 {
+		return u.Prefill
+	}
+	return defaultPrefill
+}
+
+func decode(u *chestnutcleat.Upstream) float64 {
+	if u.Decode > 0 {
+		return u.Decode
+	}
+	return defaultDecode
+}
+
+// estimate is the expected run time of a request.
+func estimate(u *chestnutcleat.Upstream, prompt, cached, output chestnutcleat.Tokens) time.Duration {
+	s := float64(max(0, prompt-cached))/prefill(u) + float64(output)/decode(u)
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/dispatch/pins.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
+)
+
+// maxPin bounds how long a pin lasts without being renewed.
+const maxPin = 5 * time.Minute
+
+// Pin asks the engine to keep a program's prefix for at most d.
+func (b *Book) Pin(id chestnutcleat.UpstreamID, c chestnutcleat.CustomerID, p chestnutcleat.ProgramID, n chestnutcleat.Tokens, d time.Duration) {
+	u, ok := b.upstream(id)
+	if !ok || u.engine == nil || d <= 0 {
+		return
+	}
+	name := chestnutcleat.ProgramKey(c, p).ID
+	pin := chestnutcleat.Pin{Program: name, Tokens: n, Expiry: time.Now().Add(min(d, maxPin))}
+	u.pins[name] = pin
+	b.sendPin(u, pin)
+}
+
+// End releases the pins of a program that ended.
+func (b *Book) End(r chestnutcleat.EndRequest) {
+	name := chestnutcleat.ProgramKey(r.Customer, r.Program).ID
+	for _, u := range b.upstreams {
+		if pin, ok := u.pins[name]; ok {
+			b.unpin(u, pin)
+		}
+	}
+}
+
+func (b *Book) unpin(u *upstream, pin chestnutcleat.Pin) {
+	delete(u.pins, pin.Program)
+	pin.Expiry = time.Time{}
+	b.emit(event.PinReleased, "upstream", u.config.ID, "program", pin.Program)
+	b.sendPin(u, pin)
+}
+
+// sendPin does not repeat a failed request: the next reconciliation does.
+func (b *Book) sendPin(u *upstream, pin chestnutcleat.Pin) {
+	work := func(ctx context.Context) (struct{}, error) { return struct{}{}, u.engine.Pin(ctx, pin) }
+	chestnutcleat.Async(b.Loop, engineTimeout, work, func(struct{}, error) {})
+}
+
+// reconcilePins releases pins that no program of this owner holds.
+func (b *Book) reconcilePins(u *upstream, list []chestnutcleat.Pin, now time.Time) {
+	for name, pin := range u.pins {
+		if !now.Before(pin.Expiry) {
+			delete(u.pins, name)
+		}
+	}
+	for _, pin := range list {
+		if own, ok := u.pins[pin.Program]; !ok || pin.Expiry.After(own.Expiry.Add(time.Second)) {
+			b.unpin(u, pin)
+		}
+	}
+}
