Add the HTTP interface towards callers

Cause: callers need one place that admits, sends and answers their calls. Excluded: ServeMux, as it redirects unclean paths; streaming of plain service answers, as only a whole one may be delivered. Change: package caller with authentication, key exposure checks, call ids, admission, dispatch with several attempts, streaming with resume, withheld answers, replay, /v1/vms, /v1/programs and Drain; events 601 to 607. Conclusion: vet and linters pass; not yet tested.

--- /dev/null
+++ b/caller/active.go
@@ -0,0 +1,64 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"sync"
+)
+
+// active counts the requests in progress and the work that follows them.
+type active struct {
+	mu      sync.Mutex
+	count   int
+	leaving bool
+	idle    chan struct{}
+}
+
+// enter counts a request and reports whether the VM is leaving.
+func (a *active) enter() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.count++
+	return a.leaving
+}
+
+func (a *active) leave() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.count--
+	if a.count == 0 && a.idle != nil {
+		close(a.idle)
+		a.idle = nil
+	}
+}
+
+// Drain refuses new programs and waits for the requests in progress.
+func (h *Handler) Drain(ctx context.Context) error {
+	h.once.Do(h.setup)
+	a := &h.active
+	for {
+		a.mu.Lock()
+		a.leaving = true
+		n := a.count
+		if n > 0 && a.idle == nil {
+			a.idle = make(chan struct{})
+		}
+		idle := a.idle
+		a.mu.Unlock()
+		if n == 0 {
+			h.reuse.CloseIdleConnections()
+			return nil
+		}
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return fmt.Errorf("%d requests still in progress: %w", n, ctx.Err())
+		}
+	}
+}
+
+func (a *active) isLeaving() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.leaving
+}
--- /dev/null
+++ b/caller/handler.go
@@ -0,0 +1,119 @@
+package caller
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/upstream"
+)
+
+// Paths of the interface towards callers.
+const (
+	PathChat     = "/v1/chat/completions"
+	PathServices = "/v1/services/"
+	PathPrograms = "/v1/programs/"
+	PathVMs      = "/v1/vms"
+)
+
+// Defaults of a Handler.
+const (
+	DefaultOutput   chestnutcleat.Tokens = 4096
+	DefaultLinger                        = time.Minute
+	DefaultIdle                          = 30 * time.Second
+	DefaultAttempts                      = 4
+)
+
+const (
+	maxHeader     = 32 << 10
+	headerTimeout = 10 * time.Second
+	bodyTimeout   = time.Minute
+	idleTimeout   = 2 * time.Minute
+)
+
+// Handler serves callers; exported fields are set before the first request.
+type Handler struct {
+	Owners    chestnutcleat.Owners
+	Directory chestnutcleat.Directory
+	Observer  chestnutcleat.Observer
+	// Output bounds the output of a chat that sets no bound.
+	Output chestnutcleat.Tokens
+	// Linger is how long a repeatable call with a call id of the caller runs on after the caller left.
+	Linger time.Duration
+	// Idle is the longest time between two events of an upstream's stream.
+	Idle time.Duration
+	// Attempts is the largest number of attempts of one call.
+	Attempts int
+	// Metrics receives the counters; nil means a set of its own.
+	Metrics *metrics.Set
+
+	once   sync.Once
+	reuse  *http.Transport
+	fresh  *http.Transport
+	active active
+}
+
+func (h *Handler) setup() {
+	if h.Output == 0 {
+		h.Output = DefaultOutput
+	}
+	if h.Linger == 0 {
+		h.Linger = DefaultLinger
+	}
+	if h.Idle == 0 {
+		h.Idle = DefaultIdle
+	}
+	if h.Attempts == 0 {
+		h.Attempts = DefaultAttempts
+	}
+	if h.Metrics == nil {
+		h.Metrics = metrics.NewSet()
+	}
+	h.reuse = upstream.NewTransport(true)
+	h.fresh = upstream.NewTransport(false)
+}
+
+// Server returns an HTTP server with the limits that the handler relies on.
+func (h *Handler) Server() *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.once.Do(h.setup)
+	leaving := h.active.enter()
+	defer h.active.leave()
+	if leaving {
+		w.Header().Set("Connection", "close")
+	}
+	who, p := h.screen(r)
+	if p != nil {
+		h.refuse(w, p)
+		return
+	}
+	switch path := r.URL.Path; {
+	case path == PathChat:
+		p = h.chat(w, r, who)
+	case strings.HasPrefix(path, PathServices):
+		p = h.service(w, r, who)
+	case strings.HasPrefix(path, PathPrograms):
+		p = h.program(w, r, who)
+	case path == PathVMs:
+		p = h.vms(w, r, who)
+	default:
+		p = refusal(chestnutcleat.CodeRouteUnknown, "no such path")
+	}
+	if p != nil {
+		h.refuse(w, p)
+	}
+}
+
+func (h *Handler) emit(id chestnutcleat.EventID, attributes ...any) {
+	if h.Observer != nil {
+		h.Observer.Emit(id, attributes...)
+	}
+}
--- /dev/null
+++ b/caller/vms.go
@@ -0,0 +1,36 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// VMList is the answer of GET /v1/vms.
+type VMList struct {
+	VMs []ListedVM `json:"vms"`
+}
+
+// ListedVM is an address that callers may use.
+type ListedVM struct {
+	ID      chestnutcleat.VMID          `json:"id"`
+	Address chestnutcleat.Address       `json:"address"`
+	Domain  chestnutcleat.FailureDomain `json:"domain"`
+}
+
+// vms answers which VMs take calls; it needs no key, as callers of open routes have none.
+func (h *Handler) vms(w http.ResponseWriter, r *http.Request, who identity) *chestnutcleat.Problem {
+	if r.Method != http.MethodGet {
+		return notAllowed(w, http.MethodGet)
+	}
+	list := VMList{VMs: []ListedVM{}}
+	for _, v := range h.Directory.VMs(who.customer) {
+		list.VMs = append(list.VMs, ListedVM{ID: v.ID, Address: v.Caller, Domain: v.Domain})
+	}
+	w.Header().Set("Content-Type", typeJSON)
+	w.Header().Set("Cache-Control", "private, max-age=5")
+	// A failed write means that the caller left.
+	_ = json.NewEncoder(w).Encode(list)
+	return nil
+}
