--- /dev/null
+++ b/cmd/chestnutcleat/serve.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"chestnutcleat.example/chestnutcleat/logs"
+	"chestnutcleat.example/chestnutcleat/platform"
+	"chestnutcleat.example/chestnutcleat/process"
+	"chestnutcleat.example/chestnutcleat/settings"
+)
+
+// serveCommand runs the process of one VM.
+type serveCommand struct {
+	settings string
+}
+
+func (*serveCommand) Name() string     { return "serve" }
+func (*serveCommand) Synopsis() string { return "run the process of one VM" }
+func (*serveCommand) Usage() string    { return "serve -settings FILE\n" }
+
+func (c *serveCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "settings file, JSON with comments")
+}
+
+func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *serveCommand) run(ctx context.Context) error {
+	s, err := settings.Load(c.settings)
+	if err != nil {
+		return err
+	}
+	l, err := logs.New(os.Stderr, s.Log.Level, s.Log.Format)
+	if err != nil {
+		return err
+	}
+	ctx, stop, end := signals(ctx)
+	defer end()
+	p := process.Process{Settings: s, Platform: &platform.Client{URL: s.Platform, Name: string(s.VM)}, Observer: l, Stop: stop}
+	return p.Run(ctx)
+}
+
+// signals returns a channel that the first SIGTERM or SIGINT closes, and a context that the second one ends.
+func signals(parent context.Context) (ctx context.Context, stop <-chan struct{}, end func()) {
+	ctx, cancel := context.WithCancel(parent)
+	first := make(chan struct{})
+	c := make(chan os.Signal, 2)
+	signal.Notify(c, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		for n := 0; n < 2; n++ {
+			select {
+			case <-ctx.Done():
+				return
+			case <-c:
+			}
+			if n == 0 {
+				close(first)
+			}
+		}
+		cancel()
+	}()
+	return ctx, first, func() { signal.Stop(c); cancel() }
+}
--- a/control/build.go
+++ b/control/build.go
@@ -72,7 +72,7 @@
 		Policy:        n.Policy,
 		Rand:          n.Rand,
 		TakeLoad:      n.takeLoad,
-		LeaseDuration: lease.Duration,
+		LeaseDuration: leaseDuration,
 		OrderDelay:    maxOrderDelay,
 	}
 }
@@ -95,7 +95,7 @@
 		Observer: n.Observer,
 		Rand:     n.Rand,
 	}
-	n.keeper.Register(n.Mux, n.do)
+	n.keeper.Register(n.Mux, n.Loop.Post)
 	n.limits.Journal = n.keeper
 	n.suspects.Journal = n.keeper
 	n.programs.Journal = n.keeper
@@ -129,3 +129,6 @@
 
 // suspectTimeout is above the longest takeover.
 const suspectTimeout = 6 * time.Second
+
+// leaseDuration is how long a previous owner may still act.
+const leaseDuration = 2 * time.Second
--- a/control/directory.go
+++ b/control/directory.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/manifest"
 )
 
 var _ chestnutcleat.Directory = (*Node)(nil)
@@ -13,7 +14,13 @@
 // Key implements chestnutcleat.Directory.
 func (n *Node) Key(d chestnutcleat.Digest) (chestnutcleat.CustomerID, chestnutcleat.KeyState) {
 	c, s := n.manifests.Current().Key(d)
-	return c, chestnutcleat.KeyState(s)
+	switch s {
+	case manifest.KeyActive:
+		return c, chestnutcleat.KeyActive
+	case manifest.KeyWithdrawn:
+		return c, chestnutcleat.KeyWithdrawn
+	}
+	return c, chestnutcleat.KeyUnknown
 }
 
 // Customer implements chestnutcleat.Directory.
--- a/control/node.go
+++ b/control/node.go
@@ -91,15 +91,18 @@
 	return g.Wait()
 }
 
+// fleetName is the platform object of the slot table.
+const fleetName chestnutcleat.ObjectName = "fleet"
+
 // watch keeps the one platform watch of this VM.
 func (n *Node) watch(ctx context.Context) error {
 	w := platform.Watcher{
 		Platform: n.Platform,
-		Prefixes: append([]chestnutcleat.ObjectName{lease.FleetName}, manifest.Prefixes...),
+		Prefixes: append([]chestnutcleat.ObjectName{fleetName}, manifest.Prefixes...),
 		Rand:     rand.New(rand.NewPCG(uint64(n.Self.Incarnation), 1)),
 		Changed: func(o chestnutcleat.Object) {
 			n.Loop.Post(func() {
-				if o.Name == lease.FleetName {
+				if o.Name == fleetName {
 					n.keeper.Refresh(o)
 					return
 				}
--- /dev/null
+++ b/process/doc.go
@@ -0,0 +1,2 @@
+// Package process assembles one VM's process: listeners, control state, traffic and graceful shutdown.
+package process
--- /dev/null
+++ b/process/process.go
@@ -0,0 +1,146 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/caller"
+	"chestnutcleat.example/chestnutcleat/control"
+	"chestnutcleat.example/chestnutcleat/dispatch"
+	"chestnutcleat.example/chestnutcleat/event"
+	"chestnutcleat.example/chestnutcleat/settings"
+	"chestnutcleat.example/chestnutcleat/upstream"
+	"chestnutcleat.example/chestnutcleat/vm"
+)
+
+// Process is one VM's process.
+type Process struct {
+	Settings settings.Settings
+	Platform chestnutcleat.Platform
+	Observer chestnutcleat.Observer
+	// Metrics receives the counters of this process.
+	Metrics *metrics.Set
+	// Policy selects the dispatch policy; the zero value is the product's own.
+	Policy dispatch.Policy
+	// Stop starts the graceful shutdown; the context of Run ends the process at once.
+	Stop <-chan struct{}
+	// Ready runs once the listeners are open.
+	Ready func()
+
+	node      *control.Node
+	client    *vm.Client
+	handler   *caller.Handler
+	callers   *http.Server
+	operators *http.Server
+	listeners listeners
+}
+
+// listeners are the open sockets of a process.
+type listeners struct {
+	callers, operators, vms net.Listener
+}
+
+// Addresses returns the addresses that the process listens on, once Ready ran.
+func (p *Process) Addresses() settings.Addresses { return p.Settings.Addresses }
+
+// Run serves until the context ends or a graceful shutdown is complete.
+func (p *Process) Run(ctx context.Context) error {
+	if err := p.listen(); err != nil {
+		return err
+	}
+	p.build()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return vm.Serve(ctx, p.listeners.vms, p.node.Mux) })
+	g.Go(func() error { return p.node.Run(ctx) })
+	g.Go(func() error { return serve(p.callers, p.listeners.callers) })
+	g.Go(func() error { return serve(p.operators, p.listeners.operators) })
+	g.Go(func() error { p.announce(ctx, false); return nil })
+	g.Go(func() error {
+		defer cancel()
+		return p.shutdown(ctx)
+	})
+	a := p.Settings.Addresses
+	p.Observer.Emit(event.Started, "vm", p.Settings.VM, "domain", p.Settings.Domain, "callers", a.Callers, "operators", a.Operators, "vms", a.VMs)
+	if p.Ready != nil {
+		p.Ready()
+	}
+	err := g.Wait()
+	p.client.Close()
+	p.Observer.Emit(event.Stopped, "vm", p.Settings.VM)
+	return err
+}
+
+// listen opens the sockets and replaces port 0 in the settings by the port that the system chose.
+func (p *Process) listen() error {
+	a := &p.Settings.Addresses
+	for _, l := range []struct {
+		into    *net.Listener
+		address *chestnutcleat.Address
+	}{{&p.listeners.callers, &a.Callers}, {&p.listeners.operators, &a.Operators}, {&p.listeners.vms, &a.VMs}} {
+		n, err := net.Listen("tcp", string(*l.address))
+		if err != nil {
+			p.listeners.close()
+			return fmt.Errorf("listen on %s: %w", *l.address, err)
+		}
+		*l.into = n
+		*l.address = chestnutcleat.Address(n.Addr().String())
+	}
+	return nil
+}
+
+func (l *listeners) close() {
+	for _, n := range []net.Listener{l.callers, l.operators, l.vms} {
+		if n != nil {
+			n.Close()
+		}
+	}
+}
+
+func (p *Process) build() {
+	if p.Metrics == nil {
+		p.Metrics = metrics.NewSet()
+	}
+	p.client = vm.NewClient()
+	start := time.Now()
+	p.node = &control.Node{
+		Self: chestnutcleat.VM{
+			ID:          p.Settings.VM,
+			Incarnation: chestnutcleat.Incarnation(start.Unix()),
+			State:       chestnutcleat.VMLive,
+			Address:     p.Settings.Addresses.VMs,
+			Caller:      p.Settings.Addresses.Callers,
+			Domain:      p.Settings.Domain,
+			Region:      p.Settings.Region,
+		},
+		Peers:     p.client,
+		Platform:  p.Platform,
+		Observer:  p.Observer,
+		Seeds:     p.Settings.Seeds,
+		Folder:    p.Settings.Folder,
+		Transport: upstream.NewTransport(true),
+		Rand:      rand.New(rand.NewPCG(uint64(start.UnixNano()), rand.Uint64())),
+		Policy:    p.Policy,
+	}
+	p.node.Init()
+	p.handler = &caller.Handler{Owners: p.node, Directory: p.node, Observer: p.Observer, Metrics: p.Metrics}
+	p.callers = p.handler.Server()
+	p.operators = p.operatorServer()
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", l.Addr(), err)
+	}
+	return nil
+}
