--- /dev/null
+++ b/control/fleet_test.go
@@ -0,0 +1,124 @@
+package control_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/control"
+	"chestnutcleat.example/chestnutcleat/manifest"
+	standin "chestnutcleat.example/chestnutcleat/standin/platform"
+	"chestnutcleat.example/chestnutcleat/vm"
+)
+
+var domains = []chestnutcleat.FailureDomain{"petrolina", "juazeiro", "casa-nova"}
+
+// fleet is several nodes in one test process, over a network in memory.
+type fleet struct {
+	t       *testing.T
+	network *vm.Network
+	store   *standin.Store
+	nodes   []*control.Node
+	cancels []context.CancelFunc
+	random  *rand.Rand
+	events  []string
+}
+
+// observe collects the events of one node.
+type observe struct {
+	id chestnutcleat.VMID
+}
+
+func (observe) Emit(chestnutcleat.EventID, ...any) {}
+
+func address(i int) chestnutcleat.Address { return chestnutcleat.Address(fmt.Sprintf("10.0.0.%d:8002", i+1)) }
+
+// newFleet starts n nodes and applies a manifest.
+func newFleet(t *testing.T, n int, seed uint64) *fleet {
+	f := &fleet{t: t, network: vm.NewNetwork(seed), store: standin.NewStore(seed), random: rand.New(rand.NewPCG(seed, 7))}
+	f.network.Delay = 500 * time.Microsecond
+	for i := range n {
+		f.start(i, 1)
+		if i == 0 {
+			time.Sleep(2 * time.Second)
+		}
+	}
+	time.Sleep(10 * time.Second)
+	f.apply(0, testManifest())
+	time.Sleep(5 * time.Second)
+	return f
+}
+
+// start runs node i, again if it ran before.
+func (f *fleet) start(i int, incarnation chestnutcleat.Incarnation) {
+	id := chestnutcleat.VMID(fmt.Sprintf("vm%d", i+1))
+	n := &control.Node{
+		Self: chestnutcleat.VM{
+			ID: id, Incarnation: incarnation, State: chestnutcleat.VMLive,
+			Address: address(i), Caller: chestnutcleat.Address(fmt.Sprintf("10.0.0.%d:8000", i+1)),
+			Domain: domains[i%len(domains)], Region: "nordeste",
+		},
+		Peers:    f.network.From(address(i)),
+		Platform: &standin.Client{Store: f.store, Name: string(id)},
+		Observer: observe{id},
+		Seeds:    []chestnutcleat.Address{address(0), address(1)},
+		Rand:     rand.New(rand.NewPCG(uint64(i), f.random.Uint64())),
+	}
+	n.Init()
+	ctx, cancel := context.WithCancel(f.t.Context())
+	f.network.Attach(address(i), n.Mux)
+	go n.Run(ctx)
+	if i < len(f.nodes) {
+		f.nodes[i], f.cancels[i] = n, cancel
+		return
+	}
+	f.nodes = append(f.nodes, n)
+	f.cancels = append(f.cancels, cancel)
+}
+
+// kill ends node i as if its process had died.
+func (f *fleet) kill(i int) {
+	f.network.Detach(address(i))
+	f.cancels[i]()
+}
+
+func (f *fleet) stop() {
+	for _, c := range f.cancels {
+		c()
+	}
+	time.Sleep(time.Minute)
+	synctest.Wait()
+}
+
+func (f *fleet) apply(i int, m chestnutcleat.Manifest) {
+	raw, err := json.Marshal(m)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(f.t.Context(), time.Minute)
+	defer cancel()
+	if _, err := f.nodes[i].Apply(ctx, manifest.Change{Raw: raw, Base: m.Revision, Who: "test"}); err != nil {
+		f.t.Fatalf("apply: %v", err)
+	}
+}
+
+// testManifest has one customer, two engines and a service whose calls may not be repeated.
+func testManifest() chestnutcleat.Manifest {
+	return chestnutcleat.Manifest{
+		Customers: []chestnutcleat.Customer{{ID: "grower", Keys: []chestnutcleat.Digest{chestnutcleat.DigestOf([]byte("key"))}, Rate: 20, Burst: 40}},
+		Upstreams: []chestnutcleat.Upstream{
+			{ID: "e1", Kind: chestnutcleat.UpstreamEngine, Address: "10.1.0.1:80", Domain: "petrolina", Models: []chestnutcleat.ModelName{"small"}, Slots: 4},
+			{ID: "e2", Kind: chestnutcleat.UpstreamEngine, Address: "10.1.0.2:80", Domain: "juazeiro", Models: []chestnutcleat.ModelName{"small"}, Slots: 4},
+			{ID: "s1", Kind: chestnutcleat.UpstreamService, Address: "10.1.0.3:80", Domain: "juazeiro", Slots: 4},
+		},
+		Routes: []chestnutcleat.Route{
+			{Name: "chat", Kind: chestnutcleat.UpstreamEngine, Model: "small", Upstreams: []chestnutcleat.UpstreamID{"e1", "e2"}, Repeatable: true},
+			{Name: "book", Kind: chestnutcleat.UpstreamService, Upstreams: []chestnutcleat.UpstreamID{"s1"}},
+		},
+	}
+}
