Add the manifest store

Cause: operators change customers, keys and routes while traffic runs; an accepted change must be in effect on every VM within 5 s and never revert. Excluded: removal of old tombstones; parts stay at the platform if the VM that replaced them ends within the hour before it removes them. Change: package manifest parses and validates with all errors, splits a manifest by the hash of its ids into parts of about 16 KB (at most 256 KB), accepts it by conditional update of manifest/root, settles lost responses by change id, and spreads it by watch, by offers to all VMs and by gossip of a summary. Keys that are given or withdrawn outside a manifest are keys/ objects; a withdrawal is in effect at once and final.

--- a/document/decode.go
+++ b/document/decode.go
@@ -60,7 +60,11 @@
 	}
 }
 
+// array decodes a list; null stands for an empty one, as Go programs write it.
 func (d *Document) array(path string, v hujson.Value, dst reflect.Value) {
+	if l, ok := v.Value.(hujson.Literal); ok && l.Kind() == 'n' {
+		return
+	}
 	a, ok := v.Value.(*hujson.Array)
 	if !ok {
 		d.Add(path, "expected an array, found %s", found(v))
--- a/document/document.go
+++ b/document/document.go
@@ -17,12 +17,13 @@
 
 	newlines []int
 	lines    map[string]int
+	failed   map[string]bool
 }
 
 // Decode reads JSON with comments strictly: unknown and repeated fields and wrong types are errors of the document.
 func Decode[T any](file string, data []byte) (T, *Document) {
 	var v T
-	d := &Document{File: file, lines: map[string]int{}}
+	d := &Document{File: file, lines: map[string]int{}, failed: map[string]bool{}}
 	for i, c := range data {
 		if c == '\n' {
 			d.newlines = append(d.newlines, i)
@@ -50,11 +51,19 @@
 }
 
 // Add records an error of a field at the field's line, or at its parent's line if the field is missing.
+// Only the first error of a field is kept, since later ones follow from it.
 func (d *Document) Add(field, format string, args ...any) {
 	d.addAt(d.Line(field), field, format, args...)
 }
 
+// Malformed reports whether the document is no JSON with comments, so that nothing was decoded.
+func (d *Document) Malformed() bool { return d.failed[""] }
+
 func (d *Document) addAt(line int, field, format string, args ...any) {
+	if d.failed[field] {
+		return
+	}
+	d.failed[field] = true
 	d.Errors = append(d.Errors, &Error{File: d.File, Line: line, Field: field, Text: fmt.Sprintf(format, args...)})
 }
 
--- /dev/null
+++ b/manifest/learn.go
@@ -0,0 +1,169 @@
+package manifest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"strings"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
+)
+
+// Prefixes are what the platform's watch must cover for Refresh.
+var Prefixes = []chestnutcleat.ObjectName{"manifest/", "keys/"}
+
+// Refresh takes an object that the watch on Prefixes delivered.
+func (s *Store) Refresh(o chestnutcleat.Object) {
+	s.heard = true
+	switch {
+	case o.Deleted:
+		return
+	case o.Name == rootName:
+		r, err := decodeRoot(o.Data)
+		if err != nil {
+			s.Observer.Emit(event.ManifestInvalid, "object", o.Name, "error", err)
+			return
+		}
+		s.want(r, "")
+	case strings.HasPrefix(string(o.Name), string(partPrefix)):
+		s.keepSpare(o.Data)
+	case strings.HasPrefix(string(o.Name), string(givenPrefix)), strings.HasPrefix(string(o.Name), string(withdrawnPrefix)):
+		s.refreshKey(o)
+	}
+}
+
+func (s *Store) refreshKey(o chestnutcleat.Object) {
+	var k Key
+	if err := json.Unmarshal(o.Data, &k); err != nil || k.name() != o.Name {
+		s.Observer.Emit(event.ManifestInvalid, "object", o.Name, "error", err)
+		return
+	}
+	delete(s.unconfirmed, o.Name)
+	s.merge([]Key{k}, false)
+}
+
+func (s *Store) keepSpare(data []byte) {
+	d := chestnutcleat.DigestOf(data)
+	if s.parts[d] != nil || s.spare[d] != nil || s.spareBytes+len(data) > maxSpare {
+		return
+	}
+	s.spare[d] = data
+	s.spareBytes += len(data)
+}
+
+// want fetches a root's parts and puts it into effect, if it is the highest known.
+func (s *Store) want(r Root, source chestnutcleat.Address) {
+	if r.Revision <= s.root.Revision || (s.wanted != nil && r.Revision <= s.wanted.Revision) {
+		return
+	}
+	s.wanted = &r
+	s.source = source
+	s.pull()
+}
+
+// pull fetches the wanted root's parts; only one pull runs at a time.
+func (s *Store) pull() {
+	if s.pulling || s.wanted == nil {
+		return
+	}
+	s.pulling = true
+	g := &gatherer{
+		peers:         s.Peers,
+		platform:      s.Platform,
+		root:          *s.wanted,
+		sources:       s.sources(),
+		platformFirst: s.source == "",
+		have:          maps.Clone(s.parts),
+	}
+	maps.Copy(g.have, s.spare)
+	chestnutcleat.Async(s.Loop, pullTimeout, g.run, func(l loaded, err error) {
+		s.pulling = false
+		if err != nil {
+			s.Observer.Emit(event.ManifestIncomplete, "revision", g.root.Revision, "error", err)
+			s.Loop.After(retryDelay, s.pull)
+			return
+		}
+		s.adopt(l)
+		s.pull()
+	})
+}
+
+// sources returns the addresses to fetch parts from, the announcing peer first.
+func (s *Store) sources() []chestnutcleat.Address {
+	const maxSources = 3
+	var list []chestnutcleat.Address
+	if s.source != "" {
+		list = append(list, s.source)
+	}
+	members := s.Members()
+	for _, i := range s.Rand.Perm(len(members)) {
+		m := members[i]
+		if len(list) < maxSources && m.Address != s.Address && m.Address != s.source && m.State != chestnutcleat.VMGone {
+			list = append(list, m.Address)
+		}
+	}
+	return list
+}
+
+// ask fetches the state of a few other VMs.
+func (s *Store) ask() {
+	for _, a := range s.sources() {
+		s.fetchState(a)
+	}
+}
+
+// fetchState fetches the root and the keys of a VM.
+func (s *Store) fetchState(from chestnutcleat.Address) {
+	work := func(ctx context.Context) (FetchReply, error) {
+		return fetch(ctx, s.Peers, from, FetchRequest{Root: true, Keys: true})
+	}
+	chestnutcleat.Async(s.Loop, peerTimeout, work, func(r FetchReply, err error) {
+		s.comparing = false
+		if err != nil {
+			return
+		}
+		s.heard = true
+		s.merge(r.Keys, true)
+		if r.Root != nil {
+			s.want(*r.Root, from)
+		}
+	})
+}
+
+func fetch(ctx context.Context, p chestnutcleat.Peers, from chestnutcleat.Address, q FetchRequest) (FetchReply, error) {
+	var r FetchReply
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if err := p.Call(ctx, from, chestnutcleat.MethodFetch, q, &r); err != nil {
+		return r, fmt.Errorf("fetch from %s: %w", from, err)
+	}
+	return r, nil
+}
+
+// Offer takes another VM's summary, received by gossip or by an offer message.
+func (s *Store) Offer(o Summary, from chestnutcleat.Address) {
+	s.merge(o.Latest, true)
+	higher := o.Revision > s.root.Revision && (s.wanted == nil || o.Revision > s.wanted.Revision)
+	if (higher || o.Keys != s.sum) && !s.comparing {
+		s.comparing = true
+		s.Loop.After(s.spread(), func() { s.compare(o, from) })
+	}
+}
+
+// spread is the wait before a peer is asked: it lets the platform's watch deliver the same change first,
+// and keeps a fleet of 400 VMs from asking one VM in the same moment.
+func (s *Store) spread() time.Duration {
+	const least, most = 200 * time.Millisecond, time.Second
+	return least + time.Duration(s.Rand.Int64N(int64(most-least)))
+}
+
+func (s *Store) compare(o Summary, from chestnutcleat.Address) {
+	if o.Revision <= s.root.Revision && o.Keys == s.sum {
+		s.comparing = false
+		return
+	}
+	s.fetchState(from)
+}
--- /dev/null
+++ b/manifest/view.go
@@ -0,0 +1,105 @@
+package manifest
+
+import "chestnutcleat.example/chestnutcleat"
+
+// View is an immutable snapshot of the manifest and the keys for traffic goroutines.
+type View struct {
+	Manifest *chestnutcleat.Manifest
+
+	customers map[chestnutcleat.CustomerID]*chestnutcleat.Customer
+	upstreams map[chestnutcleat.UpstreamID]*chestnutcleat.Upstream
+	routes    map[chestnutcleat.RouteName]*chestnutcleat.Route
+	models    map[chestnutcleat.ModelName]*chestnutcleat.Route
+	digests   map[chestnutcleat.Digest]chestnutcleat.CustomerID
+	keys      map[chestnutcleat.Digest]Key
+}
+
+// NewView indexes a manifest without any key changes.
+func NewView(m chestnutcleat.Manifest) *View {
+	v := &View{
+		Manifest:  &m,
+		customers: make(map[chestnutcleat.CustomerID]*chestnutcleat.Customer, len(m.Customers)),
+		upstreams: make(map[chestnutcleat.UpstreamID]*chestnutcleat.Upstream, len(m.Upstreams)),
+		routes:    make(map[chestnutcleat.RouteName]*chestnutcleat.Route, len(m.Routes)),
+		models:    map[chestnutcleat.ModelName]*chestnutcleat.Route{},
+		digests:   make(map[chestnutcleat.Digest]chestnutcleat.CustomerID, len(m.Customers)),
+	}
+	for i := range m.Customers {
+		c := &m.Customers[i]
+		v.customers[c.ID] = c
+		for _, d := range c.Keys {
+			v.digests[d] = c.ID
+		}
+	}
+	for i := range m.Upstreams {
+		v.upstreams[m.Upstreams[i].ID] = &m.Upstreams[i]
+	}
+	for i := range m.Routes {
+		r := &m.Routes[i]
+		v.routes[r.Name] = r
+		if r.Kind == chestnutcleat.UpstreamEngine {
+			v.models[r.Model] = r
+		}
+	}
+	return v
+}
+
+// with returns the view with other key changes; keys must not be changed afterwards.
+func (v *View) with(keys map[chestnutcleat.Digest]Key) *View {
+	c := *v
+	c.keys = keys
+	return &c
+}
+
+// Revision returns the manifest's revision; zero means that none is known yet.
+func (v *View) Revision() chestnutcleat.Revision { return v.Manifest.Revision }
+
+// Key returns the customer of the key with a digest.
+func (v *View) Key(d chestnutcleat.Digest) (chestnutcleat.CustomerID, KeyState) {
+	k, changed := v.keys[d]
+	if changed && k.Withdrawn {
+		return "", KeyWithdrawn
+	}
+	if c, ok := v.digests[d]; ok {
+		return c, KeyActive
+	}
+	if _, ok := v.customers[k.Customer]; changed && ok {
+		return k.Customer, KeyActive
+	}
+	return "", KeyUnknown
+}
+
+// Customer returns a customer or nil.
+func (v *View) Customer(id chestnutcleat.CustomerID) *chestnutcleat.Customer { return v.customers[id] }
+
+// Upstream returns an upstream or nil.
+func (v *View) Upstream(id chestnutcleat.UpstreamID) *chestnutcleat.Upstream { return v.upstreams[id] }
+
+// Route returns a route or nil.
+func (v *View) Route(name chestnutcleat.RouteName) *chestnutcleat.Route { return v.routes[name] }
+
+// Model returns the route of a model or nil.
+func (v *View) Model(name chestnutcleat.ModelName) *chestnutcleat.Route { return v.models[name] }
+
+// ended returns the keys that are active in v but not in next.
+func (v *View) ended(next *View) []chestnutcleat.Digest {
+	var list []chestnutcleat.Digest
+	check := func(d chestnutcleat.Digest) {
+		c, s := v.Key(d)
+		if s != KeyActive {
+			return
+		}
+		if n, s := next.Key(d); s != KeyActive || n != c {
+			list = append(list, d)
+		}
+	}
+	for d := range v.digests {
+		check(d)
+	}
+	for d := range v.keys {
+		if _, ok := v.digests[d]; !ok {
+			check(d)
+		}
+	}
+	return list
+}
--- a/peers.go
+++ b/peers.go
@@ -21,6 +21,7 @@
 	MethodRelease  Method = "release"
 	MethodUsage    Method = "usage"
 	MethodFetch    Method = "fetch"
+	MethodOffer    Method = "offer"
 	MethodProgram  Method = "program"
 	MethodSuspect  Method = "suspect"
 	MethodStatus   Method = "status"
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -82,7 +82,7 @@
 }
 
 func (s *Settings) validate(d *document.Document) {
-	if len(d.Errors) > 0 && len(d.Errors[0].Field) == 0 {
+	if d.Malformed() {
 		return
 	}
 	required(d, "vm", string(s.VM), "the id of this VM")
@@ -93,18 +93,18 @@
 	address(d, "addresses.vms", s.Addresses.VMs)
 	s.distinct(d)
 	if u, err := url.Parse(s.Platform); err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
-		complain(d, "platform", "expected the URL of the platform, such as \"http://10.0.0.9:8400\", found %q", s.Platform)
+		d.Add("platform", "expected the URL of the platform, such as \"http://10.0.0.9:8400\", found %q", s.Platform)
 	}
 	for i, a := range s.Seeds {
 		address(d, fmt.Sprintf("seeds[%d]", i), a)
 	}
 	if s.Folder != "" && !filepath.IsAbs(s.Folder) {
-		complain(d, "folder", "expected an absolute path, found %q", s.Folder)
+		d.Add("folder", "expected an absolute path, found %q", s.Folder)
 	}
 	oneOf(d, "log.level", s.Log.Level, levels)
 	oneOf(d, "log.format", s.Log.Format, formats)
 	if s.Grace < 0 {
-		complain(d, "grace", "expected a duration above 0, found %q", time.Duration(s.Grace))
+		d.Add("grace", "expected a duration above 0, found %q", time.Duration(s.Grace))
 	}
 }
 
@@ -113,37 +113,27 @@
 	a := s.Addresses
 	same := func(x, y chestnutcleat.Address) bool { return x != "" && x == y && !strings.HasSuffix(string(x), ":0") }
 	if same(a.Operators, a.Callers) {
-		complain(d, "addresses.operators", "expected another address than addresses.callers, found %q", a.Operators)
+		d.Add("addresses.operators", "expected another address than addresses.callers, found %q", a.Operators)
 	}
 	if same(a.VMs, a.Callers) || same(a.VMs, a.Operators) {
-		complain(d, "addresses.vms", "expected an address of its own, found %q", a.VMs)
+		d.Add("addresses.vms", "expected an address of its own, found %q", a.VMs)
 	}
 }
 
 func required(d *document.Document, field, value, what string) {
 	if value == "" {
-		complain(d, field, "expected %s, found nothing", what)
+		d.Add(field, "expected %s, found nothing", what)
 	}
 }
 
 func address(d *document.Document, field string, a chestnutcleat.Address) {
 	if _, err := netip.ParseAddrPort(string(a)); err != nil {
-		complain(d, field, "expected IP:port, such as \"10.0.0.1:8000\", found %q", a)
+		d.Add(field, "expected IP:port, such as \"10.0.0.1:8000\", found %q", a)
 	}
 }
 
 func oneOf(d *document.Document, field, value string, list []string) {
 	if !slices.Contains(list, value) {
-		complain(d, field, "expected one of %s, found %q", strings.Join(list, ", "), value)
+		d.Add(field, "expected one of %s, found %q", strings.Join(list, ", "), value)
 	}
 }
-
-// complain adds an error unless decoding already found one in the field.
-func complain(d *document.Document, field, format string, args ...any) {
-	for _, e := range d.Errors {
-		if e.Field == field {
-			return
-		}
-	}
-	d.Add(field, format, args...)
-}
