Add the operators' listener, commands and log observer

Cause: operators need to check, apply and audit changes, and to give and withdraw keys, on any VM. Excluded: authentication of operators; the listener trusts the name in Chestnutcleat-Operator. Change: package operator serves /manifest, /keys, /vms, /upstreams, /audit, /metrics, /healthz and /readyz with problem documents, and holds the client; cmd/chestnutcleat has check, apply, key, vms, status, drain and audit; package logs writes numbered events with logrus. Codes of operators' problems are added to the root package. Conclusion: go test -race passes for operator, logs and cmd/chestnutcleat.

--- /dev/null
+++ b/cmd/chestnutcleat/apply.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+
+	"github.com/google/subcommands"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/manifest"
+	"chestnutcleat.example/chestnutcleat/operator"
+)
+
+// applyCommand sends a manifest to a VM.
+type applyCommand struct {
+	target
+	base   string
+	change string
+}
+
+// Name implements subcommands.Command.
+func (*applyCommand) Name() string { return "apply" }
+
+// Synopsis implements subcommands.Command.
+func (*applyCommand) Synopsis() string { return "put a manifest into effect" }
+
+// Usage implements subcommands.Command.
+func (*applyCommand) Usage() string {
+	return "apply [-base REVISION] [-change ID] FILE\n\tThe base is the revision that the file was made from; by default the file's field \"revision\".\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *applyCommand) SetFlags(f *flag.FlagSet) {
+	c.target.SetFlags(f)
+	f.StringVar(&c.base, "base", "", "revision that the change is based on; 0 for the first manifest")
+	f.StringVar(&c.change, "change", "", "id of a change whose outcome was unknown, to send it again")
+}
+
+// Execute implements subcommands.Command.
+func (c *applyCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	return c.run(ctx, func(ctx context.Context, o *operator.Client) error {
+		change, err := c.read(f.Arg(0))
+		if err != nil {
+			return err
+		}
+		a, err := o.Apply(ctx, change)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("accepted as revision %d, change %s\n", a.Revision, a.Change)
+		return nil
+	})
+}
+
+func (c *applyCommand) read(name string) (manifest.Change, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return manifest.Change{}, err
+	}
+	m, err := manifest.Parse(name, data)
+	if err != nil {
+		return manifest.Change{}, err
+	}
+	base := m.Revision
+	if c.base != "" {
+		n, err := strconv.ParseUint(c.base, 10, 64)
+		if err != nil {
+			return manifest.Change{}, fmt.Errorf("-base: expected a revision, found %q", c.base)
+		}
+		base = chestnutcleat.Revision(n)
+	}
+	return manifest.Change{Raw: data, Base: base, Who: c.who, ID: chestnutcleat.ChangeID(c.change)}, nil
+}
--- /dev/null
+++ b/cmd/chestnutcleat/main.go
@@ -0,0 +1,23 @@
+// Command chestnutcleat schedules the calls of agent programs.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&checkCommand{}, "files")
+	subcommands.Register(&applyCommand{}, "operators")
+	subcommands.Register(&keyCommand{}, "operators")
+	subcommands.Register(&vmsCommand{}, "operators")
+	subcommands.Register(&statusCommand{}, "operators")
+	subcommands.Register(&drainCommand{}, "operators")
+	subcommands.Register(&auditCommand{}, "operators")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs writes the numbered events with logrus.
+package logs
--- /dev/null
+++ b/logs/observer.go
@@ -0,0 +1,86 @@
+package logs
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
+)
+
+// redacted replaces the values of attributes that may hold a caller's key.
+const redacted = "[redacted]"
+
+// Observer writes events as log lines.
+type Observer struct {
+	logger *logrus.Entry
+}
+
+// New returns an observer that writes to w; level is debug, info, warning or error, and format is json or text.
+func New(w io.Writer, level, format string, vm chestnutcleat.VMID) (*Observer, error) {
+	l := logrus.New()
+	l.SetOutput(w)
+	v, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("log level: %w", err)
+	}
+	l.SetLevel(v)
+	switch format {
+	case "json":
+		l.SetFormatter(&logrus.JSONFormatter{})
+	case "text":
+		l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	default:
+		return nil, fmt.Errorf("log format %q: expected json or text", format)
+	}
+	return &Observer{logger: l.WithField("vm", vm)}, nil
+}
+
+// Emit implements chestnutcleat.Observer.
+func (o *Observer) Emit(id chestnutcleat.EventID, attributes ...any) {
+	fields := logrus.Fields{"event": int(id)}
+	for i := 0; i < len(attributes); i += 2 {
+		name := fmt.Sprint(attributes[i])
+		if i+1 == len(attributes) {
+			fields["unnamed"] = redacted
+			break
+		}
+		fields[name] = valueOf(name, attributes[i+1])
+	}
+	e, ok := event.Lookup(id)
+	if !ok {
+		e = event.Event{Severity: event.Warning, Text: "event is not in the catalogue"}
+	}
+	if e.Action != "" {
+		fields["action"] = e.Action
+	}
+	o.logger.WithFields(fields).Log(levelOf(e.Severity), e.Text)
+}
+
+// valueOf returns a loggable value; errors and values with a text form are written as text.
+func valueOf(name string, v any) any {
+	switch strings.ToLower(name) {
+	case "key", "keys", "authorization", "bearer":
+		return redacted
+	}
+	switch t := v.(type) {
+	case error:
+		return t.Error()
+	case fmt.Stringer:
+		return t.String()
+	}
+	return v
+}
+
+func levelOf(s event.Severity) logrus.Level {
+	switch s {
+	case event.Error:
+		return logrus.ErrorLevel
+	case event.Warning:
+		return logrus.WarnLevel
+	}
+	return logrus.InfoLevel
+}
--- /dev/null
+++ b/logs/observer_test.go
@@ -0,0 +1,40 @@
+package logs
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
+)
+
+// A log line with a caller's key would give the key to everyone who reads the logs.
+func TestKeysAreNotLogged(t *testing.T) {
+	for _, format := range []string{"json", "text"} {
+		is := is.New(t)
+		var b strings.Builder
+		o, err := New(&b, "info", format, "e1")
+		is.NoErr(err)
+		o.Emit(event.KeyWithdrawn, "key", "secret", "Authorization", "Bearer secret", "error", errors.New("broken"), "secret")
+		is.True(!strings.Contains(b.String(), "secret"))
+		is.True(strings.Contains(b.String(), "312"))
+		is.True(strings.Contains(b.String(), "broken"))
+	}
+}
+
+// An event below the level must not be written, and an unknown one must not be lost.
+func TestLevels(t *testing.T) {
+	is := is.New(t)
+	var b strings.Builder
+	o, err := New(&b, "warning", "json", "e1")
+	is.NoErr(err)
+	o.Emit(event.KeyWithdrawn)
+	is.Equal(b.String(), "")
+	o.Emit(chestnutcleat.EventID(99999))
+	is.True(strings.Contains(b.String(), "99999"))
+	_, err = New(&b, "warning", "xml", "e1")
+	is.True(err != nil)
+}
--- a/manifest/parse.go
+++ b/manifest/parse.go
@@ -6,7 +6,7 @@
 )
 
 // Parse decodes and validates a manifest; the error is a document.Errors with all errors.
-// The revision in the text is ignored: acceptance assigns it.
+// The revision in the text is the one that the text is based on; acceptance assigns the next one.
 func Parse(file string, data []byte) (chestnutcleat.Manifest, error) {
 	m, d := parse(file, data)
 	return m, d.Err()
@@ -17,6 +17,5 @@
 	if !d.Malformed() {
 		(&validator{manifest: &m, document: d}).run()
 	}
-	m.Revision = 0
 	return m, d
 }
--- a/manifest/record.go
+++ b/manifest/record.go
@@ -79,8 +79,8 @@
 
 // ReadAudit returns the audit records whose time starts with a prefix such as "2026-05", the oldest first.
 // It calls the platform and does not run in the control goroutine.
-func ReadAudit(ctx context.Context, p chestnutcleat.Platform, since string) ([]Record, error) {
-	objects, err := p.List(ctx, auditPrefix+chestnutcleat.ObjectName(since))
+func ReadAudit(ctx context.Context, p chestnutcleat.Platform, prefix string) ([]Record, error) {
+	objects, err := p.List(ctx, auditPrefix+chestnutcleat.ObjectName(prefix))
 	if err != nil {
 		return nil, fmt.Errorf("list audit records: %w", err)
 	}
--- /dev/null
+++ b/operator/problem.go
@@ -0,0 +1,56 @@
+package operator
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/document"
+	"chestnutcleat.example/chestnutcleat/manifest"
+)
+
+// retryDelay is when a change makes sense again after the platform was unavailable.
+const retryDelay = 5 * time.Second
+
+// problemOf returns the problem document of an error.
+func problemOf(err error) Problem {
+	var plain *chestnutcleat.Problem
+	var faults document.Errors
+	var conflict *manifest.ConflictError
+	var unavailable *manifest.UnavailableError
+	var unresolved *manifest.UnresolvedError
+	var invalid *manifest.InvalidError
+	switch {
+	case errors.As(err, &plain):
+		return Problem{Problem: plain}
+	case errors.As(err, &faults):
+		return Problem{Problem: newProblem(chestnutcleat.CodeInvalid, chestnutcleat.NotRun, "%d errors", len(faults)), Errors: faults}
+	case errors.As(err, &conflict):
+		p := newProblem(chestnutcleat.CodeConflict, chestnutcleat.NotRun, "the current revision is %d", conflict.Revision)
+		return Problem{Problem: p, Revision: conflict.Revision, Who: conflict.Who, Diff: conflict.Diff}
+	case errors.As(err, &unresolved):
+		p := newProblem(chestnutcleat.CodeUnresolved, chestnutcleat.Unknown, "%v", err).WithRetry(retryDelay)
+		return Problem{Problem: p, Change: unresolved.Change}
+	case errors.As(err, &unavailable):
+		return Problem{Problem: newProblem(chestnutcleat.CodeUnavailable, chestnutcleat.NotRun, "%v", err).WithRetry(retryDelay)}
+	case errors.As(err, &invalid):
+		return Problem{Problem: newProblem(chestnutcleat.CodeInvalid, chestnutcleat.NotRun, "%v", err)}
+	}
+	return Problem{Problem: newProblem(chestnutcleat.CodeInternal, chestnutcleat.Unknown, "%v", err)}
+}
+
+var newProblem = chestnutcleat.NewProblem
+
+func fail(w http.ResponseWriter, err error) {
+	p := problemOf(err)
+	w.Header().Set("Content-Type", "application/problem+json")
+	if p.Retry > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(p.Retry))))
+	}
+	w.WriteHeader(p.Status)
+	json.NewEncoder(w).Encode(p)
+}
--- a/problem.go
+++ b/problem.go
@@ -38,6 +38,16 @@
 	CodeInternal      Code = "internal"
 )
 
+// Codes of problems that operators see.
+const (
+	CodeInvalid     Code = "invalid"
+	CodeBase        Code = "base-missing"
+	CodeConflict    Code = "revision-conflict"
+	CodeUnavailable Code = "platform-unavailable"
+	CodeUnresolved  Code = "outcome-unknown"
+	CodeVMUnknown   Code = "vm-unknown"
+)
+
 var statusOf = map[Code]int{
 	CodeBadRequest:    http.StatusBadRequest,
 	CodeTooLarge:      http.StatusRequestEntityTooLarge,
@@ -64,6 +74,12 @@
 	CodeOwnerLost:     http.StatusServiceUnavailable,
 	CodeLeaving:       http.StatusServiceUnavailable,
 	CodeInternal:      http.StatusInternalServerError,
+	CodeInvalid:       http.StatusUnprocessableEntity,
+	CodeBase:          http.StatusPreconditionRequired,
+	CodeConflict:      http.StatusConflict,
+	CodeUnavailable:   http.StatusServiceUnavailable,
+	CodeUnresolved:    http.StatusGatewayTimeout,
+	CodeVMUnknown:     http.StatusNotFound,
 }
 
 // Problem is an error that a caller sees, as an RFC 9457 problem document.
