Complete the thin whole path: operators' listener, demo, load, examples

Cause: the parts were merged but not yet served by one command; two packages had their own type of key state. Excluded: a separate summary type per package; the operators' handler reads the control state through functions instead. Change: control.Operators, drain over the VM transport, metrics of the control state, package demo, commands demo and load, examples, README. Conclusion: a caller runs programs through any of three VMs, as processes and in one process.

--- /dev/null
+++ b/cmd/chestnutcleat/demo.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/demo"
+	"chestnutcleat.example/chestnutcleat/logs"
+	"chestnutcleat.example/chestnutcleat/standin/caller"
+)
+
+const (
+	demoDecode  = 400
+	demoPrefill = 20_000
+	demoCache   = 120_000
+	demoRate    = 4
+	demoTimeout = 2 * time.Minute
+)
+
+// demoCommand runs programs on a small fleet with stand-ins in one process.
+type demoCommand struct {
+	vms      int
+	engines  int
+	programs int
+	seed     uint64
+	level    string
+}
+
+func (*demoCommand) Name() string { return "demo" }
+func (*demoCommand) Synopsis() string {
+	return "run programs on a small fleet with stand-ins, in one process"
+}
+func (*demoCommand) Usage() string { return "demo [-vms N] [-engines N] [-programs N] [-seed N]\n" }
+
+func (c *demoCommand) SetFlags(f *flag.FlagSet) {
+	f.IntVar(&c.vms, "vms", 3, "number of VMs")
+	f.IntVar(&c.engines, "engines", 3, "number of engines")
+	f.IntVar(&c.programs, "programs", 8, "number of programs of each customer")
+	f.Uint64Var(&c.seed, "seed", 1, "seed of the programs")
+	f.StringVar(&c.level, "log", "warning", "log level: debug, info, warning or error")
+}
+
+func (c *demoCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *demoCommand) run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	o, err := logs.New(os.Stderr, c.level, "text", "demo")
+	if err != nil {
+		return err
+	}
+	f := &demo.Fleet{VMs: c.vms, Engines: c.engines, Decode: demoDecode, Prefill: demoPrefill, Cache: demoCache, Customers: demoCustomers(), Observer: o}
+	if err := f.Start(ctx); err != nil {
+		return err
+	}
+	fmt.Printf("%d VMs, %d engines and 1 service are up; running programs\n", c.vms, c.engines)
+	l := caller.Load{Seeds: f.Callers(), Shape: caller.DefaultShape(), Seed: c.seed}
+	for _, k := range f.Customers {
+		l.Customers = append(l.Customers, caller.Customer{
+			ID: k.ID, Key: demo.KeyOf(k.ID), Rate: demoRate, Programs: c.programs, Model: demo.Model,
+			Tools: []caller.Tool{{Route: demo.BookRoute, Share: 0.1}, {Route: demo.LookRoute, Share: 0.1}},
+		})
+	}
+	r, err := l.Run(ctx)
+	if err != nil {
+		return fmt.Errorf("run programs: %w", err)
+	}
+	if err := r.Write(os.Stdout); err != nil {
+		return err
+	}
+	if err := f.Stop(); err != nil {
+		return err
+	}
+	return c.verdict(f, r)
+}
+
+// verdict fails if a program did not finish or a non-repeatable call ran twice.
+func (c *demoCommand) verdict(f *demo.Fleet, r caller.Report) error {
+	if t := r.Total(); t.Finished != t.Started {
+		return fmt.Errorf("%d of %d programs did not finish", t.Started-t.Finished, t.Started)
+	}
+	for id, n := range f.Service.Executions() {
+		if n > 1 {
+			return fmt.Errorf("request %s ran %d times", id, n)
+		}
+	}
+	return nil
+}
+
+func demoCustomers() []chestnutcleat.Customer {
+	var list []chestnutcleat.Customer
+	for _, id := range []chestnutcleat.CustomerID{"pomar-alto", "sitio-novo", "vale-verde"} {
+		list = append(list, chestnutcleat.Customer{ID: id, Rate: 100, Burst: 200})
+	}
+	return list
+}
--- a/cmd/chestnutcleat/main.go
+++ b/cmd/chestnutcleat/main.go
@@ -1,4 +1,4 @@
-// Command chestnutcleat schedules agent programs over model engines and services.
+// Command chestnutcleat schedules the calls of agent programs.
 package main
 
 import (
@@ -10,12 +10,18 @@
 )
 
 func main() {
-	for _, c := range []subcommands.Command{
-		subcommands.HelpCommand(), subcommands.FlagsCommand(), subcommands.CommandsCommand(),
-		&serveCommand{}, &standinCommand{},
-	} {
-		subcommands.Register(c, "")
-	}
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&checkCommand{}, "files")
+	subcommands.Register(&demoCommand{}, "processes")
+	subcommands.Register(&loadCommand{}, "processes")
+	subcommands.Register(&serveCommand{}, "processes")
+	subcommands.Register(&standinCommand{}, "processes")
+	subcommands.Register(&applyCommand{}, "operators")
+	subcommands.Register(&keyCommand{}, "operators")
+	subcommands.Register(&vmsCommand{}, "operators")
+	subcommands.Register(&statusCommand{}, "operators")
+	subcommands.Register(&drainCommand{}, "operators")
+	subcommands.Register(&auditCommand{}, "operators")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/cmd/chestnutcleat/serve.go
+++ b/cmd/chestnutcleat/serve.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	l, err := logs.New(os.Stderr, s.Log.Level, s.Log.Format)
+	l, err := logs.New(os.Stderr, s.Log.Level, s.Log.Format, s.VM)
 	if err != nil {
 		return err
 	}
--- a/control/directory.go
+++ b/control/directory.go
@@ -6,21 +6,13 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chestnutcleat.example/chestnutcleat"
-	"chestnutcleat.example/chestnutcleat/manifest"
 )
 
 var _ chestnutcleat.Directory = (*Node)(nil)
 
 // Key implements chestnutcleat.Directory.
 func (n *Node) Key(d chestnutcleat.Digest) (chestnutcleat.CustomerID, chestnutcleat.KeyState) {
-	c, s := n.manifests.Current().Key(d)
-	switch s {
-	case manifest.KeyActive:
-		return c, chestnutcleat.KeyActive
-	case manifest.KeyWithdrawn:
-		return c, chestnutcleat.KeyWithdrawn
-	}
-	return c, chestnutcleat.KeyUnknown
+	return n.manifests.Current().Key(d)
 }
 
 // Customer implements chestnutcleat.Directory.
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -26,7 +26,6 @@
 	nodes   []*control.Node
 	cancels []context.CancelFunc
 	random  *rand.Rand
-	events  []string
 }
 
 // observe collects the events of one node.
@@ -36,7 +35,9 @@
 
 func (observe) Emit(chestnutcleat.EventID, ...any) {}
 
-func address(i int) chestnutcleat.Address { return chestnutcleat.Address(fmt.Sprintf("10.0.0.%d:8002", i+1)) }
+func address(i int) chestnutcleat.Address {
+	return chestnutcleat.Address(fmt.Sprintf("10.0.0.%d:8002", i+1))
+}
 
 // newFleet starts n nodes and applies a manifest.
 func newFleet(t *testing.T, n int, seed uint64) *fleet {
@@ -102,7 +103,7 @@
 	}
 	ctx, cancel := context.WithTimeout(f.t.Context(), time.Minute)
 	defer cancel()
-	if _, err := f.nodes[i].Apply(ctx, manifest.Change{Raw: raw, Base: m.Revision, Who: "test"}); err != nil {
+	if _, err := f.nodes[i].Operators(nil).Apply(ctx, manifest.Change{Raw: raw, Base: m.Revision, Who: "test"}); err != nil {
 		f.t.Fatalf("apply: %v", err)
 	}
 }
--- a/control/node.go
+++ b/control/node.go
@@ -56,6 +56,7 @@
 	revoked   revocations
 	version   uint64
 	leaveOnce sync.Once
+	drain     drain
 }
 
 // Init builds the control state; the exported fields are set before.
@@ -71,6 +72,7 @@
 	n.buildKeeper()
 	n.asker = asker{self: n.Self.ID, loop: n.Loop, owner: n.keeper, peers: n.Peers, place: n.place}
 	n.buildEndpoints()
+	n.buildDrain()
 }
 
 // Run runs the control state until ctx is done.
--- a/control/operate.go
+++ b/control/operate.go
@@ -2,20 +2,56 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
 
-	"chestnutcleat.example/chestnutcleat/manifest"
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/operator"
 )
 
-// Apply puts a manifest into effect.
-func (n *Node) Apply(ctx context.Context, c manifest.Change) (manifest.Accepted, error) {
-	out := make(chan result[manifest.Accepted], 1)
-	n.Loop.Post(func() {
-		n.manifests.Apply(c, func(a manifest.Accepted, err error) { out <- result[manifest.Accepted]{value: a, err: err} })
-	})
-	select {
-	case r := <-out:
-		return r.value, r.err
-	case <-ctx.Done():
-		return manifest.Accepted{}, ctx.Err()
+// Operators returns the handler of the operators' listener; metrics writes further metrics.
+func (n *Node) Operators(metrics func(io.Writer)) *operator.Handler {
+	h := &operator.Handler{
+		VMs:       func(context.Context) ([]chestnutcleat.VM, error) { return n.members.Snapshot(), nil },
+		Upstreams: func(context.Context) ([]chestnutcleat.Load, error) { return n.loadList(), nil },
+		Drain:     n.Drain,
+		Ready:     n.Ready,
+		Metrics: func(w io.Writer) {
+			n.writeMetrics(w)
+			metrics(w)
+		},
 	}
+	h.Bind(n.Loop, n.manifests, n.Platform)
+	return h
+}
+
+// loadList returns the load summaries of all upstreams of the manifest.
+func (n *Node) loadList() []chestnutcleat.Load {
+	var list []chestnutcleat.Load
+	for _, u := range n.manifests.Current().Manifest.Upstreams {
+		list = append(list, n.loads.get(u.ID))
+	}
+	slices.SortFunc(list, func(a, b chestnutcleat.Load) int { return strings.Compare(string(a.Upstream), string(b.Upstream)) })
+	return list
+}
+
+// Ready returns why this VM cannot serve callers, or nil.
+func (n *Node) Ready(ctx context.Context) error {
+	var err error
+	if e := n.Loop.Do(ctx, func() { err = n.ready() }); e != nil {
+		return e
+	}
+	return err
+}
+
+func (n *Node) ready() error {
+	if !n.manifests.Ready() {
+		return fmt.Errorf("no manifest is in effect")
+	}
+	if n.keeper.Epoch() == 0 {
+		return fmt.Errorf("this VM has not joined the fleet")
+	}
+	return nil
 }
--- a/peers.go
+++ b/peers.go
@@ -19,6 +19,7 @@
 	MethodSettle   Method = "settle"
 	MethodAcquire  Method = "acquire"
 	MethodRelease  Method = "release"
+	MethodDrain    Method = "drain"
 	MethodCancel   Method = "cancel"
 	MethodEnd      Method = "end"
 	MethodUsage    Method = "usage"
--- a/process/shutdown.go
+++ b/process/shutdown.go
@@ -15,6 +15,7 @@
 		p.close()
 		return nil
 	case <-p.Stop:
+	case <-p.node.Drained():
 	}
 	p.Observer.Emit(event.Stopping, "vm", p.Settings.VM)
 	grace, cancel := context.WithTimeout(ctx, p.Settings.Grace.Or(0))
