--- a/control/control_test.go
+++ b/control/control_test.go
@@ -24,7 +24,7 @@
 	if !t.Admitted {
 		return chestnutcleat.NotRun, chestnutcleat.NewProblem(chestnutcleat.CodeRate, chestnutcleat.NotRun, "retry in %s", t.Retry)
 	}
-	id := chestnutcleat.RequestID(fmt.Sprintf("%s/%s/%d", program, call, f.random.Uint64()))
+	id := chestnutcleat.RequestID(fmt.Sprintf("%s/%s/%d", program, call, f.draw()))
 	c := chestnutcleat.Call{Customer: "grower", Program: program, ID: call, After: after, Route: "book", Body: chestnutcleat.DigestOf([]byte(call)), Deadline: time.Now().Add(10 * time.Second)}
 	b, err := n.Begin(ctx, chestnutcleat.BeginRequest{ID: id, Call: c})
 	switch {
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,7 @@
 	nodes   []*control.Node
 	cancels []context.CancelFunc
 	random  *rand.Rand
+	mu      sync.Mutex
 }
 
 // observe collects the events of one node.
@@ -68,7 +70,7 @@
 		Platform: &standin.Client{Store: f.store, Name: string(id)},
 		Observer: observe{id},
 		Seeds:    []chestnutcleat.Address{address(0), address(1)},
-		Rand:     rand.New(rand.NewPCG(uint64(i), f.random.Uint64())),
+		Rand:     rand.New(rand.NewPCG(uint64(i), f.draw())),
 	}
 	n.Init()
 	ctx, cancel := context.WithCancel(f.t.Context())
@@ -123,3 +125,10 @@
 		},
 	}
 }
+
+// draw returns a random number to any goroutine.
+func (f *fleet) draw() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Uint64()
+}
