Add package lease: leases by witnesses, takeover, handover, records

Cause: each slot needs exactly one owner, also while VMs die, pause or are cut off and while the platform is away. Excluded: successors chosen within the takeover's own commit; the coordinator takes all slots of the VM and rebalancing hands them on.

--- /dev/null
+++ b/lease/cluster_test.go
@@ -0,0 +1,330 @@
+package lease
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/control"
+	"chestnutcleat.example/chestnutcleat/vm"
+)
+
+// gossipDelay is how long the test's membership takes to see that a VM cannot be reached.
+const gossipDelay = 1500 * time.Millisecond
+
+// node is one VM of a test fleet.
+var debug func(*node)
+
+type node struct {
+	vm     chestnutcleat.VM
+	keeper *Keeper
+	loop   *control.Loop
+	stop   context.CancelFunc
+	book   *book
+	dead   bool
+	left   bool
+	paused time.Time
+	// seen is when the platform last saw the VM.
+	seen time.Time
+	// reached is when each other node was last reached.
+	reached map[int]time.Time
+}
+
+// cluster is a fleet in one test process.
+type cluster struct {
+	t        *testing.T
+	seed     uint64
+	rand     *rand.Rand
+	network  *vm.Network
+	platform *fakePlatform
+	nodes    []*node
+	cuts     map[[2]int]bool
+	mu       sync.Mutex
+	// acked is the highest counter per record that was confirmed.
+	acked  map[string]uint64
+	faults []string
+}
+
+func newCluster(t *testing.T, seed uint64, n int) *cluster {
+	c := &cluster{
+		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 1)),
+		network: vm.NewNetwork(seed), platform: newFakePlatform(seed),
+		cuts: map[[2]int]bool{}, acked: map[string]uint64{},
+	}
+	c.network.Delay = 500 * time.Microsecond
+	for i := range n {
+		c.add(i, chestnutcleat.VMID(fmt.Sprintf("vm%d", i)), 1)
+	}
+	return c
+}
+
+func (c *cluster) add(i int, id chestnutcleat.VMID, inc chestnutcleat.Incarnation) *node {
+	n := &node{loop: control.New(), reached: map[int]time.Time{}}
+	n.vm = chestnutcleat.VM{
+		ID: id, Incarnation: inc, State: chestnutcleat.VMLive, Domain: chestnutcleat.FailureDomain(fmt.Sprint("d", i%3)),
+		Address: chestnutcleat.Address(fmt.Sprintf("%s/%d", id, inc)), Caller: chestnutcleat.Address(id),
+	}
+	n.book = &book{cluster: c, node: n, values: map[chestnutcleat.Slot]uint64{}}
+	n.keeper = &Keeper{
+		Self: n.vm, Loop: n.loop, Peers: c.network.From(n.vm.Address), Platform: c.platform,
+		Members: func() []chestnutcleat.VM { return c.members(n) },
+		States:  map[chestnutcleat.Kind]chestnutcleat.Owned{chestnutcleat.KindProgram: n.book},
+		Rand:    rand.New(rand.NewPCG(c.seed, uint64(i)+100)),
+	}
+	if debug != nil {
+		debug(n)
+	}
+	mux := vm.NewMux()
+	n.keeper.Register(mux, n.loop.Post)
+	c.network.Attach(n.vm.Address, mux)
+	c.mu.Lock()
+	for j, o := range c.nodes {
+		n.reached[j] = time.Now()
+		o.reached[len(c.nodes)] = time.Now()
+	}
+	c.nodes = append(c.nodes, n)
+	c.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	go n.loop.Run(ctx)
+	go c.watch(ctx, n)
+	n.loop.Post(n.keeper.Start)
+	n.loop.After(50*time.Millisecond, func() { n.book.work() })
+	return n
+}
+
+func (c *cluster) watch(ctx context.Context, n *node) {
+	var after chestnutcleat.Version
+	for ctx.Err() == nil {
+		list, err := c.platform.Watch(ctx, []chestnutcleat.ObjectName{fleetName}, after)
+		if err != nil {
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		for _, o := range list {
+			after = max(after, o.Version)
+			n.loop.Post(func() { n.keeper.Refresh(o) })
+		}
+	}
+}
+
+// members is what gossip shows a node.
+func (c *cluster) members(n *node) []chestnutcleat.VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := []chestnutcleat.VM{n.vm}
+	for i, o := range c.nodes {
+		if o != n && !o.left && time.Since(n.reached[i]) < gossipDelay {
+			list = append(list, o.vm)
+		}
+	}
+	return list
+}
+
+func (c *cluster) up(i int) bool {
+	return !c.nodes[i].dead && time.Now().After(c.nodes[i].paused)
+}
+
+// gossip notes who can reach whom, directly or through a third VM.
+func (c *cluster) gossip() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	both := func(a, b int) bool { return c.up(a) && c.up(b) && !c.cuts[[2]int{a, b}] && !c.cuts[[2]int{b, a}] }
+	for i, n := range c.nodes {
+		for j := range c.nodes {
+			ok := both(i, j)
+			for w := 0; w < len(c.nodes) && !ok; w++ {
+				ok = both(i, w) && both(w, j)
+			}
+			if ok {
+				n.reached[j] = time.Now()
+			}
+		}
+	}
+	var listed []chestnutcleat.ListedVM
+	for i, n := range c.nodes {
+		if c.up(i) {
+			n.seen = time.Now()
+		}
+		if !n.left && time.Since(n.seen) < 10*time.Second {
+			listed = append(listed, chestnutcleat.ListedVM{ID: n.vm.ID, Address: n.vm.Address})
+		}
+	}
+	c.platform.set(func() { c.platform.listed = listed })
+}
+
+// step runs the fleet for a while and checks it many times.
+func (c *cluster) step(d time.Duration) {
+	const interval = 50 * time.Millisecond
+	for ; d > 0; d -= interval {
+		time.Sleep(interval)
+		c.gossip()
+		synctest.Wait()
+		c.check()
+	}
+}
+
+// check fails the test if a slot has two owners.
+func (c *cluster) check() {
+	var owner [chestnutcleat.SlotCount]*node
+	for _, n := range c.nodes {
+		if n.dead {
+			continue
+		}
+		for _, s := range n.keeper.served() {
+			if o := owner[s]; o != nil {
+				c.fail("slot %d is served by %s and %s", s, o.vm.ID, n.vm.ID)
+			}
+			owner[s] = n
+		}
+	}
+}
+
+// served lists the slots whose Check succeeds, with one look at each lease.
+func (k *Keeper) served() []chestnutcleat.Slot {
+	now := time.Now()
+	if k.fleet == nil || !k.valid(now) {
+		return nil
+	}
+	ok := map[chestnutcleat.VMID]bool{k.Self.ID: true}
+	for id, h := range k.temporary {
+		ok[id] = h.valid(now)
+	}
+	var list []chestnutcleat.Slot
+	var last chestnutcleat.VMID
+	was := false
+	for s, state := range k.slots {
+		if state != slotReady {
+			continue
+		}
+		if id := k.fleet.Owners[s].VM; id != last || s == 0 {
+			last, was = id, ok[id]
+		}
+		if was {
+			list = append(list, chestnutcleat.Slot(s))
+		}
+	}
+	return list
+}
+
+// count returns how many slots are served.
+func (c *cluster) count() int {
+	n := 0
+	for _, o := range c.nodes {
+		if !o.dead {
+			n += len(o.keeper.served())
+		}
+	}
+	return n
+}
+
+// until runs the fleet until all slots are served and returns how long it took.
+func (c *cluster) until(limit time.Duration) time.Duration {
+	start := time.Now()
+	for c.count() < chestnutcleat.SlotCount {
+		if time.Since(start) > limit {
+			c.fail("only %d slots are served after %s", c.count(), limit)
+		}
+		c.step(50 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+func (c *cluster) fail(format string, args ...any) {
+	c.t.Helper()
+	for _, n := range c.nodes {
+		k := n.keeper
+		lease := k.own != nil && k.valid(time.Now())
+		c.t.Logf("%s: dead %v left %v lease %v version %d served %d takeovers %d temporary %d updates %d", n.vm.ID, n.dead, n.left, lease, k.version, len(k.served()), len(k.takeovers), len(k.temporary), len(k.updates))
+	}
+	c.t.Fatalf("seed %d, faults %v: %s", c.seed, c.faults, fmt.Sprintf(format, args...))
+}
+
+func (c *cluster) kill(i int) {
+	n := c.nodes[i]
+	c.mu.Lock()
+	n.dead = true
+	c.mu.Unlock()
+	n.stop()
+	c.network.Detach(n.vm.Address)
+}
+
+func (c *cluster) cut(i, j int, on bool) {
+	c.mu.Lock()
+	c.cuts[[2]int{i, j}] = on
+	c.mu.Unlock()
+	a, b := c.nodes[i].vm.Address, c.nodes[j].vm.Address
+	if on {
+		c.network.Cut(a, b)
+	} else {
+		c.network.Join(a, b)
+	}
+}
+
+func (c *cluster) close() {
+	for _, n := range c.nodes {
+		n.stop()
+	}
+	time.Sleep(time.Minute)
+}
+
+// book is a state with one counter per slot, each change of which is a record.
+type book struct {
+	cluster *cluster
+	node    *node
+	values  map[chestnutcleat.Slot]uint64
+}
+
+func recordName(s chestnutcleat.Slot) string { return fmt.Sprintf("program/%d", s) }
+
+func (b *book) record(s chestnutcleat.Slot) chestnutcleat.Record {
+	return chestnutcleat.Record{Slot: s, Name: recordName(s), Data: binary.BigEndian.AppendUint64(nil, b.values[s]), Urgent: s%2 == 0}
+}
+
+// work changes the counters of a few slots that this VM serves.
+func (b *book) work() {
+	k := b.node.keeper
+	for range 4 {
+		s := chestnutcleat.Slot(k.Rand.IntN(chestnutcleat.SlotCount) &^ 63)
+		if !k.serves(s) {
+			continue
+		}
+		b.values[s]++
+		v := b.values[s]
+		k.Append([]chestnutcleat.Record{b.record(s)}, func(err error) {
+			if err == nil {
+				b.cluster.mu.Lock()
+				b.cluster.acked[recordName(s)] = max(v, b.cluster.acked[recordName(s)])
+				b.cluster.mu.Unlock()
+			}
+		})
+	}
+	b.node.loop.After(50*time.Millisecond, b.work)
+}
+
+func (b *book) Import(s chestnutcleat.Slot, records []chestnutcleat.Record, t chestnutcleat.Transfer) {
+	b.values[s] = 0
+	for _, r := range records {
+		b.values[s] = max(b.values[s], binary.BigEndian.Uint64(r.Data))
+	}
+	b.cluster.mu.Lock()
+	defer b.cluster.mu.Unlock()
+	if want := b.cluster.acked[recordName(s)]; b.values[s] < want {
+		b.cluster.t.Errorf("seed %d, faults %v: %s imported slot %d at %d, confirmed %d (%+v)", b.cluster.seed, b.cluster.faults, b.node.vm.ID, s, b.values[s], want, t)
+	}
+}
+
+func (b *book) Export(s chestnutcleat.Slot) []chestnutcleat.Record {
+	if b.values[s] == 0 {
+		return nil
+	}
+	return []chestnutcleat.Record{b.record(s)}
+}
+
+func (b *book) Drop(s chestnutcleat.Slot) { delete(b.values, s) }
--- /dev/null
+++ b/lease/fault_test.go
@@ -0,0 +1,154 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// fault is one entry of the fault table.
+type fault struct {
+	name string
+	do   func(c *cluster, victim int)
+	// undo ends the fault after hold.
+	undo func(c *cluster, victim int)
+	hold time.Duration
+	// within bounds the time after do until all slots are served; zero for no bound before undo.
+	within time.Duration
+}
+
+// takeoverBound is the requirement for a killed VM.
+const takeoverBound = 5 * time.Second
+
+func (c *cluster) isolate(i int, in, out, on bool) {
+	for j := range c.nodes {
+		if j != i && out {
+			c.cut(i, j, on)
+		}
+		if j != i && in {
+			c.cut(j, i, on)
+		}
+	}
+}
+
+var faults = []fault{
+	{name: "kill", do: (*cluster).kill, within: takeoverBound},
+	{name: "pause", do: func(c *cluster, v int) {
+		n := c.nodes[v]
+		n.paused = time.Now().Add(4 * time.Second)
+		n.loop.Post(func() { time.Sleep(4 * time.Second) })
+	}, hold: 5 * time.Second},
+	{name: "cut-out", do: func(c *cluster, v int) { c.isolate(v, false, true, true) },
+		undo: func(c *cluster, v int) { c.isolate(v, false, true, false) }, hold: 7 * time.Second},
+	{name: "cut-in", do: func(c *cluster, v int) { c.isolate(v, true, false, true) },
+		undo: func(c *cluster, v int) { c.isolate(v, true, false, false) }, hold: 7 * time.Second},
+	{name: "cut-both", do: func(c *cluster, v int) { c.isolate(v, true, true, true) },
+		undo: func(c *cluster, v int) { c.isolate(v, true, true, false) }, hold: 7 * time.Second},
+	{name: "domain", do: func(c *cluster, v int) {
+		for i := range c.nodes {
+			if i%3 == v%3 && !c.nodes[i].dead {
+				c.kill(i)
+			}
+		}
+	}},
+	{name: "outage", do: func(c *cluster, _ int) { c.platform.set(func() { c.platform.outage = true }) },
+		undo: func(c *cluster, _ int) { c.platform.set(func() { c.platform.outage = false }) }, hold: 10 * time.Second, within: takeoverBound},
+	{name: "slow", do: func(c *cluster, _ int) { c.platform.set(func() { c.platform.latency = 5 * time.Second }) },
+		undo: func(c *cluster, _ int) { c.platform.set(func() { c.platform.latency = 3 * time.Millisecond }) }, hold: 10 * time.Second, within: takeoverBound},
+	{name: "lost", do: func(c *cluster, _ int) { c.platform.set(func() { c.platform.lost = 0.5 }) },
+		undo: func(c *cluster, _ int) { c.platform.set(func() { c.platform.lost = 0 }) }, hold: 8 * time.Second, within: takeoverBound},
+	{name: "leave", do: func(c *cluster, v int) {
+		n := c.nodes[v]
+		n.loop.Post(func() {
+			n.keeper.Leave(func() {
+				c.mu.Lock()
+				n.left = true
+				c.mu.Unlock()
+			})
+		})
+	}, within: takeoverBound},
+}
+
+// run applies faults to a fleet of 7 VMs and checks it until it has recovered.
+func run(t *testing.T, seed uint64, list []fault) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, seed, 7)
+		defer c.close()
+		c.until(10 * time.Second)
+		c.step(time.Duration(3000+c.rand.IntN(2000)) * time.Millisecond)
+		c.until(5 * time.Second)
+		var hold, within time.Duration
+		victims := c.rand.Perm(7)
+		for i, f := range list {
+			c.faults = append(c.faults, fmt.Sprintf("%s(%d)", f.name, victims[i]))
+			f.do(c, victims[i])
+			hold = max(hold, f.hold)
+			within = f.within
+			if i+1 < len(list) {
+				c.step(time.Duration(c.rand.IntN(20)) * 50 * time.Millisecond)
+			}
+		}
+		start := time.Now()
+		if len(list) == 1 && within > 0 {
+			c.step(100 * time.Millisecond)
+			c.until(within)
+		}
+		c.step(hold - time.Since(start))
+		for i, f := range list {
+			if f.undo != nil {
+				f.undo(c, victims[i])
+			}
+		}
+		c.until(60 * time.Second)
+		c.step(2 * time.Second)
+		c.until(5 * time.Second)
+	})
+}
+
+// A fault must never lead to two owners of a slot, to a lost record, or to slots that stay without owner.
+func TestFaults(t *testing.T) {
+	for i, f := range faults {
+		for n := range 8 {
+			seed := uint64(1000*i + n + 1)
+			t.Run(fmt.Sprintf("%s/%d", f.name, seed), func(t *testing.T) {
+				t.Parallel()
+				run(t, seed, []fault{f})
+			})
+		}
+	}
+}
+
+// Two faults at once must keep the same guarantees.
+func TestTwoFaults(t *testing.T) {
+	for n := range 120 {
+		seed := uint64(100_000 + n)
+		a, b := faults[n%len(faults)], faults[(n/len(faults)*3+n+1)%len(faults)]
+		t.Run(fmt.Sprintf("%s+%s/%d", a.name, b.name, seed), func(t *testing.T) {
+			t.Parallel()
+			run(t, seed, []fault{a, b})
+		})
+	}
+}
+
+// VMs that join at the same moment must all become members and share the slots.
+func TestJoinTogether(t *testing.T) {
+	for n := 1; n <= 7; n++ {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, uint64(n), n)
+				defer c.close()
+				c.until(10 * time.Second)
+				c.step(8 * time.Second)
+				c.until(time.Second)
+				for _, o := range c.nodes {
+					if got := len(o.keeper.served()); got < chestnutcleat.SlotCount/n*7/10 {
+						c.fail("%s serves %d slots", o.vm.ID, got)
+					}
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/lease/fleet.go
@@ -0,0 +1,193 @@
+package lease
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+const (
+	// fleetName is the name of the fleet object.
+	fleetName chestnutcleat.ObjectName = "fleet"
+	// keptChanges is the number of change ids kept to settle a lost response.
+	keptChanges = 64
+	// maxWitnesses is the number of witnesses of a VM in a fleet of at least 4 VMs.
+	maxWitnesses = 3
+)
+
+// holding is the owner of a slot and the epoch at which it got the slot.
+type holding struct {
+	VM    chestnutcleat.VMID  `json:"vm"`
+	Epoch chestnutcleat.Epoch `json:"epoch"`
+}
+
+// Fleet is the object that tells who owns each slot.
+type Fleet struct {
+	// Epoch is the highest epoch that was given out.
+	Epoch   chestnutcleat.Epoch
+	Members []Member
+	Owners  [chestnutcleat.SlotCount]holding
+	// Changes are the ids of the last changes, the newest last.
+	Changes []chestnutcleat.ChangeID
+}
+
+// fleetJSON is the compact form; Slots has two bytes per slot, an index into Holdings.
+type fleetJSON struct {
+	Epoch    chestnutcleat.Epoch      `json:"epoch"`
+	Members  []Member                 `json:"members"`
+	Holdings []holding                `json:"holdings"`
+	Slots    []byte                   `json:"slots"`
+	Changes  []chestnutcleat.ChangeID `json:"changes"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (f *Fleet) MarshalJSON() ([]byte, error) {
+	w := fleetJSON{Epoch: f.Epoch, Members: f.Members, Changes: f.Changes, Slots: make([]byte, 0, 2*chestnutcleat.SlotCount)}
+	index := map[holding]int{}
+	for _, h := range f.Owners {
+		i, ok := index[h]
+		if !ok {
+			i = len(w.Holdings)
+			index[h] = i
+			w.Holdings = append(w.Holdings, h)
+		}
+		w.Slots = append(w.Slots, byte(i>>8), byte(i))
+	}
+	return json.Marshal(w)
+}
+
+// UnmarshalJSON implements json.Unmarshaler and checks the object.
+func (f *Fleet) UnmarshalJSON(data []byte) error {
+	var w fleetJSON
+	if err := json.Unmarshal(data, &w); err != nil {
+		return fmt.Errorf("fleet object: %w", err)
+	}
+	if len(w.Slots) != 2*chestnutcleat.SlotCount {
+		return fmt.Errorf("fleet object has %d bytes of slots, expected %d", len(w.Slots), 2*chestnutcleat.SlotCount)
+	}
+	*f = Fleet{Epoch: w.Epoch, Members: w.Members, Changes: w.Changes}
+	for s := range f.Owners {
+		i := int(w.Slots[2*s])<<8 | int(w.Slots[2*s+1])
+		if i >= len(w.Holdings) {
+			return fmt.Errorf("fleet object: slot %d names holding %d of %d", s, i, len(w.Holdings))
+		}
+		f.Owners[s] = w.Holdings[i]
+	}
+	return f.check()
+}
+
+func (f *Fleet) check() error {
+	seen := map[chestnutcleat.VMID]bool{}
+	for _, m := range f.Members {
+		if m.VM == "" || seen[m.VM] {
+			return fmt.Errorf("fleet object lists VM %q twice or without id", m.VM)
+		}
+		if m.Epoch > f.Epoch {
+			return fmt.Errorf("fleet object: VM %q has epoch %d above %d", m.VM, m.Epoch, f.Epoch)
+		}
+		if len(m.Witnesses) > maxWitnesses || m.has(m.VM) {
+			return fmt.Errorf("fleet object: VM %q has invalid witnesses", m.VM)
+		}
+		seen[m.VM] = true
+	}
+	for s, h := range f.Owners {
+		if h.VM != "" && !seen[h.VM] {
+			return fmt.Errorf("fleet object: slot %d belongs to unknown VM %q", s, h.VM)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) clone() *Fleet {
+	c := *f
+	c.Members = slices.Clone(f.Members)
+	for i := range c.Members {
+		c.Members[i].Witnesses = slices.Clone(c.Members[i].Witnesses)
+	}
+	c.Changes = slices.Clone(f.Changes)
+	return &c
+}
+
+func (f *Fleet) member(id chestnutcleat.VMID) *Member {
+	if f == nil {
+		return nil
+	}
+	for i := range f.Members {
+		if f.Members[i].VM == id {
+			return &f.Members[i]
+		}
+	}
+	return nil
+}
+
+// next gives out a new epoch above one.
+func (f *Fleet) next(above chestnutcleat.Epoch) chestnutcleat.Epoch {
+	f.Epoch = max(f.Epoch, above) + 1
+	return f.Epoch
+}
+
+// remove takes a member out and replaces it as witness of the others.
+func (f *Fleet) remove(id chestnutcleat.VMID) {
+	f.Members = slices.DeleteFunc(f.Members, func(m Member) bool { return m.VM == id })
+	f.next(0)
+	for i := range f.Members {
+		m := &f.Members[i]
+		n := len(m.Witnesses)
+		m.Witnesses = slices.DeleteFunc(m.Witnesses, func(w Witness) bool { return w.VM == id })
+		// One for one: a set that grew without its owner's knowledge could form a majority that the owner does not ask.
+		f.fill(m, n, f.Epoch)
+	}
+}
+
+// fill adds witnesses to m up to n, preferring failure domains that have none yet.
+func (f *Fleet) fill(m *Member, n int, at chestnutcleat.Epoch) {
+	for len(m.Witnesses) < min(n, maxWitnesses) {
+		var best *Member
+		used, score := 0, uint64(0)
+		for i := range f.Members {
+			c := &f.Members[i]
+			if c.VM == m.VM || m.has(c.VM) {
+				continue
+			}
+			u, s := f.domainUse(m, c.Domain), rendezvous(string(m.VM), c.VM)
+			if best == nil || u < used || (u == used && s > score) {
+				best, used, score = c, u, s
+			}
+		}
+		if best == nil {
+			return
+		}
+		m.Witnesses = append(m.Witnesses, Witness{VM: best.VM, Incarnation: best.Incarnation, Named: at})
+	}
+}
+
+// domainUse counts the witnesses of m in a failure domain.
+func (f *Fleet) domainUse(m *Member, d chestnutcleat.FailureDomain) int {
+	n := 0
+	for _, w := range m.Witnesses {
+		if o := f.member(w.VM); o != nil && o.Domain == d {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *Fleet) changed(id chestnutcleat.ChangeID) {
+	f.Changes = append(f.Changes, id)
+	if n := len(f.Changes) - keptChanges; n > 0 {
+		f.Changes = slices.Clone(f.Changes[n:])
+	}
+}
+
+// slots returns the slots of a VM.
+func (f *Fleet) slots(id chestnutcleat.VMID) []chestnutcleat.Slot {
+	var list []chestnutcleat.Slot
+	for s, h := range f.Owners {
+		if h.VM == id {
+			list = append(list, chestnutcleat.Slot(s))
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/lease/platform_test.go
@@ -0,0 +1,144 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+var errOutage = errors.New("platform is unavailable")
+
+// fakePlatform is an in-memory object API with faults.
+type fakePlatform struct {
+	mu      sync.Mutex
+	objects map[chestnutcleat.ObjectName]chestnutcleat.Object
+	version chestnutcleat.Version
+	changed chan struct{}
+	rand    *rand.Rand
+	// outage fails all calls, latency delays them, lost is the share of writes whose response is lost.
+	outage  bool
+	latency time.Duration
+	lost    float64
+	listed  []chestnutcleat.ListedVM
+	calls   int
+}
+
+func newFakePlatform(seed uint64) *fakePlatform {
+	return &fakePlatform{
+		objects: map[chestnutcleat.ObjectName]chestnutcleat.Object{},
+		changed: make(chan struct{}),
+		rand:    rand.New(rand.NewPCG(seed, 3)),
+		latency: 3 * time.Millisecond,
+	}
+}
+
+func (p *fakePlatform) set(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f()
+}
+
+// enter waits half of the latency and reports whether the platform takes calls.
+func (p *fakePlatform) enter(ctx context.Context) error {
+	p.mu.Lock()
+	d, down := p.latency, p.outage
+	p.calls++
+	p.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d / 2):
+	}
+	if down {
+		return errOutage
+	}
+	return nil
+}
+
+func (p *fakePlatform) leave(ctx context.Context) error { return p.enter(ctx) }
+
+func (p *fakePlatform) Get(ctx context.Context, name chestnutcleat.ObjectName) (chestnutcleat.Object, error) {
+	if err := p.enter(ctx); err != nil {
+		return chestnutcleat.Object{}, err
+	}
+	p.mu.Lock()
+	o, ok := p.objects[name]
+	p.mu.Unlock()
+	if err := p.leave(ctx); err != nil {
+		return chestnutcleat.Object{}, err
+	}
+	if !ok {
+		return o, chestnutcleat.ErrNotFound
+	}
+	return o, nil
+}
+
+func (p *fakePlatform) Put(ctx context.Context, o chestnutcleat.Object) (chestnutcleat.Version, error) {
+	if err := p.enter(ctx); err != nil {
+		return 0, err
+	}
+	p.mu.Lock()
+	if p.objects[o.Name].Version != o.Version {
+		p.mu.Unlock()
+		return 0, errors.Join(chestnutcleat.ErrConflict, p.leave(ctx))
+	}
+	p.version++
+	o.Version = p.version
+	p.objects[o.Name] = o
+	close(p.changed)
+	p.changed = make(chan struct{})
+	lost := p.rand.Float64() < p.lost
+	p.mu.Unlock()
+	if err := p.leave(ctx); err != nil {
+		return 0, err
+	}
+	if lost {
+		return 0, errOutage
+	}
+	return o.Version, nil
+}
+
+func (p *fakePlatform) Delete(context.Context, chestnutcleat.ObjectName, chestnutcleat.Version) error {
+	return errOutage
+}
+
+func (p *fakePlatform) List(context.Context, chestnutcleat.ObjectName) ([]chestnutcleat.Object, error) {
+	return nil, errOutage
+}
+
+func (p *fakePlatform) Watch(ctx context.Context, prefixes []chestnutcleat.ObjectName, after chestnutcleat.Version) ([]chestnutcleat.Object, error) {
+	for {
+		if err := p.enter(ctx); err != nil {
+			return nil, err
+		}
+		p.mu.Lock()
+		var list []chestnutcleat.Object
+		for _, o := range p.objects {
+			if o.Version > after && strings.HasPrefix(string(o.Name), string(prefixes[0])) {
+				list = append(list, o)
+			}
+		}
+		changed := p.changed
+		p.mu.Unlock()
+		if len(list) > 0 {
+			return list, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (p *fakePlatform) VMs(ctx context.Context) ([]chestnutcleat.ListedVM, error) {
+	err := p.enter(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listed, err
+}
--- /dev/null
+++ b/lease/temporary.go
@@ -0,0 +1,56 @@
+package lease
+
+import (
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// startTemporary holds the target's slots by a lease from the target's witnesses until the platform is available.
+func (k *Keeper) startTemporary(t *takeover) {
+	if k.own == nil || !k.valid(time.Now()) {
+		return
+	}
+	id := t.target.VM
+	h := newHold(t.target, t.epoch, newStore(t.epoch))
+	slots := k.fleet.slots(id)
+	h.store.replace(slots, recordsOf(t.entries))
+	k.temporary[id] = h
+	for _, s := range slots {
+		k.slots[s] = slotImporting
+	}
+	k.renew(h)
+	k.awaitTemporary(t, h, slots)
+}
+
+// awaitTemporary imports the slots once the lease is valid and its witnesses hold the records.
+func (k *Keeper) awaitTemporary(t *takeover, h *hold, slots []chestnutcleat.Slot) {
+	if k.temporary[t.target.VM] != h || !k.active(t) {
+		return
+	}
+	if !h.valid(time.Now()) || !h.stored(h.store.stamp) {
+		k.Loop.After(retryInterval, func() { k.awaitTemporary(t, h, slots) })
+		return
+	}
+	k.emit(leaseTemporary, "vm", t.target.VM, "slots", len(slots))
+	k.importSlots(slots, recordsOf(h.store.entries), t.transfer)
+}
+
+// endTemporary drops the slots that were held temporarily.
+func (k *Keeper) endTemporary(id chestnutcleat.VMID) {
+	h := k.temporary[id]
+	if h == nil {
+		return
+	}
+	delete(k.temporary, id)
+	k.failAppends(h)
+	k.emit(leaseTemporaryEnd, "vm", id)
+	for s, o := range k.fleet.Owners {
+		if k.slots[s] != slotNone && o.VM == id {
+			k.drop(chestnutcleat.Slot(s))
+		}
+	}
+	if t := k.takeovers[id]; t != nil && !t.writing {
+		k.endTakeover(t)
+	}
+}
--- /dev/null
+++ b/lease/update.go
@@ -0,0 +1,251 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// update is a conditional change of the fleet object.
+type update struct {
+	// mutate changes a copy of the newest object, or reports that there is nothing to do.
+	mutate func(*Fleet) bool
+	// sending is called before the first write whose outcome may stay unknown.
+	sending func(*Fleet)
+	// done gets the outcome; it is called after the object was adopted.
+	done func(bool)
+
+	id      chestnutcleat.ChangeID
+	base    *Fleet
+	next    *Fleet
+	object  chestnutcleat.Object
+	unknown bool
+}
+
+// update queues a change; changes run one at a time.
+func (k *Keeper) update(u *update) {
+	k.updates = append(k.updates, u)
+	k.runUpdate()
+}
+
+func (k *Keeper) runUpdate() {
+	if k.updating || len(k.updates) == 0 {
+		return
+	}
+	k.updating = true
+	k.readForUpdate(k.updates[0])
+}
+
+func (k *Keeper) endUpdate(u *update, ok bool) {
+	k.updates = k.updates[1:]
+	k.updating = false
+	u.done(ok)
+	k.runUpdate()
+}
+
+// read gets the fleet object; a missing object is version 0.
+func (k *Keeper) read(timeout time.Duration, done func(chestnutcleat.Object, error)) {
+	sent := time.Now()
+	chestnutcleat.Async(k.Loop, timeout, func(ctx context.Context) (chestnutcleat.Object, error) {
+		o, err := k.Platform.Get(ctx, fleetName)
+		if errors.Is(err, chestnutcleat.ErrNotFound) {
+			return chestnutcleat.Object{Name: fleetName}, nil
+		}
+		return o, err
+	}, func(o chestnutcleat.Object, err error) {
+		if err == nil {
+			k.Refresh(o)
+			if k.own != nil && k.own.subject.same(k.fleet.member(k.Self.ID)) && o.Version == k.version {
+				k.readSent = sent
+			}
+		}
+		done(o, err)
+	})
+}
+
+func (k *Keeper) readForUpdate(u *update) {
+	k.read(platformTimeout, func(o chestnutcleat.Object, err error) {
+		if err != nil {
+			k.endUpdate(u, false)
+			return
+		}
+		k.prepare(u, o.Version)
+	})
+}
+
+func (k *Keeper) prepare(u *update, v chestnutcleat.Version) {
+	if v < k.version {
+		// A watch has shown a newer object than this read.
+		v = k.version
+	}
+	u.base = k.fleet
+	u.next = &Fleet{}
+	if v > 0 {
+		u.next = k.fleet.clone()
+	}
+	if !u.mutate(u.next) {
+		k.endUpdate(u, false)
+		return
+	}
+	u.id = chestnutcleat.ChangeID(fmt.Sprintf("%s-%d-%x", k.Self.ID, k.Self.Incarnation, k.Rand.Uint64()))
+	u.next.changed(u.id)
+	data, err := json.Marshal(u.next)
+	if err != nil || u.next.check() != nil {
+		k.emit(leaseFleetInvalid, "error", err)
+		k.endUpdate(u, false)
+		return
+	}
+	u.object = chestnutcleat.Object{Name: fleetName, Version: v, Data: data}
+	u.unknown = false
+	if u.sending != nil {
+		u.sending(u.next)
+	}
+	k.write(u)
+}
+
+// write puts the object until the outcome is known: a repeated write succeeds or conflicts, never both take effect.
+func (k *Keeper) write(u *update) {
+	chestnutcleat.Async(k.Loop, platformTimeout, func(ctx context.Context) (chestnutcleat.Version, error) {
+		return k.Platform.Put(ctx, u.object)
+	}, func(v chestnutcleat.Version, err error) {
+		switch {
+		case err == nil:
+			k.adopt(u.next, v)
+			k.endUpdate(u, true)
+		case !errors.Is(err, chestnutcleat.ErrConflict):
+			u.unknown = true
+			k.Loop.After(k.jitter(2*retryInterval), func() { k.write(u) })
+		case u.unknown:
+			k.settle(u)
+		default:
+			k.Loop.After(k.jitter(20*time.Millisecond), func() { k.readForUpdate(u) })
+		}
+	})
+}
+
+// settle finds out by the change id whether a write whose response was lost took effect.
+func (k *Keeper) settle(u *update) {
+	k.read(platformTimeout, func(o chestnutcleat.Object, err error) {
+		if err != nil || o.Version <= u.object.Version {
+			k.Loop.After(k.jitter(2*retryInterval), func() { k.settle(u) })
+			return
+		}
+		for _, id := range k.fleet.Changes {
+			if id == u.id {
+				k.endUpdate(u, true)
+				return
+			}
+		}
+		k.prepare(u, o.Version)
+	})
+}
+
+func (k *Keeper) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(k.Rand.Int64N(int64(d)))
+}
+
+// poll reads the fleet object while this VM has no lease, so that it can vouch for itself.
+func (k *Keeper) poll() {
+	if k.polling {
+		return
+	}
+	k.polling = true
+	k.read(time.Second, func(chestnutcleat.Object, error) {
+		k.polling = false
+		// An outage counts too: no other VM can join while the platform is away.
+		k.polled = time.Now()
+	})
+}
+
+// Refresh takes over a newer fleet object that a watch has seen.
+func (k *Keeper) Refresh(o chestnutcleat.Object) {
+	if o.Version <= k.version {
+		return
+	}
+	f := &Fleet{}
+	if err := json.Unmarshal(o.Data, f); err != nil {
+		k.emit(leaseFleetInvalid, "error", err)
+		return
+	}
+	k.adopt(f, o.Version)
+}
+
+// adopt replaces the known fleet and acts on what changed.
+func (k *Keeper) adopt(f *Fleet, v chestnutcleat.Version) {
+	if v <= k.version {
+		return
+	}
+	old := k.fleet
+	k.fleet, k.version = f, v
+	k.unchanged = time.Now()
+	k.noteMembers(old)
+	if k.own != nil {
+		m := f.member(k.Self.ID)
+		if !k.own.subject.same(m) {
+			k.lost(k.own)
+		} else {
+			k.own.subject = *m
+		}
+	}
+	for id, h := range k.temporary {
+		if !h.subject.same(f.member(id)) && k.takeovers[id] == nil {
+			k.endTemporary(id)
+		}
+	}
+	k.noteSlots(old)
+	k.wake()
+}
+
+func (k *Keeper) noteMembers(old *Fleet) {
+	now := time.Now()
+	if old != nil {
+		for _, m := range old.Members {
+			if !m.same(k.fleet.member(m.VM)) {
+				w := Witness{VM: m.VM, Incarnation: m.Incarnation}
+				if k.gone[w].IsZero() {
+					k.gone[w] = now
+				}
+			}
+		}
+	}
+	for i := range k.fleet.Members {
+		m := &k.fleet.Members[i]
+		if !m.has(k.Self.ID) {
+			delete(k.learned, m.VM)
+			continue
+		}
+		if k.learned[m.VM].IsZero() {
+			k.learned[m.VM] = now
+		}
+	}
+}
+
+// noteSlots drops the slots that moved away and takes over those that were handed to this VM.
+func (k *Keeper) noteSlots(old *Fleet) {
+	arrived := map[*stage][]chestnutcleat.Slot{}
+	for s, h := range k.fleet.Owners {
+		n := chestnutcleat.Slot(s)
+		if h.VM != k.Self.ID {
+			if k.slots[s] != slotNone && k.temporary[h.VM] == nil {
+				k.drop(n)
+			}
+			continue
+		}
+		if k.slots[s] == slotReady && old != nil && old.Owners[s].VM != k.Self.ID {
+			// A temporary owner serves again once the end of the former owner is confirmed.
+			k.slots[s] = slotMoving
+		}
+		if g := k.staged[n]; g != nil && k.slots[s] == slotNone && k.own != nil {
+			k.slots[s] = slotImporting
+			arrived[g] = append(arrived[g], n)
+			delete(k.staged, n)
+		}
+	}
+	for g, list := range arrived {
+		k.confirm(&confirmation{subject: g.from, epoch: g.from.Epoch, slots: list, records: g.records, version: k.version})
+	}
+}
