Add membership by probes and gossip

Cause: every VM must know which VMs are live without a service of its own, and small items must reach all VMs within seconds. Change: member.List with probes, relays, suspicion, versioned items, anti-entropy by checksum, and pushes after changes; events 201 to 206.

--- /dev/null
+++ b/member/doc.go
@@ -0,0 +1,2 @@
+// Package member finds out which VMs are live and spreads small items by gossip.
+package member
--- /dev/null
+++ b/member/handler.go
@@ -0,0 +1,55 @@
+package member
+
+import (
+	"context"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/vm"
+)
+
+// Register adds the handlers of probes; do runs a function in the control goroutine and waits for its end.
+func (l *List) Register(mux *vm.Mux, do func(func())) {
+	vm.Handle(mux, chestnutcleat.MethodProbe, func(_ context.Context, r probeRequest) (probeReply, error) {
+		var a probeReply
+		do(func() { a = l.answer(r) })
+		return a, nil
+	})
+	vm.Handle(mux, chestnutcleat.MethodRelay, func(ctx context.Context, r relayRequest) (relayReply, error) {
+		var g gossip
+		do(func() {
+			l.init()
+			l.absorb(r.Gossip)
+			g = l.gossip(r.About)
+			l.notify()
+		})
+		var a probeReply
+		if err := l.Peers.Call(ctx, r.Target, chestnutcleat.MethodProbe, probeRequest{Gossip: g}, &a); err != nil {
+			return relayReply{}, err
+		}
+		out := relayReply{Answered: true}
+		do(func() {
+			l.absorb(a.Gossip)
+			out.Gossip = l.gossip(update{})
+			out.Gossip.Updates = append(out.Gossip.Updates, a.Gossip.Self)
+			l.notify()
+		})
+		return out, nil
+	})
+}
+
+// answer handles a probe.
+func (l *List) answer(r probeRequest) probeReply {
+	l.init()
+	l.absorb(r.Gossip)
+	var a probeReply
+	if r.Sync {
+		l.answerSync(r, &a)
+	}
+	about := update{}
+	if p := l.peers[r.Gossip.Self.VM.ID]; p != nil {
+		about = p.update
+	}
+	a.Gossip = l.gossip(about)
+	l.notify()
+	return a
+}
