Follow the best offer after the one that is being compared

Cause: TestLargeFleet failed once the watcher spaced its watches: of 400 VMs 14 had not learned of revision 2 after 5 s in an outage, because an offer that arrived while an older summary was compared was dropped. Excluded: loss on the network; the test loses no messages. Change: the highest offer and the last differing one are kept until they are followed. Names and change ids that become part of object names are checked.

--- a/manifest/learn.go
+++ b/manifest/learn.go
@@ -111,25 +111,23 @@
 // ask fetches the state of a few other VMs.
 func (s *Store) ask() {
 	for _, a := range s.sources() {
-		s.fetchState(a)
+		s.fetchState(a, FetchRequest{Root: true, Keys: true})
 	}
 }
 
-// fetchState fetches the root and the keys of a VM.
-func (s *Store) fetchState(from chestnutcleat.Address) {
-	work := func(ctx context.Context) (FetchReply, error) {
-		return fetch(ctx, s.Peers, from, FetchRequest{Root: true, Keys: true})
-	}
+// fetchState fetches the root or the keys of a VM, or both.
+func (s *Store) fetchState(from chestnutcleat.Address, q FetchRequest) {
+	work := func(ctx context.Context) (FetchReply, error) { return fetch(ctx, s.Peers, from, q) }
 	chestnutcleat.Async(s.Loop, peerTimeout, work, func(r FetchReply, err error) {
-		s.comparing = false
-		if err != nil {
-			return
-		}
-		s.heard = true
-		s.merge(r.Keys, true)
-		if r.Root != nil {
-			s.want(*r.Root, from)
+		if err == nil {
+			s.heard = true
+			s.merge(r.Keys, true)
+			if r.Root != nil {
+				s.want(*r.Root, from)
+			}
 		}
+		s.comparing = false
+		s.compareLater()
 	})
 }
 
@@ -146,11 +144,37 @@
 // Offer takes another VM's summary, received by gossip or by an offer message.
 func (s *Store) Offer(o Summary, from chestnutcleat.Address) {
 	s.merge(o.Latest, true)
-	higher := o.Revision > s.root.Revision && (s.wanted == nil || o.Revision > s.wanted.Revision)
-	if (higher || o.Keys != s.sum) && !s.comparing {
-		s.comparing = true
-		s.Loop.After(s.spread(), func() { s.compare(o, from) })
+	if o.Revision > s.newest() && o.Revision > s.higher.revision {
+		s.higher = offered{revision: o.Revision, from: from}
+	}
+	if o.Keys != s.sum {
+		s.differing = offered{keys: o.Keys, from: from}
+	}
+	s.compareLater()
+}
+
+// offered is what another VM has and this one lacks.
+type offered struct {
+	revision chestnutcleat.Revision
+	keys     uint64
+	from     chestnutcleat.Address
+}
+
+// newest returns the highest revision whose root is known, although its parts may be missing.
+func (s *Store) newest() chestnutcleat.Revision {
+	if s.wanted != nil {
+		return s.wanted.Revision
 	}
+	return s.root.Revision
+}
+
+// compareLater asks the VMs with the best offers. Offers that arrive while one VM is asked wait for the next turn.
+func (s *Store) compareLater() {
+	if s.comparing || (s.higher.from == "" && s.differing.from == "") {
+		return
+	}
+	s.comparing = true
+	s.Loop.After(s.spread(), s.compare)
 }
 
 // spread is the wait before a peer is asked: it lets the platform's watch deliver the same change first,
@@ -160,10 +184,15 @@
 	return least + time.Duration(s.Rand.Int64N(int64(most-least)))
 }
 
-func (s *Store) compare(o Summary, from chestnutcleat.Address) {
-	if o.Revision <= s.root.Revision && o.Keys == s.sum {
+func (s *Store) compare() {
+	higher, differing := s.higher, s.differing
+	s.higher, s.differing = offered{}, offered{}
+	switch {
+	case higher.revision > s.newest():
+		s.fetchState(higher.from, FetchRequest{Root: true, Keys: true})
+	case differing.from != "" && differing.keys != s.sum:
+		s.fetchState(differing.from, FetchRequest{Keys: true})
+	default:
 		s.comparing = false
-		return
 	}
-	s.fetchState(from)
 }
--- a/manifest/outbox.go
+++ b/manifest/outbox.go
@@ -43,9 +43,10 @@
 }
 
 // written handles the end of a write; a conflict means that the object exists, so an earlier attempt succeeded.
+// An object that is too large will never be written and must not hold up the others.
 // While it backs off, writing stays set, so that new objects cause no further calls.
 func (b *outbox) written(err error) {
-	if err != nil && !errors.Is(err, chestnutcleat.ErrConflict) {
+	if err != nil && !errors.Is(err, chestnutcleat.ErrConflict) && !errors.Is(err, chestnutcleat.ErrTooLarge) {
 		if b.backoff == 0 {
 			b.owner.Observer.Emit(event.WritesDelayed, "waiting", len(b.list), "error", err)
 		}
--- a/manifest/store.go
+++ b/manifest/store.go
@@ -61,7 +61,10 @@
 	latest []fresh
 	// unconfirmed names the withdrawals that came from other VMs and that the platform has not shown yet.
 	unconfirmed map[chestnutcleat.ObjectName]struct{}
-	// comparing is set while keys are fetched from a peer with another sum.
+	// higher and differing are the best offers of other VMs that were not followed yet.
+	higher    offered
+	differing offered
+	// comparing is set while another VM is asked for what it offered.
 	comparing bool
 
 	heard      bool
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 
@@ -21,8 +22,13 @@
 	maxManifest = 32 << 20
 	// maxRequest bounds other request bodies in bytes.
 	maxRequest = 64 << 10
+	// maxName bounds an operator's name in bytes.
+	maxName = 128
 )
 
+// changePattern is the form of change ids, which become part of object names; an empty one asks for a new id.
+var changePattern = regexp.MustCompile(`^[A-Za-z0-9._-]{0,128}$`)
+
 // Handler serves the operators' listener. Its functions block until the result is known.
 type Handler struct {
 	Current  func() *manifest.View
@@ -84,8 +90,8 @@
 // who returns the operator's name, without which no change is accepted.
 func who(r *http.Request) (string, error) {
 	name := strings.TrimSpace(r.Header.Get(HeaderOperator))
-	if name == "" {
-		return "", chestnutcleat.NewProblem(chestnutcleat.CodeBadRequest, chestnutcleat.NotRun, "expected header %s with the operator's name", HeaderOperator)
+	if name == "" || len(name) > maxName {
+		return "", chestnutcleat.NewProblem(chestnutcleat.CodeBadRequest, chestnutcleat.NotRun, "expected header %s with the operator's name of at most %d bytes", HeaderOperator, maxName)
 	}
 	return name, nil
 }
@@ -105,11 +111,15 @@
 	if err != nil {
 		return chestnutcleat.NewProblem(chestnutcleat.CodeBase, chestnutcleat.NotRun, "expected header If-Match with the revision that the change is based on, 0 for the first manifest")
 	}
+	id := r.Header.Get(HeaderChange)
+	if !changePattern.MatchString(id) {
+		return chestnutcleat.NewProblem(chestnutcleat.CodeBadRequest, chestnutcleat.NotRun, "expected header %s with at most 128 letters, digits, '.', '_' or '-'", HeaderChange)
+	}
 	raw, err := readBody(w, r, maxManifest)
 	if err != nil {
 		return err
 	}
-	c := manifest.Change{Raw: raw, Base: chestnutcleat.Revision(base), Who: name, ID: chestnutcleat.ChangeID(r.Header.Get(HeaderChange))}
+	c := manifest.Change{Raw: raw, Base: chestnutcleat.Revision(base), Who: name, ID: chestnutcleat.ChangeID(id)}
 	a, err := h.Apply(r.Context(), c)
 	if err != nil {
 		return err
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -49,6 +50,9 @@
 	Format string `json:"format,omitempty"`
 }
 
+// vmPattern is the form of VM ids, which become part of object names.
+var vmPattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+
 var (
 	levels  = []string{"debug", "info", "warning", "error"}
 	formats = []string{"json", "text"}
@@ -85,7 +89,9 @@
 	if d.Malformed() {
 		return
 	}
-	required(d, "vm", string(s.VM), "the id of this VM")
+	if !vmPattern.MatchString(string(s.VM)) {
+		d.Add("vm", "expected the id of this VM, 1 to 64 letters, digits, '.', '_' or '-', found %q", s.VM)
+	}
 	required(d, "domain", string(s.Domain), "the failure domain of this VM")
 	required(d, "region", string(s.Region), "the region of this VM")
 	address(d, "addresses.callers", s.Addresses.Callers)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -31,7 +31,7 @@
 		{"wrong type", `"e1"`, `7`, []string{`s:3: vm: expected a string, found 7`}},
 		{"host name", `"127.0.0.1:9002"`, `"localhost:9002"`, []string{`s:6: seeds[0]: expected IP:port`}},
 		{"duration", `"20s"`, `"20"`, []string{`s:7: grace: duration "20": expected a number with a unit`}},
-		{"missing", `"vm": "e1", `, ``, []string{`s:1: vm: expected the id of this VM`}},
+		{"missing", `"vm": "e1", `, ``, []string{`s:1: vm: expected the id of this VM, 1 to 64 letters`}},
 		{"two at once", `"http://127.0.0.1:8400",`, `"127.0.0.1", "log": {"level": "loud"},`,
 			[]string{`s:5: platform: expected the URL`, `s:5: log.level: expected one of debug, info, warning, error, found "loud"`}},
 		{"same address", `127.0.0.1:8002`, `127.0.0.1:8000`, []string{`s:4: addresses.vms: expected an address of its own`}},
