Let calls that may not be repeated outlive the caller's deadline

Cause: a short deadline of the caller cut a running call whose outcome then stayed unknown. Excluded: the route's timeout, which still bounds such calls.

--- a/caller/input_test.go
+++ b/caller/input_test.go
@@ -115,6 +115,24 @@
 	}
 }
 
+// With two framings net/http keeps the chunked one; the hidden request must reach no upstream, as a request or as a body.
+func TestTwoFramings(t *testing.T) {
+	is := is.New(t)
+	s := start(t)
+	c, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+	is.NoErr(err)
+	defer c.Close()
+	_, err = c.Write([]byte("POST /v1/services/read/outer HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: " + bearer +
+		"\r\nContent-Length: 100\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /v1/services/read/hidden HTTP/1.1\r\nHost: x\r\n\r\n"))
+	is.NoErr(err)
+	_, err = http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	for _, r := range s.service.Received() {
+		is.Equal(r.URI, "/outer")
+		is.Equal(len(r.Body), 0)
+	}
+}
+
 // A refusal within an outage of the owners or above the rate must say that nothing ran and when to retry.
 func TestRefusals(t *testing.T) {
 	cases := []struct {
--- a/caller/outcome_test.go
+++ b/caller/outcome_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -170,6 +171,47 @@
 	is.Equal(len(connections), 1)
 }
 
+// An upstream that hangs must not hold a call beyond its time, and the outcome must not claim that nothing ran.
+func TestHangingUpstream(t *testing.T) {
+	for route, code := range map[string]chestnutcleat.Code{"read": chestnutcleat.CodeDeadline, "book": chestnutcleat.CodeDeadline} {
+		t.Run(route, func(t *testing.T) {
+			is := is.New(t)
+			s := start(t)
+			for i := range s.routes {
+				s.routes[i].Timeout = chestnutcleat.Duration(200 * time.Millisecond)
+			}
+			s.service.SetFaults(standinservice.Faults{Hang: true})
+			a := s.send(t, http.MethodPost, "/v1/services/"+route+"/x", "", "Authorization", bearer)
+			is.True(strings.Contains(a.body, string(code)))
+			is.True(strings.Contains(a.body, `"outcome":"unknown"`))
+			is.NoErr(s.handler.Drain(t.Context()))
+			is.Equal(s.released[0].Crashed, false)
+		})
+	}
+	t.Run("stream", func(t *testing.T) {
+		is := is.New(t)
+		s := start(t)
+		s.handler.Idle = 200 * time.Millisecond
+		s.engines[0].SetFaults(standinengine.Faults{Hang: true})
+		is.True(strings.Contains(s.chat(t, ask("m", "hello", true)).body, "[DONE]"))
+		is.NoErr(s.handler.Drain(t.Context()))
+		is.Equal(s.released[0].Failed, true)
+	})
+}
+
+// A crash must be reported with the upstream, or the crashing request would go on to the next one.
+func TestCrashIsReported(t *testing.T) {
+	is := is.New(t)
+	s := start(t)
+	s.engines[0].SetFaults(standinengine.Faults{Crash: "poison", Restart: chestnutcleat.Duration(time.Hour)})
+	is.Equal(s.chat(t, ask("m", "poison", false)).status, 200)
+	is.NoErr(s.handler.Drain(t.Context()))
+	is.Equal(s.settled[0].Crashed, true)
+	is.Equal(s.settled[0].Upstream, chestnutcleat.UpstreamID("e0"))
+	is.Equal(s.released[0].Crashed, true)
+	is.Equal(s.settled[1].Crashed, false)
+}
+
 // A withdrawn key must stop repeatable calls; a call that may not be repeated completes and its answer is withheld.
 func TestWithdrawnKey(t *testing.T) {
 	for model, outcome := range map[string]chestnutcleat.Outcome{"m": chestnutcleat.Failed, "once": chestnutcleat.Done} {
@@ -200,18 +242,23 @@
 	}
 }
 
-// A caller that disconnects must cancel a repeatable call but not one that may already have had an effect.
+// A caller that disconnects must cancel a repeatable call, unless it can ask for the answer again,
+// but never one that may already have had an effect.
 func TestDisconnect(t *testing.T) {
-	for model, done := range map[string]bool{"m": false, "once": true} {
-		t.Run(model, func(t *testing.T) {
+	for name, done := range map[string]bool{"m": false, "m c1": true, "once": true} {
+		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := start(t)
 			s.engines[0].Decode = 200
+			model, id, explicit := strings.Cut(name, " ")
 			ctx, cancel := context.WithCancel(t.Context())
 			r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url+caller.PathChat, strings.NewReader(ask(model, "#tokens=60", true)))
 			is.NoErr(err)
 			r.Header.Set("Authorization", bearer)
 			r.Header.Set("Content-Type", "application/json")
+			if explicit {
+				r.Header.Set("Idempotency-Key", id)
+			}
 			p, err := http.DefaultClient.Do(r)
 			is.NoErr(err)
 			_, err = engine.NewReader(p.Body).Next()
--- a/caller/run.go
+++ b/caller/run.go
@@ -68,7 +68,7 @@
 		began := time.Now()
 		r := result{err: &upstream.Error{Kind: upstream.Connect, Err: errUnsent}}
 		if g.ticket.Expiry.IsZero() || began.Before(g.ticket.Expiry) {
-			r = c.exchange.attempt(c.ctx, g)
+			r = c.attempt(g)
 		}
 		c.release(g, r, time.Since(began))
 		if r.err == nil {
@@ -81,6 +81,16 @@
 	}
 }
 
+// attempt sends the call; one that may not be repeated is not cut by the caller's own deadline.
+func (c *call) attempt(g grant) result {
+	if c.call.Repeatable {
+		return c.exchange.attempt(c.ctx, g)
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), c.route.Timeout.Or(chestnutcleat.DefaultCallTimeout))
+	defer cancel()
+	return c.exchange.attempt(ctx, g)
+}
+
 // intend records the intent to send a call that may not be repeated.
 func (c *call) intend(g grant) *chestnutcleat.Problem {
 	if !c.start() {
