--- a/standin/caller/client.go
+++ b/standin/caller/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -55,7 +56,9 @@
 	var last error
 	for n := range c.attempts {
 		vm := first
-		if list := c.addresses.all(ctx); (vm == "" || n > 0) && len(list) > 0 {
+		if vm == "" || n > 0 {
+			// The configured addresses help when the whole list is out of date.
+			list := slices.Concat(c.addresses.all(ctx), c.addresses.seeds)
 			vm = list[n%len(list)]
 		}
 		out, err := c.send(ctx, vm, q)
