Move the joined control state to package node

Cause: lease's tests use control.Loop, which imported lease. Excluded: an interface for the loop only, as tests need the real one. Change: control keeps the loop; node joins the state machines. Conclusion: no import cycle.

--- a/manifest/apply.go
+++ b/manifest/apply.go
@@ -59,7 +59,7 @@
 			// Another VM has shown meanwhile that the change was accepted.
 			l, err = loaded{root: s.root}, nil
 		}
-		r := Record{Who: c.Who, What: "apply manifest", Result: resultOf(err), Change: c.ID}
+		r := Record{Who: c.Who, What: "apply manifest", Result: ResultOf(err), Change: c.ID}
 		if err != nil {
 			s.refused(r, err)
 			done(Accepted{Change: c.ID}, err)
--- a/manifest/record.go
+++ b/manifest/record.go
@@ -43,6 +43,7 @@
 	Change   chestnutcleat.ChangeID `json:"change"`
 }
 
+// ResultOf returns the audit result that belongs to the error of a change.
 func ResultOf(err error) Result {
 	var conflict *ConflictError
 	var unknown *UnresolvedError
--- a/manifest/store_test.go
+++ b/manifest/store_test.go
@@ -219,7 +219,7 @@
 		without := strings.Replace(string(text(1)), `, "keys": ["`+keyA.String()+`"]`, "", 1)
 		is.NoErr((<-f.applyAsync(1, manifest.Change{Raw: []byte(without), Base: 1, Who: "op"})).err)
 		time.Sleep(effect)
-		f.expectKey(keyA, manifest.KeyUnknown)
+		f.expectKey(keyA, chestnutcleat.KeyUnknown)
 		for _, n := range f.nodes {
 			is.Equal(n.ended, []chestnutcleat.Digest{keyA})
 		}
@@ -237,7 +237,7 @@
 		f.withdraw(200, keyA)
 		time.Sleep(effect)
 		f.expect(2, 2)
-		f.expectKey(keyA, manifest.KeyWithdrawn)
+		f.expectKey(keyA, chestnutcleat.KeyWithdrawn)
 	})
 }
 
--- a/control/ask.go
+++ b/node/ask.go
@@ -1,4 +1,4 @@
-package control
+package node
 
 import (
 	"context"
@@ -7,6 +7,7 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/control"
 	"chestnutcleat.example/chestnutcleat/vm"
 )
 
@@ -21,7 +22,7 @@
 // asker finds the owners of keys and sends them requests.
 type asker struct {
 	self  chestnutcleat.VMID
-	loop  *Loop
+	loop  *control.Loop
 	owner ownership
 	peers chestnutcleat.Peers
 	place func(chestnutcleat.Slot) chestnutcleat.Place
--- a/control/endpoint.go
+++ b/node/endpoint.go
@@ -1,9 +1,10 @@
-package control
+package node
 
 import (
 	"context"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/control"
 	"chestnutcleat.example/chestnutcleat/vm"
 )
 
@@ -31,7 +32,7 @@
 
 // serve answers a request if this VM is the owner.
 // The lease is checked again before the answer leaves, as the VM may have been paused or replaced while the request waited.
-func (e *endpoint[Req, Resp]) serve(ctx context.Context, l *Loop, o ownership, r Req) (Resp, error) {
+func (e *endpoint[Req, Resp]) serve(ctx context.Context, l *control.Loop, o ownership, r Req) (Resp, error) {
 	out := make(chan result[Resp], 1)
 	k := e.key(r)
 	answer := func(v Resp) {
@@ -56,6 +57,6 @@
 }
 
 // register lets other VMs send the request.
-func (e *endpoint[Req, Resp]) register(m *vm.Mux, l *Loop, o ownership) {
+func (e *endpoint[Req, Resp]) register(m *vm.Mux, l *control.Loop, o ownership) {
 	vm.Handle(m, e.method, func(ctx context.Context, r Req) (Resp, error) { return e.serve(ctx, l, o, r) })
 }
--- a/control/fault_test.go
+++ b/node/fault_test.go
@@ -1,4 +1,4 @@
-package control_test
+package node_test
 
 import (
 	"errors"
--- a/control/fleet_test.go
+++ b/node/fleet_test.go
@@ -1,4 +1,4 @@
-package control_test
+package node_test
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
-	"chestnutcleat.example/chestnutcleat/control"
 	"chestnutcleat.example/chestnutcleat/manifest"
+	"chestnutcleat.example/chestnutcleat/node"
 	standin "chestnutcleat.example/chestnutcleat/standin/platform"
 	"chestnutcleat.example/chestnutcleat/vm"
 )
@@ -24,7 +24,7 @@
 	t       *testing.T
 	network *vm.Network
 	store   *standin.Store
-	nodes   []*control.Node
+	nodes   []*node.Node
 	cancels []context.CancelFunc
 	random  *rand.Rand
 	mu      sync.Mutex
@@ -60,7 +60,7 @@
 // start runs node i, again if it ran before.
 func (f *fleet) start(i int, incarnation chestnutcleat.Incarnation) {
 	id := chestnutcleat.VMID(fmt.Sprintf("vm%d", i+1))
-	n := &control.Node{
+	n := &node.Node{
 		Self: chestnutcleat.VM{
 			ID: id, Incarnation: incarnation, State: chestnutcleat.VMLive,
 			Address: address(i), Caller: chestnutcleat.Address(fmt.Sprintf("10.0.0.%d:8000", i+1)),
--- a/control/node.go
+++ b/node/node.go
@@ -1,4 +1,4 @@
-package control
+package node
 
 import (
 	"context"
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/control"
 	"chestnutcleat.example/chestnutcleat/dispatch"
 	"chestnutcleat.example/chestnutcleat/lease"
 	"chestnutcleat.example/chestnutcleat/limit"
@@ -37,7 +38,7 @@
 	Policy dispatch.Policy
 
 	// Loop and Mux are made by Init.
-	Loop *Loop
+	Loop *control.Loop
 	Mux  *vm.Mux
 
 	members   *member.List
@@ -61,7 +62,7 @@
 
 // Init builds the control state; the exported fields are set before.
 func (n *Node) Init() {
-	n.Loop = New()
+	n.Loop = control.New()
 	n.Mux = vm.NewMux()
 	n.version = uint64(n.Self.Incarnation) << versionBits
 	n.picker.init(n.Policy, rand.New(rand.NewPCG(n.Rand.Uint64(), n.Rand.Uint64())))
--- a/control/owners.go
+++ b/node/owners.go
@@ -1,4 +1,4 @@
-package control
+package node
 
 import (
 	"context"
--- a/process/process.go
+++ b/process/process.go
@@ -14,9 +14,9 @@
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/caller"
-	"chestnutcleat.example/chestnutcleat/control"
 	"chestnutcleat.example/chestnutcleat/dispatch"
 	"chestnutcleat.example/chestnutcleat/event"
+	"chestnutcleat.example/chestnutcleat/node"
 	"chestnutcleat.example/chestnutcleat/settings"
 	"chestnutcleat.example/chestnutcleat/upstream"
 	"chestnutcleat.example/chestnutcleat/vm"
@@ -36,7 +36,7 @@
 	// Ready runs once the listeners are open.
 	Ready func()
 
-	node      *control.Node
+	node      *node.Node
 	client    *vm.Client
 	handler   *caller.Handler
 	callers   *http.Server
@@ -113,7 +113,7 @@
 	}
 	p.client = vm.NewClient()
 	start := time.Now()
-	p.node = &control.Node{
+	p.node = &node.Node{
 		Self: chestnutcleat.VM{
 			ID:          p.Settings.VM,
 			Incarnation: chestnutcleat.Incarnation(start.Unix()),
