Refuse takeovers with promises of former witnesses

Excluded: waiting for a newer fleet object before every takeover, which would stop temporary ownership in an outage. Change: the promises must come from a majority of the witnesses named by the version on which the commit is based; a witness that may be fenced counts as blank. New faults: a live VM that gossip takes for dead, the same with a cut from VMs and platform, a full cut.

--- a/lease/grant.go
+++ b/lease/grant.go
@@ -120,7 +120,8 @@
 		g.synced, g.held = false, 0
 		clear(g.entries)
 	}
-	a := PromiseReply{Incarnation: k.Self.Incarnation, Blank: !g.synced}
+	// A witness that may be fenced may lack the owner's newest records.
+	a := PromiseReply{Incarnation: k.Self.Incarnation, Blank: !g.synced || !k.vouched(now)}
 	if r.Confirm {
 		return k.onConfirm(g, r, a, now)
 	}
@@ -132,7 +133,7 @@
 	if r.Holder != g.holder && g.until.After(until) {
 		until = g.until
 	}
-	if now.Before(until) && !k.unsafeNoWait {
+	if now.Before(until) {
 		a.Wait = until.Sub(now)
 		return a
 	}
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -79,8 +79,6 @@
 	settled   string
 	unchanged time.Time
 	journal   journal
-	// unsafeNoWait makes witnesses promise before their grants end; tests show with it that they detect two owners.
-	unsafeNoWait bool
 }
 
 // slotState tells what this VM holds of a slot.
--- a/lease/platform_test.go
+++ b/lease/platform_test.go
@@ -142,3 +142,34 @@
 	defer p.mu.Unlock()
 	return p.listed, err
 }
+
+// link is one VM's connection to the platform.
+type link struct {
+	*fakePlatform
+	node *node
+}
+
+func (l *link) check(err error) error {
+	if l.node.offline.Load() {
+		return errOutage
+	}
+	return err
+}
+
+func (l *link) Get(ctx context.Context, name chestnutcleat.ObjectName) (chestnutcleat.Object, error) {
+	o, err := l.fakePlatform.Get(ctx, name)
+	return o, l.check(err)
+}
+
+func (l *link) Put(ctx context.Context, o chestnutcleat.Object) (chestnutcleat.Version, error) {
+	if err := l.check(nil); err != nil {
+		return 0, err
+	}
+	v, err := l.fakePlatform.Put(ctx, o)
+	return v, l.check(err)
+}
+
+func (l *link) Watch(ctx context.Context, prefixes []chestnutcleat.ObjectName, after chestnutcleat.Version) ([]chestnutcleat.Object, error) {
+	list, err := l.fakePlatform.Watch(ctx, prefixes, after)
+	return list, l.check(err)
+}
--- a/lease/takeover.go
+++ b/lease/takeover.go
@@ -288,6 +288,10 @@
 			return false
 		}
 		t.target.Witnesses = slices.Clone(f.member(t.target.VM).Witnesses)
+		// The promises must come from a majority of the witnesses that this version names.
+		if t.count(t.promises) < t.target.quorum() && len(t.target.Witnesses) > 0 {
+			return false
+		}
 		slots = f.slots(t.target.VM)
 		epoch = f.next(t.epoch)
 		f.remove(t.target.VM)
