Send learned members on only when they are news

Excluded: fewer resends per change (slower to reach all VMs). Change: members learned from a full exchange are not sent on.

--- a/member/list.go
+++ b/member/list.go
@@ -178,20 +178,38 @@
 		p = &peer{update: u}
 		l.peers[u.VM.ID] = p
 		l.note(p, update{})
+		l.spread(p)
 		return
 	}
 	before := p.update
 	p.update = merge(before, u)
 	if p.update != before {
 		l.note(p, before)
+		l.spread(p)
 	}
 }
 
+// learn merges an update that a VM gave in answer to a request for all that it knows.
+// A VM that was unknown here is no news to others, so it is not sent on.
+func (l *List) learn(u update) {
+	if _, ok := l.peers[u.VM.ID]; ok || u.VM.ID == l.Self.ID || u.VM.ID == "" {
+		l.apply(u)
+		return
+	}
+	p := &peer{update: u}
+	l.peers[u.VM.ID] = p
+	l.note(p, update{})
+}
+
+// spread sends the state of a peer on to others.
+func (l *List) spread(p *peer) {
+	l.announce(p)
+	l.push()
+}
+
 // note reacts to a changed peer.
 func (l *List) note(p *peer, before update) {
-	l.announce(p)
 	l.stale = true
-	l.push()
 	p.since = time.Now()
 	if p.timer != nil {
 		p.timer.Stop()
--- a/member/sync.go
+++ b/member/sync.go
@@ -67,7 +67,12 @@
 			return
 		}
 		l.absorb(a.Gossip)
-		l.absorb(gossip{Self: a.Gossip.Self, Updates: a.Updates, Items: a.Items})
+		for _, u := range a.Updates {
+			l.learn(u)
+		}
+		for _, i := range a.Items {
+			l.merge(i)
+		}
 		l.notify()
 		done(a)
 	})
