--- a/program/run.go
+++ b/program/run.go
@@ -86,7 +86,8 @@
 	}, b.programRecord(p), b.callRecord(p, c, maxJournaled))
 }
 
-// abandon refuses an attempt; a call whose earlier attempt may have run ends with its outcome.
+// abandon refuses an attempt. A call whose earlier attempt may have run ends if the refusal is final,
+// otherwise a resend makes another attempt.
 func (b *Book) abandon(p *program, c *call, problem *chestnutcleat.Problem) {
 	b.free(p, c)
 	c.reserved = 0
@@ -96,8 +97,15 @@
 		return
 	}
 	later := *problem
-	later.Outcome = chestnutcleat.Failed
-	b.finish(p, c, chestnutcleat.Answer{Status: later.Status, Outcome: later.Outcome, Problem: &later})
+	if problem.Code == chestnutcleat.CodeBudget && problem.Retry == 0 {
+		later.Outcome = chestnutcleat.Failed
+		b.finish(p, c, chestnutcleat.Answer{Status: later.Status, Outcome: later.Outcome, Problem: &later})
+		return
+	}
+	later.Outcome = chestnutcleat.Unknown
+	c.state, c.silent, c.started = running, true, false
+	b.stats.Refused++
+	c.reply(chestnutcleat.BeginReply{Problem: &later})
 }
 
 // grant lets the first waiter run the call.
