Page watch answers and accept messages before the store starts

Cause: the first watch of a VM delivers all key changes, which may exceed what the client reads of one answer; messages of other VMs can arrive before Start. Excluded: paging of List; removal of old tombstones. Change: the stand-in cuts a watch answer at 8 MB, and the watcher continues from there; Store ignores messages before Start and shows an empty view. Conclusion: go test -race ./... passes.

--- a/manifest/learn.go
+++ b/manifest/learn.go
@@ -15,8 +15,11 @@
 // Prefixes are what the platform's watch must cover for Refresh.
 var Prefixes = []chestnutcleat.ObjectName{"manifest/", "keys/"}
 
-// Refresh takes an object that the watch on Prefixes delivered.
+// Refresh takes an object that the watch on Prefixes delivered; the watch begins after Start was called.
 func (s *Store) Refresh(o chestnutcleat.Object) {
+	if !s.started() {
+		return
+	}
 	s.heard = true
 	switch {
 	case o.Deleted:
@@ -146,6 +149,9 @@
 
 // Offer takes another VM's summary, received by gossip or by an offer message.
 func (s *Store) Offer(o Summary, from chestnutcleat.Address) {
+	if !s.started() {
+		return
+	}
 	s.merge(o.Latest, true)
 	if o.Revision > s.newest() && o.Revision >= s.higher.revision {
 		s.higher = offered{revision: o.Revision, from: from}
--- a/manifest/store.go
+++ b/manifest/store.go
@@ -81,7 +81,7 @@
 	s.spare = map[chestnutcleat.Digest][]byte{}
 	s.keys = map[chestnutcleat.Digest]Key{}
 	s.unresolved = map[chestnutcleat.ChangeID]Record{}
-	s.current.Store(NewView(chestnutcleat.Manifest{}))
+	s.current.Store(empty)
 	s.unconfirmed = map[chestnutcleat.ObjectName]struct{}{}
 	s.outbox.owner = s
 	s.reload(func() {
@@ -90,8 +90,19 @@
 	})
 }
 
-// Current returns the snapshot for traffic goroutines; it may be called in any goroutine after Start.
-func (s *Store) Current() *View { return s.current.Load() }
+// empty is the view before Start.
+var empty = NewView(chestnutcleat.Manifest{})
+
+// Current returns the snapshot for traffic goroutines; it may be called in any goroutine.
+func (s *Store) Current() *View {
+	if v := s.current.Load(); v != nil {
+		return v
+	}
+	return empty
+}
+
+// started reports whether Start was called; messages of other VMs may arrive before.
+func (s *Store) started() bool { return s.keys != nil }
 
 // Revision returns the revision in effect on this VM.
 func (s *Store) Revision() chestnutcleat.Revision { return s.root.Revision }
--- a/manifest/store_test.go
+++ b/manifest/store_test.go
@@ -211,6 +211,16 @@
 	})
 }
 
+// Messages of other VMs that arrive before Start must not stop the process.
+func TestBeforeStart(t *testing.T) {
+	is := is.New(t)
+	s := &manifest.Store{Observer: silent{}}
+	s.Offer(manifest.Summary{Revision: 1, Latest: []manifest.Key{{Digest: keyA, Withdrawn: true}}}, "v1")
+	is.Equal(s.Fetch(manifest.FetchRequest{Root: true, Keys: true}), manifest.FetchReply{})
+	_, state := s.Current().Key(keyA)
+	is.Equal(state, manifest.KeyUnknown)
+}
+
 // A key that a new manifest no longer lists must stop, also for requests in progress.
 func TestRemovedKeyEnds(t *testing.T) {
 	virtual(t, 7, func(t *testing.T, f *fleet, is *is.I) {
--- a/standin/platform/client.go
+++ b/standin/platform/client.go
@@ -10,6 +10,9 @@
 // maxWait bounds a watch; a client asks again afterwards.
 const maxWait = 30 * time.Second
 
+// maxPage bounds the data of one answer to a watch in bytes.
+const maxPage = 8 << 20
+
 // Client is an in-memory connection to a store, for tests in virtual time; it shows the same faults as the HTTP handler.
 type Client struct {
 	Store *Store
@@ -89,6 +92,17 @@
 	return c.Store.listVMs(), nil
 }
 
+// page cuts a list that is sorted by version, so that the next watch continues after it.
+func page(list []chestnutcleat.Object) []chestnutcleat.Object {
+	size := 0
+	for i, o := range list {
+		if size += len(o.Data); i > 0 && size > maxPage {
+			return list[:i]
+		}
+	}
+	return list
+}
+
 // await returns changes as soon as there are any; an outage ends it.
 func (s *Store) await(ctx context.Context, prefixes []chestnutcleat.ObjectName, after chestnutcleat.Version, wait time.Duration) ([]chestnutcleat.Object, error) {
 	t := time.NewTimer(wait)
@@ -99,7 +113,7 @@
 			return nil, errOutage
 		}
 		if len(list) > 0 {
-			return list, nil
+			return page(list), nil
 		}
 		select {
 		case <-changed:
