--- a/manifest/store_test.go
+++ b/manifest/store_test.go
@@ -21,7 +21,7 @@
 
 // virtual runs a test in virtual time on a fleet of n VMs.
 func virtual(t *testing.T, n int, f func(*testing.T, *fleet, *is.I)) {
-	synctest.Test(t, func(t *testing.T) { f(t, newFleet(t, n), is.New(t)) })
+	synctest.Test(t, func(t *testing.T) { f(t, newFleet(t, n, 0), is.New(t)) })
 }
 
 // An accepted manifest that some VM learns late, or never during an outage, breaks the 5 s bound.
@@ -211,6 +211,16 @@
 	})
 }
 
+// Messages of other VMs that arrive before Start must not stop the process.
+func TestBeforeStart(t *testing.T) {
+	is := is.New(t)
+	s := &manifest.Store{Observer: silent{}}
+	s.Offer(manifest.Summary{Revision: 1, Latest: []manifest.Key{{Digest: keyA, Withdrawn: true}}}, "v1")
+	is.Equal(s.Fetch(manifest.FetchRequest{Root: true, Keys: true}), manifest.FetchReply{})
+	_, state := s.Current().Key(keyA)
+	is.Equal(state, manifest.KeyUnknown)
+}
+
 // A key that a new manifest no longer lists must stop, also for requests in progress.
 func TestRemovedKeyEnds(t *testing.T) {
 	virtual(t, 7, func(t *testing.T, f *fleet, is *is.I) {
@@ -228,7 +238,8 @@
 
 // At the size of two years, gossip alone would carry a withdrawal too slowly while the platform is down.
 func TestLargeFleet(t *testing.T) {
-	virtual(t, 400, func(t *testing.T, f *fleet, _ *is.I) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 400, 0.02)
 		f.mustApply(0, 1, 0)
 		time.Sleep(effect)
 		f.expect(1, 1)
