Bound slow callers and stale upstream connections

Cause: a caller that reads slowly held its handler without a bound; an upstream that closes an idle connection while a request is sent on it looked like a crash. Excluded: automatic resending by net/http, which could run a crashing request twice. Change: write deadline for whole answers, idle upstream connections close after 3 s, Retry-After on every 429 and on interrupted repeatable calls. Conclusion: go test -race passes for caller, engine and the stand-ins.

--- a/caller/admit.go
+++ b/caller/admit.go
@@ -63,7 +63,7 @@
 		c.level = r.Level
 		return nil
 	}
-	return refusal(chestnutcleat.CodeRate, "the customer's rate is exceeded").WithRetry(r.Retry)
+	return refusal(chestnutcleat.CodeRate, "the customer's rate is exceeded").WithRetry(max(r.Retry, time.Millisecond))
 }
 
 // known reports whether the program's owner already has the call.
--- a/caller/delivery.go
+++ b/caller/delivery.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"strconv"
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/engine"
@@ -37,10 +36,7 @@
 		return
 	}
 	x.c.w.Header().Set("Content-Type", kind)
-	x.c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	x.c.w.WriteHeader(status)
-	// A failed write means that the caller left.
-	_, _ = x.c.w.Write(body)
+	write(x.c.w, status, body, false)
 }
 
 func (x *chatExchange) replay(a chestnutcleat.Answer) {
--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -34,6 +34,7 @@
 	begun     []chestnutcleat.BeginRequest
 	refuse    bool
 	lost      string
+	moved     chestnutcleat.UpstreamID
 	output    chestnutcleat.Tokens
 	tickets   int
 	ended     []chestnutcleat.ProgramID
@@ -109,6 +110,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.tickets++
+	if r.Upstream == f.moved {
+		return chestnutcleat.AcquireReply{Moved: true}, nil
+	}
 	return chestnutcleat.AcquireReply{Ticket: &chestnutcleat.Ticket{ID: chestnutcleat.TicketID(fmt.Sprint(f.tickets)), Upstream: r.Upstream}}, f.fails("acquire")
 }
 
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -78,8 +78,9 @@
 }
 
 // Server returns an HTTP server with the limits that the handler relies on.
+// Its header limit is above the handler's, so that most callers get a problem document.
 func (h *Handler) Server() *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 2 * maxHeader}
 }
 
 // ServeHTTP implements http.Handler.
--- a/caller/run.go
+++ b/caller/run.go
@@ -219,7 +219,11 @@
 	case upstream.Status:
 		return chestnutcleat.NewProblem(chestnutcleat.CodeUpstreamError, chestnutcleat.Failed, "the upstream answered with status %d", e.Code)
 	}
-	return chestnutcleat.NewProblem(chestnutcleat.CodeInterrupted, c.outcome(), "the upstream gave no whole answer")
+	p := chestnutcleat.NewProblem(chestnutcleat.CodeInterrupted, c.outcome(), "the upstream gave no whole answer")
+	if c.call.Repeatable {
+		return p.WithRetry(retryDefault)
+	}
+	return p
 }
 
 // truth corrects the outcome of a refusal when an earlier attempt was sent.
--- a/caller/serviceexchange.go
+++ b/caller/serviceexchange.go
@@ -5,7 +5,6 @@
 	"errors"
 	"maps"
 	"net/http"
-	"strconv"
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/service"
@@ -57,12 +56,7 @@
 	if x.c.absent() {
 		return
 	}
-	if x.method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified {
-		x.c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	}
-	x.c.w.WriteHeader(status)
-	// A failed write means that the caller left.
-	_, _ = x.c.w.Write(body)
+	write(x.c.w, status, body, x.method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified)
 }
 
 func (x *serviceExchange) interrupt(*chestnutcleat.Problem) bool { return false }
--- a/caller/stream_test.go
+++ b/caller/stream_test.go
@@ -176,3 +176,13 @@
 	is.Equal(s.send(t, "DELETE", caller.PathPrograms+"p1", "", "Authorization", bearer).status, http.StatusNoContent)
 	is.Equal(s.ended, []chestnutcleat.ProgramID{"p1"})
 }
+
+// A call that its upstream's owner sends away must be placed again, not refused.
+func TestMovedCallIsPlacedAgain(t *testing.T) {
+	is := is.New(t)
+	s := start(t)
+	s.moved = "e0"
+	is.Equal(s.chat(t, ask("m", "hello", false)).status, 200)
+	is.Equal(len(s.engines[0].Received()), 0)
+	is.Equal(len(s.engines[1].Received()), 1)
+}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -9,7 +9,9 @@
 
 const (
 	dialTimeout = 2 * time.Second
-	idleTimeout = 30 * time.Second
+	// Shorter than the idle timeout of common servers: a server that closes an idle connection
+	// while a request is sent on it looks like a crash.
+	idleTimeout = 3 * time.Second
 	idlePerHost = 64
 	maxHeader   = 64 << 10
 )
