Run the traffic side in virtual time

Cause: tests of the whole fleet use testing/synctest and connections in memory. Excluded: a mutex around the fetch of the VM list, as virtual time stands still while a goroutine waits for a mutex. Change: Dial fields in caller.Handler and the load generator, a channel instead of that mutex, a test with pauses of an hour, a check for leaked goroutines.

--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -219,6 +219,13 @@
 	}
 }
 
+func newFake() *fake {
+	return &fake{
+		answers: map[chestnutcleat.CallID]chestnutcleat.Answer{}, bodies: map[chestnutcleat.CallID]chestnutcleat.Digest{},
+		attempts: map[chestnutcleat.CallID]int{}, watchers: map[int]func(){},
+	}
+}
+
 // system is a handler with two engines and a service behind it.
 type system struct {
 	*fake
@@ -231,10 +238,7 @@
 // start runs a system until the end of the test.
 func start(t *testing.T) *system {
 	t.Helper()
-	f := &fake{
-		answers: map[chestnutcleat.CallID]chestnutcleat.Answer{}, bodies: map[chestnutcleat.CallID]chestnutcleat.Digest{},
-		attempts: map[chestnutcleat.CallID]int{}, watchers: map[int]func(){},
-	}
+	f := newFake()
 	s := &system{fake: f, service: &standinservice.Service{Record: true}, handler: &caller.Handler{Owners: f, Directory: f}}
 	serve := func(h http.Handler) string {
 		server := httptest.NewServer(h)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -48,6 +48,8 @@
 	Idle time.Duration
 	// Attempts is the largest number of attempts of one call.
 	Attempts int
+	// Dial connects to upstreams; nil means TCP.
+	Dial upstream.Dial
 	// Metrics receives the counters; nil means a set of its own.
 	Metrics *metrics.Set
 
@@ -73,8 +75,8 @@
 	if h.Metrics == nil {
 		h.Metrics = metrics.NewSet()
 	}
-	h.reuse = upstream.NewTransport(true)
-	h.fresh = upstream.NewTransport(false)
+	h.reuse = upstream.NewTransport(true, h.Dial)
+	h.fresh = upstream.NewTransport(false, h.Dial)
 }
 
 // Server returns an HTTP server with the limits that the handler relies on.
--- /dev/null
+++ b/caller/main_test.go
@@ -0,0 +1,10 @@
+package caller_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// A goroutine that outlives its call would pile up over millions of calls.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- /dev/null
+++ b/caller/virtual_test.go
@@ -0,0 +1,91 @@
+package caller_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/caller"
+	standincaller "chestnutcleat.example/chestnutcleat/standin/caller"
+	standinengine "chestnutcleat.example/chestnutcleat/standin/engine"
+)
+
+// pipes is a network in memory: each address has a queue of connections.
+type pipes map[string]chan net.Conn
+
+func (p pipes) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	l, ok := p[address]
+	if !ok {
+		return nil, errors.New("connection refused")
+	}
+	a, b := net.Pipe()
+	select {
+	case l <- b:
+		return a, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// listener accepts the connections of one address.
+type listener struct {
+	net.Listener
+	queue  chan net.Conn
+	closed chan struct{}
+}
+
+func (l listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l listener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Programs with long pauses must behave in virtual time as they do over TCP, so that hours can be tested.
+func TestVirtualTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := pipes{"vm:1": make(chan net.Conn), "engine:1": make(chan net.Conn)}
+		f := newFake()
+		f.upstreams = []chestnutcleat.Upstream{{ID: "e", Address: "engine:1"}}
+		f.routes = []chestnutcleat.Route{{Name: "chat", Kind: chestnutcleat.UpstreamEngine, Model: "m", Upstreams: []chestnutcleat.UpstreamID{"e"}, Repeatable: true}}
+		h := &caller.Handler{Owners: f, Directory: f, Dial: network.dial}
+		e := &standinengine.Engine{Decode: 10, Seed: 1}
+		e.SetFaults(standinengine.Faults{Cut: 3, Times: 1})
+		servers := []*http.Server{h.Server(), {Handler: e}}
+		for i, name := range []string{"vm:1", "engine:1"} {
+			go servers[i].Serve(listener{queue: network[name], closed: make(chan struct{})})
+		}
+		l := standincaller.Load{
+			Seeds: []chestnutcleat.Address{"vm:1"}, Seed: 1, Dial: network.dial,
+			Customers: []standincaller.Customer{{ID: "a", Key: goodKey, Rate: 0.01, Programs: 3, Model: "m"}},
+			Shape:     standincaller.Shape{Turns: 3, MaxTurns: 3, Pause: time.Hour, Agents: 0.5, System: 20, Input: 5, Output: 10},
+		}
+		began := time.Now()
+		r, err := l.Run(t.Context())
+		is.NoErr(err)
+		is.Equal(r.Customers[0].Errors, nil)
+		is.Equal(r.Customers[0].Finished, 3)
+		is.True(time.Since(began) > time.Hour)
+		is.NoErr(h.Drain(t.Context()))
+		for _, s := range servers {
+			is.NoErr(s.Close())
+		}
+	})
+}
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -21,7 +21,7 @@
 	t.Helper()
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
-	tr := upstream.NewTransport(true)
+	tr := upstream.NewTransport(true, nil)
 	t.Cleanup(tr.CloseIdleConnections)
 	return &engine.Client{Address: chestnutcleat.Address(strings.TrimPrefix(s.URL, "http://")), Transport: tr}
 }
--- a/standin/caller/addresses.go
+++ b/standin/caller/addresses.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
@@ -24,15 +23,21 @@
 	key   string
 	seeds []chestnutcleat.Address
 
-	mu   sync.Mutex
+	// turn is held while the list is fetched. It is a channel and not a mutex, as virtual time
+	// stands still while a goroutine waits for a mutex.
+	turn chan struct{}
 	list []chestnutcleat.Address
 	at   time.Time
 }
 
+func newAddresses(h *http.Client, key string, seeds []chestnutcleat.Address) *addresses {
+	return &addresses{http: h, key: key, seeds: seeds, turn: make(chan struct{}, 1)}
+}
+
 // all returns the VMs that callers may use; the known list stands when no VM answers.
 func (a *addresses) all(ctx context.Context) []chestnutcleat.Address {
-	a.mu.Lock()
-	defer a.mu.Unlock()
+	a.turn <- struct{}{}
+	defer func() { <-a.turn }()
 	if len(a.list) > 0 && time.Since(a.at) < addressAge {
 		return a.list
 	}
--- a/standin/caller/load.go
+++ b/standin/caller/load.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/upstream"
 )
 
 const (
@@ -28,6 +29,8 @@
 	Duration time.Duration
 	// Attempts is the largest number of attempts of one call.
 	Attempts int
+	// Dial connects to VMs; nil means TCP.
+	Dial upstream.Dial
 }
 
 // Run starts programs as they arrive and waits for their end.
@@ -40,7 +43,7 @@
 			return Report{}, fmt.Errorf("customer %q needs a rate, and a number of programs when the duration is open", c.ID)
 		}
 	}
-	t := &http.Transport{MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: 30 * time.Second}
+	t := &http.Transport{DialContext: l.Dial, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: 30 * time.Second}
 	defer t.CloseIdleConnections()
 	client := &http.Client{Transport: t}
 	began := time.Now()
@@ -62,7 +65,7 @@
 	if attempts == 0 {
 		attempts = defaultAttempts
 	}
-	k := &client{http: h, key: c.Key, stats: s, attempts: attempts, addresses: &addresses{http: h, key: c.Key, seeds: l.Seeds}}
+	k := &client{http: h, key: c.Key, stats: s, attempts: attempts, addresses: newAddresses(h, c.Key, l.Seeds)}
 	gaps := rand.New(rand.NewPCG(l.Seed, index))
 	began := time.Now()
 	var group sync.WaitGroup
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -16,13 +16,18 @@
 	maxHeader   = 64 << 10
 )
 
-// NewTransport returns a transport whose connections count what was written.
+// Dial makes a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewTransport returns a transport whose connections count what was written; without dial it uses TCP.
 // Without reuse each request has a connection of its own, which net/http never retries.
-func NewTransport(reuse bool) *http.Transport {
-	d := &net.Dialer{Timeout: dialTimeout}
+func NewTransport(reuse bool, dial Dial) *http.Transport {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, network, address)
+			c, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
