Count wasted cache in the stand-in engines

Cause: the load measurements compare prompt tokens that were processed although another engine held them. Excluded: pins, which the stand-in records but does not use for eviction. Change: Holdings, shared by the engines of a fleet, and Stats.Wasted. Conclusion: go test -race -count=2 passes for caller, engine and the stand-ins.

--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -70,6 +70,25 @@
 	is.Equal(ask(long), chestnutcleat.Tokens(0))
 }
 
+// Wasted cache must count what another engine holds, not what no engine holds any more.
+func TestWastedCache(t *testing.T) {
+	is := is.New(t)
+	var shared standinengine.Holdings
+	a, b := &standinengine.Engine{Decode: 1e6, Holdings: &shared}, &standinengine.Engine{Decode: 1e6, Holdings: &shared}
+	long := engine.NewMessage("user", strings.Repeat("x", 200))
+	for _, e := range []*standinengine.Engine{a, b} {
+		_, err := serve(t, e).Whole(t.Context(), request("r", long))
+		is.NoErr(err)
+	}
+	is.Equal(a.Stats().Wasted, chestnutcleat.Tokens(0))
+	is.Equal(b.Stats().Wasted, long.Tokens())
+	a.Crash(0)
+	b.Crash(0)
+	_, err := serve(t, a).Whole(t.Context(), request("r", long))
+	is.NoErr(err)
+	is.Equal(a.Stats().Wasted, chestnutcleat.Tokens(0))
+}
+
 // The rest of a crossed or broken answer must not be read as the answer of the next request on the connection.
 func TestConnectionIsNotReused(t *testing.T) {
 	is := is.New(t)
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -36,10 +36,11 @@
 	sequence chestnutcleat.Sequence
 	random   *rand.Rand
 	delay    time.Duration
+	holdings *Holdings
 }
 
-func newCache(size chestnutcleat.Tokens, r *rand.Rand, delay time.Duration) *cache {
-	return &cache{size: size, recent: list.New(), index: map[chestnutcleat.Digest]*list.Element{}, random: r, delay: delay}
+func newCache(size chestnutcleat.Tokens, r *rand.Rand, delay time.Duration, h *Holdings) *cache {
+	return &cache{holdings: h, size: size, recent: list.New(), index: map[chestnutcleat.Digest]*list.Element{}, random: r, delay: delay}
 }
 
 // match returns the tokens of the longest cached prefix and the number of its messages.
@@ -64,16 +65,25 @@
 		}
 		c.index[history[i]] = c.recent.PushFront(&entry{digest: history[i], tokens: tokens[i]})
 		c.used += tokens[i]
+		c.holdings.add(history[i], 1)
 		c.publish(history[i], tokens[i], false)
 	}
 	for c.used > c.size && c.recent.Len() > 0 {
 		e := c.recent.Remove(c.recent.Back()).(*entry)
 		delete(c.index, e.digest)
 		c.used -= e.tokens
+		c.holdings.add(e.digest, -1)
 		c.publish(e.digest, e.tokens, true)
 	}
 }
 
+// drop removes the whole cache from the holdings.
+func (c *cache) drop() {
+	for d := range c.index {
+		c.holdings.add(d, -1)
+	}
+}
+
 func (c *cache) publish(d chestnutcleat.Digest, n chestnutcleat.Tokens, evicted bool) {
 	c.sequence++
 	if c.random.IntN(gap) == 0 {
--- a/standin/engine/complete.go
+++ b/standin/engine/complete.go
@@ -94,6 +94,7 @@
 	history := engine.History(u.chat.Messages)
 	e.mu.Lock()
 	cached, _ := e.cache.match(history)
+	e.stats.Wasted += max(0, e.Holdings.match(history, sizes(u.chat.Messages))-cached)
 	e.mu.Unlock()
 	prompt := u.chat.Prompt()
 	u.usage = engine.Usage{Prompt: prompt, Completion: chestnutcleat.Tokens(len(u.words)), Total: prompt + chestnutcleat.Tokens(len(u.words)), Details: &engine.Details{Cached: cached}}
@@ -110,13 +111,9 @@
 
 // keep stores the prefix of messages in the cache and counts usage.
 func (e *Engine) keep(messages []engine.Message, u engine.Usage) {
-	tokens := make([]chestnutcleat.Tokens, 0, len(messages))
-	for _, m := range messages {
-		tokens = append(tokens, m.Tokens())
-	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.cache.store(engine.History(messages), tokens)
+	e.cache.store(engine.History(messages), sizes(messages))
 	e.stats.Prompt += u.Prompt
 	e.stats.Output += u.Completion
 	if u.Details != nil {
@@ -124,6 +121,14 @@
 	}
 }
 
+func sizes(messages []engine.Message) []chestnutcleat.Tokens {
+	out := make([]chestnutcleat.Tokens, 0, len(messages))
+	for _, m := range messages {
+		out = append(out, m.Tokens())
+	}
+	return out
+}
+
 // generate computes the answer from the messages alone, so that every engine gives the same answer.
 func (u *run) generate() {
 	h := fnv.New64a()
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -38,6 +38,8 @@
 	// Lag is the age of load reports and the delay of cache events.
 	Lag  time.Duration
 	Seed uint64
+	// Holdings is shared by the engines of a fleet to count Stats.Wasted; it may be nil.
+	Holdings *Holdings
 	// Record keeps every received request for Received.
 	Record bool
 
@@ -84,7 +86,7 @@
 }
 
 func (e *Engine) newCache() *cache {
-	return newCache(e.Cache, rand.New(rand.NewPCG(e.Seed, 1)), e.Lag)
+	return newCache(e.Cache, rand.New(rand.NewPCG(e.Seed, 1)), e.Lag, e.Holdings)
 }
 
 // ServeHTTP implements http.Handler.
@@ -139,6 +141,7 @@
 	close(e.crash)
 	e.crash = make(chan struct{})
 	e.down = time.Now().Add(d)
+	e.cache.drop()
 	e.cache = e.newCache()
 	e.state.Pins = nil
 }
--- a/standin/engine/stats.go
+++ b/standin/engine/stats.go
@@ -9,4 +9,6 @@
 	Prompt   chestnutcleat.Tokens `json:"prompt"`
 	Cached   chestnutcleat.Tokens `json:"cached"`
 	Output   chestnutcleat.Tokens `json:"output"`
+	// Wasted counts prompt tokens that were processed although some engine held them.
+	Wasted chestnutcleat.Tokens `json:"wasted"`
 }
