Test that a stream without its whole end is not taken for complete

Cause: a trial that removed the check of the finish reason broke no test. Excluded: the removed check itself, which was correct. Change: a test over streams with only one of finish reason and end mark. Conclusion: the test fails without the check and passes with it.

--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -154,3 +154,23 @@
 		})
 	}
 }
+
+// An end mark without a finish reason, or a finish reason without an end mark, is not a whole answer.
+func TestIncompleteStream(t *testing.T) {
+	for _, end := range []string{"data: [DONE]\n\n", `data: {"id":"a","choices":[{"delta":{},"finish_reason":"stop"}]}` + "\n\n"} {
+		is := is.New(t)
+		c := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(engine.HeaderRequest, "a")
+			fmt.Fprint(w, `data: {"id":"a","choices":[{"delta":{"content":"x"}}]}`+"\n\n"+end)
+		}))
+		s, err := c.Stream(t.Context(), request("a", engine.NewMessage("user", "hello")))
+		is.NoErr(err)
+		for err == nil {
+			_, err = s.Next()
+		}
+		var e *upstream.Error
+		is.True(errors.As(err, &e))
+		is.Equal(e.Kind, upstream.Broken)
+		is.NoErr(s.Close())
+	}
+}
