--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -34,6 +34,7 @@
 	begun     []chestnutcleat.BeginRequest
 	refuse    bool
 	lost      string
+	moved     chestnutcleat.UpstreamID
 	output    chestnutcleat.Tokens
 	tickets   int
 	ended     []chestnutcleat.ProgramID
@@ -109,6 +110,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.tickets++
+	if r.Upstream == f.moved {
+		return chestnutcleat.AcquireReply{Moved: true}, nil
+	}
 	return chestnutcleat.AcquireReply{Ticket: &chestnutcleat.Ticket{ID: chestnutcleat.TicketID(fmt.Sprint(f.tickets)), Upstream: r.Upstream}}, f.fails("acquire")
 }
 
@@ -215,6 +219,13 @@
 	}
 }
 
+func newFake() *fake {
+	return &fake{
+		answers: map[chestnutcleat.CallID]chestnutcleat.Answer{}, bodies: map[chestnutcleat.CallID]chestnutcleat.Digest{},
+		attempts: map[chestnutcleat.CallID]int{}, watchers: map[int]func(){},
+	}
+}
+
 // system is a handler with two engines and a service behind it.
 type system struct {
 	*fake
@@ -227,10 +238,7 @@
 // start runs a system until the end of the test.
 func start(t *testing.T) *system {
 	t.Helper()
-	f := &fake{
-		answers: map[chestnutcleat.CallID]chestnutcleat.Answer{}, bodies: map[chestnutcleat.CallID]chestnutcleat.Digest{},
-		attempts: map[chestnutcleat.CallID]int{}, watchers: map[int]func(){},
-	}
+	f := newFake()
 	s := &system{fake: f, service: &standinservice.Service{Record: true}, handler: &caller.Handler{Owners: f, Directory: f}}
 	serve := func(h http.Handler) string {
 		server := httptest.NewServer(h)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -48,6 +48,8 @@
 	Idle time.Duration
 	// Attempts is the largest number of attempts of one call.
 	Attempts int
+	// Dial connects to upstreams; nil means TCP.
+	Dial upstream.Dial
 	// Metrics receives the counters; nil means a set of its own.
 	Metrics *metrics.Set
 
@@ -73,13 +75,14 @@
 	if h.Metrics == nil {
 		h.Metrics = metrics.NewSet()
 	}
-	h.reuse = upstream.NewTransport(true)
-	h.fresh = upstream.NewTransport(false)
+	h.reuse = upstream.NewTransport(true, h.Dial)
+	h.fresh = upstream.NewTransport(false, h.Dial)
 }
 
 // Server returns an HTTP server with the limits that the handler relies on.
+// Its header limit is above the handler's, so that most callers get a problem document.
 func (h *Handler) Server() *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 2 * maxHeader}
 }
 
 // ServeHTTP implements http.Handler.
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -21,7 +21,7 @@
 	t.Helper()
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
-	tr := upstream.NewTransport(true)
+	tr := upstream.NewTransport(true, nil)
 	t.Cleanup(tr.CloseIdleConnections)
 	return &engine.Client{Address: chestnutcleat.Address(strings.TrimPrefix(s.URL, "http://")), Transport: tr}
 }
@@ -70,6 +70,25 @@
 	is.Equal(ask(long), chestnutcleat.Tokens(0))
 }
 
+// Wasted cache must count what another engine holds, not what no engine holds any more.
+func TestWastedCache(t *testing.T) {
+	is := is.New(t)
+	var shared standinengine.Holdings
+	a, b := &standinengine.Engine{Decode: 1e6, Holdings: &shared}, &standinengine.Engine{Decode: 1e6, Holdings: &shared}
+	long := engine.NewMessage("user", strings.Repeat("x", 200))
+	for _, e := range []*standinengine.Engine{a, b} {
+		_, err := serve(t, e).Whole(t.Context(), request("r", long))
+		is.NoErr(err)
+	}
+	is.Equal(a.Stats().Wasted, chestnutcleat.Tokens(0))
+	is.Equal(b.Stats().Wasted, long.Tokens())
+	a.Crash(0)
+	b.Crash(0)
+	_, err := serve(t, a).Whole(t.Context(), request("r", long))
+	is.NoErr(err)
+	is.Equal(a.Stats().Wasted, chestnutcleat.Tokens(0))
+}
+
 // The rest of a crossed or broken answer must not be read as the answer of the next request on the connection.
 func TestConnectionIsNotReused(t *testing.T) {
 	is := is.New(t)
@@ -135,3 +154,23 @@
 		})
 	}
 }
+
+// An end mark without a finish reason, or a finish reason without an end mark, is not a whole answer.
+func TestIncompleteStream(t *testing.T) {
+	for _, end := range []string{"data: [DONE]\n\n", `data: {"id":"a","choices":[{"delta":{},"finish_reason":"stop"}]}` + "\n\n"} {
+		is := is.New(t)
+		c := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(engine.HeaderRequest, "a")
+			fmt.Fprint(w, `data: {"id":"a","choices":[{"delta":{"content":"x"}}]}`+"\n\n"+end)
+		}))
+		s, err := c.Stream(t.Context(), request("a", engine.NewMessage("user", "hello")))
+		is.NoErr(err)
+		for err == nil {
+			_, err = s.Next()
+		}
+		var e *upstream.Error
+		is.True(errors.As(err, &e))
+		is.Equal(e.Kind, upstream.Broken)
+		is.NoErr(s.Close())
+	}
+}
