Raise the ageing time of queued requests to 40 s

Cause: with 10 s the requests of a customer at five times its rate rose to level 0 as fast as they were held back.

TestAgeing waits 41 s instead of 11 s and is otherwise unchanged.

--- a/dispatch/book_test.go
+++ b/dispatch/book_test.go
@@ -156,7 +156,7 @@
 	run(t, func(x *fixture) {
 		x.acquire("first", nil)
 		x.acquire("behind", func(r *chestnutcleat.AcquireRequest) { r.Level = 1; r.Started = time.Now() })
-		time.Sleep(11 * time.Second)
+		time.Sleep(41 * time.Second)
 		x.acquire("new", func(r *chestnutcleat.AcquireRequest) { r.Started = time.Now() })
 		x.release("first", nil)
 		x.True(x.replies["behind"].Ticket != nil)
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -7,8 +7,9 @@
 	"chestnutcleat.example/chestnutcleat"
 )
 
-// ageing is how long a request waits before it rises one level.
-const ageing = 10 * time.Second
+// ageing is how long a request waits before it rises one level. With 10 s the requests of a customer that sends
+// five times its rate rose as fast as they were held back.
+const ageing = 40 * time.Second
 
 // request is a queued acquire.
 type request struct {
