Keep the records of idle customers fresh and own upstreams without requests

Cause: a successor knew only the bucket at the lost owner's last record, so a customer that had refilled since waited or was refused; an upstream without requests was not polled, ordered or reported.

Change: limit.Book renews a customer's record once a second until its bucket is full in the record; dispatch.Book.Own starts the state of upstreams.

Excluded: credit for the time since the record, as clocks of VMs differ.

--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -60,6 +60,14 @@
 	}
 }
 
+// Own starts the state of upstreams whose slots this VM owns, so that they are polled, ordered and reported before
+// the first request. It is called after Import and for each new manifest.
+func (b *Book) Own(ids ...chestnutcleat.UpstreamID) {
+	for _, id := range ids {
+		b.upstream(id)
+	}
+}
+
 // Acquire asks for a ticket; done runs exactly once. A repeated request joins the first one or gets its reply.
 func (b *Book) Acquire(r chestnutcleat.AcquireRequest, done func(chestnutcleat.AcquireReply)) {
 	now := time.Now()
--- a/limit/account.go
+++ b/limit/account.go
@@ -19,7 +19,9 @@
 	// held is what may still be admitted under the stored reservation.
 	held float64
 	// pending is what may still be admitted under the reservation being stored.
-	pending  *float64
+	pending *float64
+	// recorded is what strict held in the stored record.
+	recorded float64
 	sequence chestnutcleat.Sequence
 	queue    []*waiter
 	waiting  map[chestnutcleat.RequestID]*waiter
@@ -29,6 +31,7 @@
 	weight   float64
 	behind   bool
 	timer    chestnutcleat.Timer
+	renewal  chestnutcleat.Timer
 	// frozen is set after Export; the next owner decides.
 	frozen bool
 	gone   bool
--- a/limit/book_test.go
+++ b/limit/book_test.go
@@ -217,6 +217,29 @@
 	})
 }
 
+// Guards against a customer that waits, after its owner was lost, for tokens that refilled before the loss.
+func TestIdleCustomerKeepsBurst(t *testing.T) {
+	fixture(t, func(is *is.I, l *control.Loop, b *limit.Book, c map[chestnutcleat.CustomerID]chestnutcleat.Customer) {
+		c[name] = chestnutcleat.Customer{ID: name, Rate: 10, Burst: 100}
+		for i := range 100 {
+			is.True(take(l, b, name, fmt.Sprint(i)).Admitted)
+		}
+		time.Sleep(20 * time.Second)
+		o := b.Journal.(*owner)
+		next := &limit.Book{Loop: l, Journal: &owner{journal: o.journal}, Customer: b.Customer}
+		l.Post(func() {
+			o.dead = true
+			slot := chestnutcleat.CustomerKey(name).Slot()
+			next.Import(slot, []chestnutcleat.Record{o.journal.stored["limit/"+string(name)]}, chestnutcleat.Transfer{Lost: true})
+		})
+		start := time.Now()
+		for i := range 90 {
+			is.True(take(l, next, name, fmt.Sprint("n", i)).Admitted)
+		}
+		is.True(time.Since(start) < 100*time.Millisecond) // virtual time: only the storing of reservations
+	})
+}
+
 // Guards against extra tokens when a manifest changes the rate or burst.
 func TestRateChange(t *testing.T) {
 	fixture(t, func(is *is.I, l *control.Loop, b *limit.Book, c map[chestnutcleat.CustomerID]chestnutcleat.Customer) {
--- a/limit/reserve.go
+++ b/limit/reserve.go
@@ -28,11 +28,11 @@
 	r := a.record(now)
 	r.Reserved = size
 	b.Journal.Append([]chestnutcleat.Record{a.wrap(r)}, func(err error) {
-		b.stored(a, err)
+		b.stored(a, r.Tokens, err)
 	})
 }
 
-func (b *Book) stored(a *account, err error) {
+func (b *Book) stored(a *account, tokens float64, err error) {
 	if a.gone || a.pending == nil {
 		return
 	}
@@ -44,9 +44,28 @@
 		return
 	}
 	a.held = size
+	a.recorded = tokens
+	b.renew(a)
 	b.pump(a)
 }
 
+// renew stores a new record once a second while the bucket refills. Without it a successor would know only the
+// bucket of the last request and an idle customer would wait for tokens that it has.
+func (b *Book) renew(a *account) {
+	if a.gone || a.frozen || a.renewal != nil || a.recorded >= a.strict.burst-rounding {
+		return
+	}
+	a.renewal = b.Loop.After(reserveTime, func() {
+		a.renewal = nil
+		a.refill(time.Now())
+		full := a.strict.tokens >= a.strict.burst-rounding
+		if full || a.strict.tokens >= a.recorded+b.reserveSize(a)/2 {
+			b.reserve(a)
+		}
+		b.renew(a)
+	})
+}
+
 func (a *account) record(now time.Time) record {
 	return record{
 		Customer: string(a.id),
