Test dispatch.Book under random use

Cause: the bound on tickets and exactly one reply had only single cases.

Change: 20 seeds of 1000 steps with changes of the owner. Trial: with Import ignoring the exported tickets the test fails.

Conclusion: never more than 4 tickets for 4 slots, one reply each.

--- a/dispatch/book_test.go
+++ b/dispatch/book_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -333,3 +334,54 @@
 		x.Equal(len(x.order), 3)
 	})
 }
+
+// Guards against more tickets than slots and against requests answered never or twice, under random acquires,
+// repeats, cancels, releases, failures and changes of the owner.
+func TestRandomUse(t *testing.T) {
+	for seed := range uint64(20) {
+		run(t, func(x *fixture) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			x.config.Slots = 4
+			held := map[chestnutcleat.TicketID]chestnutcleat.Ticket{}
+			asked, answers := 0, map[int]int{}
+			for i := range 1000 {
+				time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+				x.do(func() {
+					switch n := random.IntN(100); {
+					case n < 50:
+						asked++
+						id := asked
+						r := chestnutcleat.AcquireRequest{ID: chestnutcleat.RequestID(fmt.Sprint(id)), Upstream: up, Output: 10, Repeatable: n%2 == 0, Alone: n%5 == 0, Timeout: time.Hour, Level: chestnutcleat.Level(n % 3), Deadline: time.Now().Add(time.Duration(n) * time.Second)}
+						x.book.Acquire(r, func(a chestnutcleat.AcquireReply) {
+							answers[id]++
+							if a.Ticket != nil {
+								held[a.Ticket.ID] = *a.Ticket
+							}
+						})
+					case n < 55:
+						x.book.Cancel(chestnutcleat.RequestID(fmt.Sprint(random.IntN(asked + 1))))
+					case n < 97:
+						for id, k := range held {
+							delete(held, id)
+							x.book.Release(chestnutcleat.ReleaseRequest{Ticket: k, Elapsed: time.Second, Crashed: n == 96, Unused: n == 95, Failed: n == 94})
+							break
+						}
+					default:
+						slot := chestnutcleat.UpstreamKey(up).Slot()
+						x.book.Import(slot, x.book.Export(slot), chestnutcleat.Transfer{})
+					}
+					if len(held) > 4 {
+						t.Fatalf("seed %d step %d: %d tickets for 4 slots", seed, i, len(held))
+					}
+				})
+			}
+			time.Sleep(2 * time.Minute)
+			synctest.Wait()
+			for id := 1; id <= asked; id++ {
+				if answers[id] != 1 {
+					t.Fatalf("seed %d: request %d has %d answers", seed, id, answers[id])
+				}
+			}
+		})
+	}
+}
