Let an abandoned function of the control goroutine not run later

Cause: the race detector showed a probe handler that gave up on a paused control goroutine and read what the late function wrote. Excluded: waiting without bound, which would leave requests of other VMs hanging. Conclusion: shown by TestDoAbandoned.

--- a/control/loop.go
+++ b/control/loop.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
@@ -13,10 +15,12 @@
 	mu    sync.Mutex
 	queue []func()
 	wake  chan struct{}
+	// stopped is closed when Run ends.
+	stopped chan struct{}
 }
 
 // New returns a loop that runs once Run is called.
-func New() *Loop { return &Loop{wake: make(chan struct{}, 1)} }
+func New() *Loop { return &Loop{wake: make(chan struct{}, 1), stopped: make(chan struct{})} }
 
 // Post implements chestnutcleat.Loop.
 func (l *Loop) Post(f func()) {
@@ -44,6 +48,7 @@
 
 // Run runs posted functions until ctx is done.
 func (l *Loop) Run(ctx context.Context) error {
+	defer close(l.stopped)
 	for {
 		select {
 		case <-ctx.Done():
@@ -69,14 +74,31 @@
 	}
 }
 
-// Do runs f in the control goroutine and waits for its end.
+// ErrStopped is the error of Do after the control goroutine ended.
+var ErrStopped = errors.New("control goroutine has ended")
+
+// Do runs f in the control goroutine and waits for its end; f does not run if ctx is done or the goroutine has ended before it begins.
 func (l *Loop) Do(ctx context.Context, f func()) error {
+	var claimed atomic.Bool
 	done := make(chan struct{})
-	l.Post(func() { f(); close(done) })
+	l.Post(func() {
+		if claimed.CompareAndSwap(false, true) {
+			f()
+			close(done)
+		}
+	})
+	err := ErrStopped
 	select {
 	case <-done:
 		return nil
+	case <-l.stopped:
 	case <-ctx.Done():
-		return ctx.Err()
+		err = ctx.Err()
+	}
+	// Without this a late f would write what its caller already reads.
+	if claimed.CompareAndSwap(false, true) {
+		return err
 	}
+	<-done
+	return nil
 }
--- a/control/loop_test.go
+++ b/control/loop_test.go
@@ -55,3 +55,22 @@
 		is.Equal(got, 100)
 	})
 }
+
+// A function that its caller gave up must not run later and write what the caller reads.
+func TestDoAbandoned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		l := control.New()
+		go l.Run(ctx)
+		l.Post(func() { time.Sleep(time.Minute) })
+		short, end := context.WithTimeout(ctx, time.Second)
+		defer end()
+		ran := false
+		is.True(l.Do(short, func() { ran = true }) != nil)
+		time.Sleep(2 * time.Minute)
+		synctest.Wait()
+		is.True(!ran)
+	})
+}
--- a/node/build.go
+++ b/node/build.go
@@ -26,7 +26,7 @@
 		OnItem:   n.onItem,
 		OnRejoin: func(v chestnutcleat.VM) { n.Self = v },
 	}
-	n.members.Register(n.Mux, n.do)
+	n.members.Register(n.Mux, func(f func()) { n.do(f) })
 }
 
 func (n *Node) buildManifests() {
@@ -44,12 +44,11 @@
 		OnChange:   func(*manifest.View) { n.limits.Refresh() },
 	}
 	vm.Handle(n.Mux, chestnutcleat.MethodFetch, func(_ context.Context, r manifest.FetchRequest) (a manifest.FetchReply, err error) {
-		n.do(func() { a = n.manifests.Fetch(r) })
-		return a, nil
+		err = n.do(func() { a = n.manifests.Fetch(r) })
+		return a, err
 	})
 	vm.Handle(n.Mux, chestnutcleat.MethodOffer, func(_ context.Context, r manifest.OfferRequest) (chestnutcleat.Ack, error) {
-		n.do(func() { n.manifests.Offer(r.Summary, r.From) })
-		return chestnutcleat.Ack{}, nil
+		return chestnutcleat.Ack{}, n.do(func() { n.manifests.Offer(r.Summary, r.From) })
 	})
 }
 
--- a/node/drain.go
+++ b/node/drain.go
@@ -39,7 +39,7 @@
 		}
 		var a chestnutcleat.Ack
 		err := n.Peers.Call(ctx, v.Address, chestnutcleat.MethodDrain, drainRequest{Who: who}, &a)
-		n.do(func() { n.manifests.Record(who, "drain "+string(id), manifest.ResultOf(err)) })
+		n.Loop.Post(func() { n.manifests.Record(who, "drain "+string(id), manifest.ResultOf(err)) })
 		return err
 	}
 	return chestnutcleat.NewProblem(chestnutcleat.CodeBadRequest, chestnutcleat.NotRun, "VM %q is not a member of the fleet", id)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -16,7 +16,9 @@
 // writeMetrics writes the gauges of the control state.
 func (n *Node) writeMetrics(w io.Writer) {
 	var list []gauge
-	n.do(func() { list = n.gauges() })
+	if err := n.do(func() { list = n.gauges() }); err != nil {
+		return
+	}
 	s := metrics.NewSet()
 	for _, g := range list {
 		s.NewGauge(fmt.Sprintf("chestnutcleat_%s", g.name), func() float64 { return g.value })
--- a/node/node.go
+++ b/node/node.go
@@ -133,16 +133,11 @@
 	}
 }
 
-// do runs f in the control goroutine and waits for its end.
-func (n *Node) do(f func()) {
+// do runs f in the control goroutine and waits for its end, unless the goroutine does not get to it in time.
+func (n *Node) do(f func()) error {
 	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
 	defer cancel()
-	done := make(chan struct{})
-	n.Loop.Post(func() { f(); close(done) })
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
+	return n.Loop.Do(ctx, f)
 }
 
 // place returns the owner of a slot.
--- a/process/process.go
+++ b/process/process.go
@@ -128,7 +128,7 @@
 		Observer:  p.Observer,
 		Seeds:     p.Settings.Seeds,
 		Folder:    p.Settings.Folder,
-		Transport: upstream.NewTransport(true),
+		Transport: upstream.NewTransport(true, nil),
 		Rand:      rand.New(rand.NewPCG(uint64(start.UnixNano()), rand.Uint64())),
 		Policy:    p.Policy,
 	}
--- a/vm/network.go
+++ b/vm/network.go
@@ -22,12 +22,12 @@
 type Network struct {
 	// Delay is the one-way delay of a message.
 	Delay time.Duration
-	// Loss is the share of messages that are lost, in each direction.
-	Loss float64
 	// Rand decides which messages are lost.
 	Rand *rand.Rand
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// loss is the share of messages that are lost, in each direction.
+	loss     float64
 	muxes    map[chestnutcleat.Address]*Mux
 	cuts     map[link]bool
 	messages map[chestnutcleat.Address]Traffic
@@ -49,6 +49,13 @@
 	}
 }
 
+// SetLoss changes the share of messages that are lost, in each direction.
+func (n *Network) SetLoss(share float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loss = share
+}
+
 // Attach connects a VM.
 func (n *Network) Attach(a chestnutcleat.Address, m *Mux) {
 	n.mu.Lock()
@@ -94,7 +101,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.count(from, bytes)
-	if n.cuts[link{from, to}] || (n.Loss > 0 && n.Rand.Float64() < n.Loss) {
+	if n.cuts[link{from, to}] || (n.loss > 0 && n.Rand.Float64() < n.loss) {
 		return false
 	}
 	n.count(to, bytes)
