--- a/lease/cluster_test.go
+++ b/lease/cluster_test.go
@@ -194,19 +194,6 @@
 	return list
 }
 
-// served asks the control goroutine, which alone may read the keeper; a paused one acts for no slot.
-func (n *node) served() []chestnutcleat.Slot {
-	list := make(chan []chestnutcleat.Slot, 1)
-	n.loop.Post(func() { list <- n.keeper.served() })
-	synctest.Wait()
-	select {
-	case l := <-list:
-		return l
-	default:
-		return nil
-	}
-}
-
 // served lists the slots whose Check succeeds, with one look at each lease.
 func (k *Keeper) served() []chestnutcleat.Slot {
 	now := time.Now()
--- a/member/list_test.go
+++ b/member/list_test.go
@@ -39,7 +39,7 @@
 	t.Logf("seed %d", seed)
 	f := &fleet{t: t, network: vm.NewNetwork(seed), nodes: map[string]*node{}}
 	f.network.Delay = time.Millisecond
-	f.network.Loss = loss
+	f.network.SetLoss(loss)
 	// Requests of stopped VMs end within their timeouts.
 	t.Cleanup(func() { time.Sleep(5 * time.Second) })
 	f.list("a000", "a001", "a002")
