Keep a customer's reservation when its owner is lost

Cause: limit and dispatch named their records limit/... and dispatch/..., but lease gives a record to the kind that its name begins with; the successor got none and started with a full bucket. Excluded: a wrong refill (the package's own test passes, it hands records over directly). Change: the names begin with the kind; a test floods one customer through seven VMs while its owner dies or leaves. Conclusion: the reservation survives; TestRateOverOwnerLoss fails without the change.

--- a/dispatch/owned.go
+++ b/dispatch/owned.go
@@ -13,7 +13,8 @@
 	Tickets []chestnutcleat.Ticket `json:"tickets"`
 }
 
-const recordPrefix = "dispatch/"
+// recordPrefix is the kind of owner that takes the records.
+const recordPrefix = string(chestnutcleat.KindUpstream) + "/"
 
 // Import implements chestnutcleat.Owned. After a loss the tickets in use are unknown; the engine's load report and
 // the ramp, which starts at one, keep the upstream from being overfilled.
--- a/limit/book_test.go
+++ b/limit/book_test.go
@@ -230,7 +230,7 @@
 		l.Post(func() {
 			o.dead = true
 			slot := chestnutcleat.CustomerKey(name).Slot()
-			next.Import(slot, []chestnutcleat.Record{o.journal.stored["limit/"+string(name)]}, chestnutcleat.Transfer{Lost: true})
+			next.Import(slot, []chestnutcleat.Record{o.journal.stored["customer/"+string(name)]}, chestnutcleat.Transfer{Lost: true})
 		})
 		start := time.Now()
 		for i := range 90 {
--- a/limit/reserve.go
+++ b/limit/reserve.go
@@ -80,7 +80,7 @@
 func (a *account) wrap(r record) chestnutcleat.Record {
 	a.sequence++
 	data, _ := json.Marshal(r)
-	return chestnutcleat.Record{Slot: a.slot, Name: "limit/" + string(a.id), Sequence: a.sequence, Data: data}
+	return chestnutcleat.Record{Slot: a.slot, Name: recordPrefix + string(a.id), Sequence: a.sequence, Data: data}
 }
 
 // Import implements chestnutcleat.Owned.
@@ -94,10 +94,10 @@
 	}
 	now := time.Now()
 	for _, r := range records {
-		if len(r.Name) < len("limit/") || r.Name[:len("limit/")] != "limit/" || r.Deleted {
+		if len(r.Name) < len(recordPrefix) || r.Name[:len(recordPrefix)] != recordPrefix || r.Deleted {
 			continue
 		}
-		id := chestnutcleat.CustomerID(r.Name[len("limit/"):])
+		id := chestnutcleat.CustomerID(r.Name[len(recordPrefix):])
 		if old, ok := b.accounts[id]; ok && old.sequence >= r.Sequence {
 			continue
 		}
