--- a/lease/confirm.go
+++ b/lease/confirm.go
@@ -14,8 +14,7 @@
 	subject Member
 	epoch   chestnutcleat.Epoch
 	slots   []chestnutcleat.Slot
-	// records come with a handover, entries from the witnesses and the journal of a VM that was taken over.
-	records  []chestnutcleat.Record
+	// entries come from the witnesses and the journal of a VM that was taken over; all records are in the own store, too.
 	entries  map[entryKey]Entry
 	transfer chestnutcleat.Transfer
 	version  chestnutcleat.Version
@@ -73,15 +72,11 @@
 	c.ended = true
 	mine := func(s chestnutcleat.Slot) bool { return k.fleet.Owners[s].VM == k.Self.ID }
 	c.slots = slices.DeleteFunc(c.slots, func(s chestnutcleat.Slot) bool { return !mine(s) })
-	if c.entries != nil {
-		c.records = recordsOf(c.entries)
-	}
 	if len(c.foreign) > 0 {
 		// A temporary owner acted in between: its records are newer.
 		merge(c.foreign, slices.Collect(maps.Values(c.entries)))
-		c.records = recordsOf(c.foreign)
 		c.transfer = chestnutcleat.Transfer{Lost: true, Incomplete: true}
-		k.own.store.replace(c.slots, c.records)
+		k.own.store.replace(c.slots, recordsOf(c.foreign))
 	}
 	k.enter(c, k.own)
 }
@@ -106,7 +101,7 @@
 				arrived = append(arrived, s)
 			}
 		}
-		k.importSlots(arrived, c.records, c.transfer)
+		k.importSlots(arrived, own.store.records(arrived), c.transfer)
 	})
 }
 
--- a/lease/fault_test.go
+++ b/lease/fault_test.go
@@ -1,11 +1,15 @@
 package lease
 
 import (
+	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"chestnutcleat.example/chestnutcleat"
 )
 
@@ -177,6 +181,14 @@
 				c.step(8 * time.Second)
 				c.until(time.Second)
 				for _, o := range c.nodes {
+					domains := map[chestnutcleat.FailureDomain]bool{}
+					for _, w := range o.keeper.own.subject.Witnesses {
+						domains[o.keeper.fleet.member(w.VM).Domain] = true
+					}
+					// A majority of witnesses in one failure domain would lose the lease with the domain.
+					if n >= 6 && len(domains) < 3 {
+						c.fail("the witnesses of %s are in %d failure domains", o.vm.ID, len(domains))
+					}
 					if got := len(c.served(o)); got < chestnutcleat.SlotCount/n*7/10 {
 						c.fail("%s serves %d slots", o.vm.ID, got)
 					}
@@ -185,3 +197,92 @@
 		})
 	}
 }
+
+// In a small fleet the VM that died may be needed for the survivors' majority.
+func TestSmallFleets(t *testing.T) {
+	for n := 2; n <= 4; n++ {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, uint64(n), n)
+				defer c.close()
+				c.until(10 * time.Second)
+				c.step(8 * time.Second)
+				c.kill(1)
+				c.until(15 * time.Second)
+				c.step(3 * time.Second)
+				c.add(n, "vm1", 2)
+				c.step(8 * time.Second)
+				c.until(time.Second)
+				if got := len(c.served(c.nodes[n])); got < chestnutcleat.SlotCount/n*7/10 {
+					c.fail("the restarted VM serves %d slots", got)
+				}
+			})
+		})
+	}
+}
+
+// The only VM of a fleet must go on during an outage, and a new run of it must find the records at the platform.
+func TestSingleVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 1)
+		defer c.close()
+		c.until(5 * time.Second)
+		c.step(5 * time.Second)
+		c.platform.set(func() { c.platform.outage = true })
+		for range 600 {
+			c.step(100 * time.Millisecond)
+			if got := c.count(); got != chestnutcleat.SlotCount {
+				c.fail("%d slots are served in an outage", got)
+			}
+		}
+		c.platform.set(func() { c.platform.outage = false })
+		c.step(5 * time.Second)
+		c.kill(0)
+		c.step(time.Second)
+		c.add(1, "vm0", 2)
+		c.until(5 * time.Second)
+	})
+}
+
+// A fleet object that was damaged must be refused rather than lead to wrong owners.
+func TestFleetDecoding(t *testing.T) {
+	is := is.New(t)
+	f := &Fleet{}
+	f.add(Member{VM: "a", Incarnation: 1, Domain: "d"})
+	f.add(Member{VM: "b", Incarnation: 1, Domain: "e"})
+	data, err := json.Marshal(f)
+	is.NoErr(err)
+	back := &Fleet{}
+	is.NoErr(json.Unmarshal(data, back))
+	is.Equal(back, f)
+	for _, damage := range [][2]string{
+		{`"vm":"b","inc"`, `"vm":"a","inc"`},
+		{`{"epoch":2,`, `{"epoch":1,`},
+		{`"wit":[[0,2]]`, `"wit":[[1,2]]`},
+		{`"wit":[[0,2]]`, `"wit":[[2,2]]`},
+		{`"holdings":[{"vm":"a"`, `"holdings":[{"vm":"c"`},
+	} {
+		is.True(strings.Contains(string(data), damage[0]))
+		is.True(json.Unmarshal([]byte(strings.Replace(string(data), damage[0], damage[1], 1)), &Fleet{}) != nil)
+	}
+	is.True(json.Unmarshal([]byte(`{"slots":"AAA="}`), &Fleet{}) != nil)
+}
+
+// The fleet object must stay small enough for the platform at the two-year size.
+func TestFleetSize(t *testing.T) {
+	is := is.New(t)
+	f := &Fleet{}
+	var live []chestnutcleat.VMID
+	for i := range 400 {
+		id := chestnutcleat.VMID(fmt.Sprintf("vm-%03d", i))
+		f.add(Member{VM: id, Incarnation: 1_700_000_000_000, Address: "10.100.200.100:7000", Caller: "10.100.200.100:8080", Domain: chestnutcleat.FailureDomain(fmt.Sprint("domain-", i%7))})
+		live = append(live, id)
+	}
+	for s := range f.Owners {
+		f.Owners[s] = holding{choose(slotName(chestnutcleat.Slot(s)), live), f.Epoch}
+	}
+	data, err := json.Marshal(f)
+	is.NoErr(err)
+	t.Logf("%d bytes at 400 VMs", len(data))
+	is.True(len(data) < 100_000)
+}
--- a/lease/fleet.go
+++ b/lease/fleet.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 
@@ -33,51 +32,6 @@
 	Changes []chestnutcleat.ChangeID
 }
 
-// fleetJSON is the compact form; Slots has two bytes per slot, an index into Holdings.
-type fleetJSON struct {
-	Epoch    chestnutcleat.Epoch      `json:"epoch"`
-	Members  []Member                 `json:"members"`
-	Holdings []holding                `json:"holdings"`
-	Slots    []byte                   `json:"slots"`
-	Changes  []chestnutcleat.ChangeID `json:"changes"`
-}
-
-// MarshalJSON implements json.Marshaler.
-func (f *Fleet) MarshalJSON() ([]byte, error) {
-	w := fleetJSON{Epoch: f.Epoch, Members: f.Members, Changes: f.Changes, Slots: make([]byte, 0, 2*chestnutcleat.SlotCount)}
-	index := map[holding]int{}
-	for _, h := range f.Owners {
-		i, ok := index[h]
-		if !ok {
-			i = len(w.Holdings)
-			index[h] = i
-			w.Holdings = append(w.Holdings, h)
-		}
-		w.Slots = append(w.Slots, byte(i>>8), byte(i))
-	}
-	return json.Marshal(w)
-}
-
-// UnmarshalJSON implements json.Unmarshaler and checks the object.
-func (f *Fleet) UnmarshalJSON(data []byte) error {
-	var w fleetJSON
-	if err := json.Unmarshal(data, &w); err != nil {
-		return fmt.Errorf("fleet object: %w", err)
-	}
-	if len(w.Slots) != 2*chestnutcleat.SlotCount {
-		return fmt.Errorf("fleet object has %d bytes of slots, expected %d", len(w.Slots), 2*chestnutcleat.SlotCount)
-	}
-	*f = Fleet{Epoch: w.Epoch, Members: w.Members, Changes: w.Changes}
-	for s := range f.Owners {
-		i := int(w.Slots[2*s])<<8 | int(w.Slots[2*s+1])
-		if i >= len(w.Holdings) {
-			return fmt.Errorf("fleet object: slot %d names holding %d of %d", s, i, len(w.Holdings))
-		}
-		f.Owners[s] = w.Holdings[i]
-	}
-	return f.check()
-}
-
 func (f *Fleet) check() error {
 	seen := map[chestnutcleat.VMID]bool{}
 	for _, m := range f.Members {
@@ -91,6 +45,11 @@
 			return fmt.Errorf("fleet object: VM %q has invalid witnesses", m.VM)
 		}
 		seen[m.VM] = true
+		for _, w := range m.Witnesses {
+			if o := f.member(w.VM); o == nil || o.Incarnation != w.Incarnation {
+				return fmt.Errorf("fleet object: witness %q of VM %q is no member", w.VM, m.VM)
+			}
+		}
 	}
 	for s, h := range f.Owners {
 		if h.VM != "" && !seen[h.VM] {
@@ -137,12 +96,12 @@
 		n := len(m.Witnesses)
 		m.Witnesses = slices.DeleteFunc(m.Witnesses, func(w Witness) bool { return w.VM == id })
 		// One for one: a set that grew without its owner's knowledge could form a majority that the owner does not ask.
-		f.fill(m, n, f.Epoch)
+		f.fill(m, n, f.Epoch, false)
 	}
 }
 
-// fill adds witnesses to m up to n, preferring failure domains that have none yet.
-func (f *Fleet) fill(m *Member, n int, at chestnutcleat.Epoch) {
+// fill adds witnesses to m up to n, preferring failure domains that have none yet; with distinct it takes no others.
+func (f *Fleet) fill(m *Member, n int, at chestnutcleat.Epoch, distinct bool) {
 	for len(m.Witnesses) < min(n, maxWitnesses) {
 		var best *Member
 		used, score := 0, uint64(0)
@@ -156,7 +115,7 @@
 				best, used, score = c, u, s
 			}
 		}
-		if best == nil {
+		if best == nil || (distinct && used > 0) {
 			return
 		}
 		m.Witnesses = append(m.Witnesses, Witness{VM: best.VM, Incarnation: best.Incarnation, Named: at})
--- a/lease/joining.go
+++ b/lease/joining.go
@@ -46,8 +46,13 @@
 	}
 	u.done = func(ok bool) {
 		end()
-		if ok {
-			k.joined(epoch)
+		if !ok {
+			return
+		}
+		k.joined(epoch)
+		if k.own != nil && len(k.fleet.Members) == 1 {
+			// The fleet is new.
+			k.importSlots(k.fleet.slots(k.Self.ID), nil, chestnutcleat.Transfer{})
 		}
 	}
 	k.update(u)
@@ -56,7 +61,7 @@
 // add gives a new member an epoch and witnesses; the first member gets all slots.
 func (f *Fleet) add(m Member) chestnutcleat.Epoch {
 	m.Epoch = f.next(0)
-	f.fill(&m, maxWitnesses, m.Epoch)
+	f.fill(&m, maxWitnesses, m.Epoch, true)
 	f.Members = append(f.Members, m)
 	if len(f.Members) == 1 {
 		for s := range f.Owners {
@@ -75,9 +80,6 @@
 	k.own = newHold(*m, e, newStore(e))
 	k.polled = time.Now()
 	k.emit(leaseJoined, "epoch", e)
-	if len(k.fleet.Members) == 1 {
-		k.importSlots(k.fleet.slots(k.Self.ID), nil, chestnutcleat.Transfer{})
-	}
 	k.tick()
 }
 
@@ -114,7 +116,7 @@
 				return false
 			}
 			f.add(r.Member)
-			f.fill(f.member(k.Self.ID), 1, f.next(0))
+			f.fill(f.member(k.Self.ID), 1, f.next(0), false)
 			return true
 		},
 		sending: k.startGrowth,
@@ -131,6 +133,11 @@
 	if len(k.own.subject.Witnesses) >= n || k.updating || k.leaving != nil {
 		return
 	}
+	// While VMs join, a witness of another failure domain may still come.
+	distinct := time.Since(k.unchanged) < calmTime
+	if distinct && !k.otherDomain() {
+		return
+	}
 	k.update(&update{
 		mutate: func(f *Fleet) bool {
 			me := f.member(k.Self.ID)
@@ -138,7 +145,7 @@
 				return false
 			}
 			before := len(me.Witnesses)
-			f.fill(me, maxWitnesses, f.next(0))
+			f.fill(me, maxWitnesses, f.next(0), distinct)
 			return len(me.Witnesses) > before
 		},
 		sending: k.startGrowth,
@@ -146,6 +153,17 @@
 	})
 }
 
+// otherDomain reports whether a VM in a failure domain without a witness could become one.
+func (k *Keeper) otherDomain() bool {
+	me := &k.own.subject
+	for _, m := range k.fleet.Members {
+		if m.VM != me.VM && k.fleet.domainUse(me, m.Domain) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (k *Keeper) startGrowth(f *Fleet) {
 	if k.own == nil {
 		return
--- a/lease/store.go
+++ b/lease/store.go
@@ -73,6 +73,15 @@
 	}
 }
 
+// records returns the records of slots.
+func (s *store) records(slots []chestnutcleat.Slot) []chestnutcleat.Record {
+	in := map[chestnutcleat.Slot]bool{}
+	for _, n := range slots {
+		in[n] = true
+	}
+	return slices.DeleteFunc(recordsOf(s.entries), func(r chestnutcleat.Record) bool { return !in[r.Slot] })
+}
+
 // trim forgets deleted records that every witness knows as deleted.
 func (s *store) trim(to Stamp) {
 	for key, e := range s.entries {
--- a/lease/takeover.go
+++ b/lease/takeover.go
@@ -299,7 +299,7 @@
 			f.Members = append(f.Members, k.me())
 			me := f.member(k.Self.ID)
 			me.Epoch = epoch
-			f.fill(me, maxWitnesses, epoch)
+			f.fill(me, maxWitnesses, epoch, true)
 		}
 		for _, s := range slots {
 			f.Owners[s] = holding{k.Self.ID, epoch}
--- a/lease/transfer.go
+++ b/lease/transfer.go
@@ -14,10 +14,9 @@
 	quickRead = 200 * time.Millisecond
 )
 
-// stage is what another VM sent for slots that it is about to hand over.
+// stage notes that another VM is about to hand slots over; their records are in the own store.
 type stage struct {
-	from    Member
-	records []chestnutcleat.Record
+	from Member
 }
 
 // parcel is a set of slots on the way to one successor.
@@ -190,7 +189,7 @@
 			return
 		}
 	}
-	g := &stage{from: r.From, records: r.Records}
+	g := &stage{from: r.From}
 	for _, s := range r.Slots {
 		k.staged[s] = g
 	}
--- a/lease/update.go
+++ b/lease/update.go
@@ -246,6 +246,6 @@
 		}
 	}
 	for g, list := range arrived {
-		k.confirm(&confirmation{subject: g.from, epoch: g.from.Epoch, slots: list, records: g.records, version: k.version})
+		k.confirm(&confirmation{subject: g.from, epoch: g.from.Epoch, slots: list, version: k.version})
 	}
 }
