--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -42,6 +42,8 @@
 	States   map[chestnutcleat.Kind]chestnutcleat.Owned
 	Observer chestnutcleat.Observer
 	Rand     *rand.Rand
+	// Holder returns the VM that says that it holds a lost VM's slots as temporary owner; nil means that none is known.
+	Holder func(lost chestnutcleat.VMID) (chestnutcleat.Place, bool)
 
 	started time.Time
 	fleet   *Fleet
@@ -249,6 +251,11 @@
 	if h := k.temporary[o.VM]; h != nil {
 		return chestnutcleat.Place{VM: k.Self.ID, Address: k.Self.Address, Caller: k.Self.Caller, Epoch: h.epoch}
 	}
+	if k.Holder != nil {
+		if p, ok := k.Holder(o.VM); ok {
+			return p
+		}
+	}
 	m := k.fleet.member(o.VM)
 	if m == nil {
 		return chestnutcleat.Place{}
--- a/member/list_test.go
+++ b/member/list_test.go
@@ -71,7 +71,7 @@
 	done := make(chan struct{})
 	go func() { n.loop.Run(ctx); close(done) }()
 	mux := vm.NewMux()
-	l.Register(mux, n.do)
+	l.Register(mux, func(step func()) error { return n.loop.Do(ctx, step) })
 	f.network.Attach(address, mux)
 	n.stop = func() {
 		f.network.Detach(address)
--- a/node/build.go
+++ b/node/build.go
@@ -26,7 +26,7 @@
 		OnItem:   n.onItem,
 		OnRejoin: func(v chestnutcleat.VM) { n.Self = v },
 	}
-	n.members.Register(n.Mux, func(f func()) { n.do(f) })
+	n.members.Register(n.Mux, n.do)
 }
 
 func (n *Node) buildManifests() {
@@ -93,6 +93,7 @@
 		},
 		Observer: n.Observer,
 		Rand:     n.Rand,
+		Holder:   n.holders.find,
 	}
 	n.keeper.Register(n.Mux, n.Loop.Post)
 	n.limits.Journal = n.keeper
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -23,6 +23,7 @@
 	itemLoads    = "loads/"
 	itemUsage    = "usage/"
 	itemManifest = "manifest/"
+	itemHolds    = "holds/"
 )
 
 // manifestItem carries a manifest summary with the address of the VM that has it.
@@ -48,17 +49,29 @@
 			n.members.Put(itemManifest+id, n.version, data)
 		}
 	}
+	if held := n.keeper.Held(); len(held) > 0 {
+		h := holdItem{Place: chestnutcleat.Place{VM: n.Self.ID, Address: n.Self.Address, Caller: n.Self.Caller, Epoch: n.keeper.Epoch()}, Lost: held}
+		if data, err := vm.Encode(h); err == nil {
+			n.members.PutUntil(itemHolds+id, n.version, data, expiry)
+		}
+	}
 	n.Loop.After(gossipInterval, n.gossip)
 }
 
 // onItem takes a gossip item of another VM.
 func (n *Node) onItem(name string, data []byte) {
+	if _, from, _ := strings.Cut(name, "/"); from == string(n.Self.ID) {
+		return
+	}
 	switch {
-	case name == itemLoads+string(n.Self.ID), name == itemUsage+string(n.Self.ID), name == itemManifest+string(n.Self.ID):
 	case strings.HasPrefix(name, itemLoads):
 		if l, err := vm.Decode[[]chestnutcleat.Load](data); err == nil {
 			n.loads.merge(l)
 		}
+	case strings.HasPrefix(name, itemHolds):
+		if h, err := vm.Decode[holdItem](data); err == nil {
+			n.holders.merge(h)
+		}
 	case strings.HasPrefix(name, itemUsage):
 		n.limits.Merge(data)
 	case strings.HasPrefix(name, itemManifest):
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/control"
 	"chestnutcleat.example/chestnutcleat/dispatch"
+	"chestnutcleat.example/chestnutcleat/event"
 	"chestnutcleat.example/chestnutcleat/lease"
 	"chestnutcleat.example/chestnutcleat/limit"
 	"chestnutcleat.example/chestnutcleat/manifest"
@@ -53,6 +54,7 @@
 	endpoints endpoints
 	seeds     seeds
 	loads     loads
+	holders   holders
 	picker    picker
 	revoked   revocations
 	version   uint64
@@ -103,6 +105,7 @@
 		Platform: n.Platform,
 		Prefixes: append([]chestnutcleat.ObjectName{fleetName}, manifest.Prefixes...),
 		Rand:     rand.New(rand.NewPCG(uint64(n.Self.Incarnation), 1)),
+		Failed:   func(err error) { n.Observer.Emit(event.PlatformWatch, "error", err) },
 		Changed: func(o chestnutcleat.Object) {
 			n.Loop.Post(func() {
 				if o.Name == fleetName {
--- a/node/rate_test.go
+++ b/node/rate_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	standin "chestnutcleat.example/chestnutcleat/standin/platform"
 )
 
 // admission is an admitted request; its owner decided between sent and received.
@@ -49,6 +50,10 @@
 func TestRateOverOwnerLoss(t *testing.T) {
 	cases := map[string]func(f *fleet, owner int){
 		"owner killed": func(f *fleet, owner int) { f.kill(owner) },
+		"owner killed in an outage": func(f *fleet, owner int) {
+			f.store.SetFaults(standin.Faults{Outage: true})
+			f.kill(owner)
+		},
 		"owner leaves": func(f *fleet, owner int) {
 			n := f.nodes[owner]
 			go n.Leave(f.t.Context())
