Say unknown while the owner of a repeated call cannot be reached

Cause: a retry of a non-repeatable call was refused as not-run when an owner could not be reached, although an earlier request through another VM may have run it. A temporary owner refused before it looked at its records. Excluded: asking the program's owner first for every call (one more message per call). Change: until the program's owner answered, a refusal of a non-repeatable call with an explicit id says unknown; a summary from incomplete records is an error; the temporary owner refuses only calls that it does not know. Conclusion: a refusal that says not-run is about the call id, not only about this request.

--- a/caller/admit.go
+++ b/caller/admit.go
@@ -72,6 +72,11 @@
 		return false
 	}
 	s, err := c.h.Owners.Look(c.ctx, chestnutcleat.EndRequest{Customer: c.call.Customer, Program: c.call.Program})
+	var p *chestnutcleat.Problem
+	gone := errors.As(err, &p) && p.Code == chestnutcleat.CodeProgramGone
+	if err == nil || gone {
+		c.unsure = false
+	}
 	if err != nil {
 		return false
 	}
@@ -90,8 +95,10 @@
 	case err != nil:
 		return ownerProblem(err, "program")
 	case b.Problem != nil:
+		c.unsure = false
 		return b.Problem
 	}
+	c.unsure = false
 	c.begin = b
 	return nil
 }
--- a/caller/call.go
+++ b/caller/call.go
@@ -37,6 +37,8 @@
 	avoid    []chestnutcleat.UpstreamID
 	// sent is set when a byte of any attempt may have been sent.
 	sent bool
+	// unsure is set until the program's owner said what it knows of the call id: an earlier request may have run it.
+	unsure bool
 	// answered is set when an upstream began an answer of any attempt.
 	answered bool
 	ctx      context.Context
@@ -146,6 +148,8 @@
 // outcome returns what is true of a call that ends without a whole answer.
 func (c *call) outcome() chestnutcleat.Outcome {
 	switch {
+	case c.unsure:
+		return chestnutcleat.Unknown
 	case !c.sent:
 		return chestnutcleat.NotRun
 	case c.call.Repeatable && c.answered:
@@ -174,7 +178,7 @@
 
 // respond writes a problem, or ends a stream with it.
 func (c *call) respond(p *chestnutcleat.Problem) {
-	q := *p
+	q := *c.truth(p)
 	q.Call = c.call.ID
 	if c.withheld() && q.Code != chestnutcleat.CodeKeyWithdrawn {
 		q = *chestnutcleat.NewProblem(chestnutcleat.CodeKeyWithdrawn, q.Outcome, "the key was withdrawn")
--- a/caller/run.go
+++ b/caller/run.go
@@ -15,6 +15,7 @@
 // serve takes a call from its admission to its answer.
 func (c *call) serve(r *http.Request, leaving bool) {
 	defer c.watch(r)()
+	c.unsure = c.explicit && !c.call.Repeatable
 	if leaving && !c.known() {
 		c.respond(refusal(chestnutcleat.CodeLeaving, "the VM is leaving; use another one").WithRetry(retryDefault))
 		return
@@ -226,9 +227,9 @@
 	return p
 }
 
-// truth corrects the outcome of a refusal when an earlier attempt was sent.
+// truth corrects the outcome of a refusal when an earlier attempt was sent, or may have been sent by an earlier request.
 func (c *call) truth(p *chestnutcleat.Problem) *chestnutcleat.Problem {
-	if p.Outcome != chestnutcleat.NotRun || !c.sent {
+	if p.Outcome != chestnutcleat.NotRun || (!c.sent && !c.unsure) {
 		return p
 	}
 	q := *p
--- a/node/build.go
+++ b/node/build.go
@@ -60,6 +60,7 @@
 		Limits:   n.Limits,
 		Observer: n.Observer,
 		Suspect:  n.suspect,
+		Refuse:   n.refuseTemporary,
 		Timeout:  n.timeout,
 	}
 	n.upstreams = &dispatch.Book{
--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -23,6 +23,8 @@
 type lookReply struct {
 	Found   bool                  `json:"found"`
 	Summary chestnutcleat.Summary `json:"summary"`
+	// Incomplete is set when records of the program may be missing.
+	Incomplete bool `json:"incomplete,omitempty"`
 }
 
 // now adapts a request that is answered at once.
@@ -58,7 +60,7 @@
 	add(n, &e.begin, chestnutcleat.MethodBegin,
 		func(r chestnutcleat.BeginRequest) chestnutcleat.Key {
 			return chestnutcleat.ProgramKey(r.Call.Customer, r.Call.Program)
-		}, n.begin)
+		}, n.programs.Begin)
 	add(n, &e.start, chestnutcleat.MethodStart,
 		func(r chestnutcleat.StartRequest) chestnutcleat.Key {
 			return chestnutcleat.ProgramKey(r.Customer, r.Program)
@@ -71,10 +73,7 @@
 		return chestnutcleat.ProgramKey(r.Customer, r.Program)
 	}
 	add(n, &e.end, chestnutcleat.MethodEnd, byProgram, n.programs.End)
-	add(n, &e.look, chestnutcleat.MethodProgram, byProgram, now(func(r chestnutcleat.EndRequest) lookReply {
-		s, ok := n.programs.Look(r.Customer, r.Program)
-		return lookReply{Found: ok, Summary: s}
-	}))
+	add(n, &e.look, chestnutcleat.MethodProgram, byProgram, now(n.look))
 	add(n, &e.suspect, chestnutcleat.MethodSuspect, chestnutcleat.SuspectRequest.Key, n.handleSuspect)
 }
 
@@ -95,15 +94,19 @@
 		}))
 }
 
-// begin refuses calls that may not be repeated while this VM owns the program's slot only until the platform can record it.
-func (n *Node) begin(r chestnutcleat.BeginRequest, done func(chestnutcleat.BeginReply)) {
-	s := chestnutcleat.ProgramKey(r.Call.Customer, r.Call.Program).Slot()
-	if !r.Call.Repeatable && n.keeper.Temporary(s) {
-		p := chestnutcleat.NewProblem(chestnutcleat.CodeOwnerLost, chestnutcleat.NotRun, "the program's owner was lost while the platform is down").WithRetry(temporaryRetry)
-		done(chestnutcleat.BeginReply{Problem: p})
-		return
+// refuseTemporary refuses a new call that may not be repeated while this VM owns the program's slot only until the platform can record it.
+func (n *Node) refuseTemporary(c chestnutcleat.Call) *chestnutcleat.Problem {
+	if c.Repeatable || !n.keeper.Temporary(chestnutcleat.ProgramKey(c.Customer, c.Program).Slot()) {
+		return nil
 	}
-	n.programs.Begin(r, done)
+	return chestnutcleat.NewProblem(chestnutcleat.CodeOwnerLost, chestnutcleat.NotRun, "the program's owner was lost while the platform is down").WithRetry(temporaryRetry)
+}
+
+// look returns a program's summary; without all records an unknown call may have run.
+func (n *Node) look(r chestnutcleat.EndRequest) lookReply {
+	s, ok := n.programs.Look(r.Customer, r.Program)
+	incomplete := n.programs.Incomplete(chestnutcleat.ProgramKey(r.Customer, r.Program).Slot())
+	return lookReply{Found: ok, Summary: s, Incomplete: incomplete}
 }
 
 func (n *Node) handleSuspect(r chestnutcleat.SuspectRequest, done func(chestnutcleat.SuspectReply)) {
--- a/node/owners.go
+++ b/node/owners.go
@@ -55,6 +55,9 @@
 // Look implements chestnutcleat.Owners.
 func (n *Node) Look(ctx context.Context, r chestnutcleat.EndRequest) (chestnutcleat.Summary, error) {
 	a, err := ask(ctx, &n.asker, &n.endpoints.look, r)
+	if err == nil && !a.Found && a.Incomplete {
+		return a.Summary, chestnutcleat.NewProblem(chestnutcleat.CodeOwnerLost, chestnutcleat.Unknown, "records of program %q may be missing", r.Program).WithRetry(temporaryRetry)
+	}
 	if err == nil && !a.Found {
 		err = chestnutcleat.NewProblem(chestnutcleat.CodeProgramGone, chestnutcleat.NotRun, "program %q is not known", r.Program)
 	}
--- a/program/begin.go
+++ b/program/begin.go
@@ -70,6 +70,11 @@
 
 // refusal returns why a new call is not accepted.
 func (b *Book) refusal(p *program, in chestnutcleat.Call) *chestnutcleat.Problem {
+	if b.Refuse != nil && !b.mayBeMissing(p, in) {
+		if problem := b.Refuse(in); problem != nil {
+			return problem
+		}
+	}
 	l := b.limits()
 	calls := l.Calls
 	if calls == 0 {
@@ -100,6 +105,12 @@
 	return nil
 }
 
+// Incomplete reports whether records of a slot may be missing, so that an unknown call may have run.
+func (b *Book) Incomplete(s chestnutcleat.Slot) bool {
+	_, ok := b.missing[s]
+	return ok
+}
+
 // mayBeMissing reports whether the call may have run before without a record here.
 // A call that follows one which ended here cannot have run earlier.
 func (b *Book) mayBeMissing(p *program, in chestnutcleat.Call) bool {
--- a/program/book.go
+++ b/program/book.go
@@ -37,6 +37,8 @@
 	Journal  chestnutcleat.Journal
 	Limits   func() chestnutcleat.Limits
 	Observer chestnutcleat.Observer
+	// Refuse returns why a call that is not known yet must not be accepted now; nil accepts all.
+	Refuse func(chestnutcleat.Call) *chestnutcleat.Problem
 	// Suspect passes a request to the owner of its key; nil means that no fingerprints are kept.
 	Suspect func(chestnutcleat.SuspectRequest, func(chestnutcleat.SuspectReply, error))
 	// Timeout returns the longest run time of a route's calls; nil means the default.
