End calls at their program's wall-clock time; number incarnations in milliseconds

Cause: the wall-clock budget was checked when a call began but did not end a running one; a VM restarted within a second kept its incarnation. Excluded: lowering the call's deadline at the owner, as a non-repeatable call that was sent must run to its end. Change: BeginReply.Until, at which the entry VM cancels the call. Conclusion: tokens, calls and wall-clock time bound a program.

--- a/caller/admit.go
+++ b/caller/admit.go
@@ -100,5 +100,6 @@
 	}
 	c.unsure = false
 	c.begin = b
+	c.limit(b.Until)
 	return nil
 }
--- a/caller/call.go
+++ b/caller/call.go
@@ -15,6 +15,7 @@
 var (
 	errGone      = errors.New("the caller left")
 	errWithdrawn = errors.New("the key was withdrawn")
+	errWall      = errors.New("the program's wall-clock time ended")
 	errUnsent    = errors.New("the call was not sent")
 )
 
@@ -71,6 +72,15 @@
 	}
 }
 
+// limit ends the call when its program's wall-clock time does; a started non-repeatable call runs to its own end.
+func (c *call) limit(until time.Time) {
+	if until.IsZero() || until.After(c.call.Deadline) {
+		return
+	}
+	t := time.AfterFunc(time.Until(until), func() { c.cancel(errWall) })
+	context.AfterFunc(c.ctx, func() { t.Stop() })
+}
+
 // leave handles a caller that closed its connection.
 func (c *call) leave() {
 	c.mu.Lock()
@@ -141,6 +151,8 @@
 		return refusal(chestnutcleat.CodeKeyWithdrawn, "the key was withdrawn")
 	case errors.Is(cause, errGone):
 		return refusal(chestnutcleat.CodeInterrupted, "the caller left")
+	case errors.Is(cause, errWall):
+		return refusal(chestnutcleat.CodeBudget, "the program has used its wall-clock time")
 	}
 	return refusal(chestnutcleat.CodeDeadline, "the deadline passed")
 }
--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/caller"
@@ -37,6 +38,7 @@
 	moved     chestnutcleat.UpstreamID
 	output    chestnutcleat.Tokens
 	tickets   int
+	until     time.Time
 	ended     []chestnutcleat.ProgramID
 	upstreams []chestnutcleat.Upstream
 	routes    []chestnutcleat.Route
@@ -69,7 +71,7 @@
 		return chestnutcleat.BeginReply{Answer: &a}, nil
 	}
 	f.attempts[r.Call.ID]++
-	return chestnutcleat.BeginReply{Run: true, Attempt: f.attempts[r.Call.ID], Output: f.output}, f.fails("begin")
+	return chestnutcleat.BeginReply{Run: true, Attempt: f.attempts[r.Call.ID], Output: f.output, Until: f.until}, f.fails("begin")
 }
 
 func (f *fake) Start(context.Context, chestnutcleat.StartRequest) (chestnutcleat.StartReply, error) {
--- a/messages.go
+++ b/messages.go
@@ -48,6 +48,8 @@
 	Cached Tokens `json:"cached,omitempty"`
 	// Output is the largest number of tokens that the budget allows this call.
 	Output Tokens `json:"output,omitempty"`
+	// Until is when the program's wall-clock time ends; zero means that it is not limited.
+	Until time.Time `json:"until,omitempty"`
 	// Answer is the recorded answer of a call that ended before.
 	Answer *Answer `json:"answer,omitempty"`
 	// Problem is set when the call is refused.
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -14,8 +14,8 @@
 	gossipInterval = 500 * time.Millisecond
 	// summaryExpiry is how long a summary counts without a newer one.
 	summaryExpiry = 5 * time.Second
-	// versionBits leaves room for the versions of one incarnation.
-	versionBits = 32
+	// versionBits leaves room for the versions of one incarnation, which is a time in milliseconds.
+	versionBits = 22
 )
 
 // Names of gossip items; the VM's id follows.
--- a/process/process.go
+++ b/process/process.go
@@ -116,7 +116,7 @@
 	p.node = &node.Node{
 		Self: chestnutcleat.VM{
 			ID:          p.Settings.VM,
-			Incarnation: chestnutcleat.Incarnation(start.Unix()),
+			Incarnation: chestnutcleat.Incarnation(start.UnixMilli()),
 			State:       chestnutcleat.VMLive,
 			Address:     p.Settings.Addresses.VMs,
 			Caller:      p.Settings.Addresses.Callers,
--- a/program/run.go
+++ b/program/run.go
@@ -146,6 +146,7 @@
 	return chestnutcleat.BeginReply{
 		Run: true, Attempt: c.attempt, Started: p.started, Upstream: p.upstream, Cached: min(p.cached, c.Prompt),
 		Output: c.output, Alone: c.crashes > 0, Avoid: append([]chestnutcleat.UpstreamID(nil), c.avoid...),
+		Until: p.started.Add(b.limits().Wall.Or(chestnutcleat.DefaultWall)),
 	}
 }
 
