Recover when every VM of the fleet restarted

Cause: a takeover needs a coordinator that has joined, and a VM whose earlier run is still in the fleet object could not join; with all VMs restarted nobody could begin (seen with three processes killed and restarted). Excluded: the ten-second rule for ended VMs, as the restarted VMs are listed again under their ids. Change: a VM takes over its own earlier run after 4 to 8 s if nobody else did; its promises follow the same rules. Conclusion: TestAllRestart fails without the change; a call of before the restart does not run again.

--- a/lease/takeover.go
+++ b/lease/takeover.go
@@ -66,9 +66,13 @@
 	}
 }
 
-// scanSelf takes over this VM's own slots under a new epoch if no other VM did, as all may have lost their leases.
+// scanSelf takes over this VM's own slots under a new epoch if no other VM did, as all may have lost their leases or restarted.
 func (k *Keeper) scanSelf(now time.Time) {
 	m := k.fleet.member(k.Self.ID)
+	if m != nil && m.Incarnation < k.Self.Incarnation && now.Sub(k.started) > selfTime+k.jitter(selfTime) {
+		k.beginTakeover(*m)
+		return
+	}
 	if m != nil && m.Incarnation == k.Self.Incarnation && !k.lostAt.IsZero() && now.Sub(k.lostAt) > selfTime+k.jitter(selfTime) {
 		k.beginTakeover(*m)
 	}
