Poll and order owned upstreams without a request

Cause: dispatch.Book.Own had no caller, so an engine got its orders and was polled only after the first request to it reached its owner. With orders that follow no request, nothing checked the lease before one was issued.

Change: node records which slots were imported and starts the book's state of their upstreams after Import and for each new manifest. The book asks Owns (the keeper's check of slot and lease) before it reads an engine's state and before each order. An upstream whose handover failed grants tickets again: Export froze it, and nothing ended that when this VM remained the owner.

Figures: TestOwnedUpstreams, 5 VMs in virtual time: 20 polls of each engine in 20 s and one order for each model, after the first manifest, after a changed one and after the loss of an owner.

Not proved: limit.Book freezes accounts in Export in the same way and has no such end.

--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -26,6 +26,9 @@
 	Upstream func(chestnutcleat.UpstreamID) (chestnutcleat.Upstream, bool)
 	// Epoch returns the epoch of this VM's lease.
 	Epoch func() chestnutcleat.Epoch
+	// Owns tells whether this VM's lease is valid and covers the upstream; orders are issued only then, as they follow
+	// no request that was checked. Nil means always.
+	Owns func(chestnutcleat.UpstreamID) bool
 	// Engine returns nil for services.
 	Engine   func(chestnutcleat.UpstreamID) chestnutcleat.Engine
 	Observer chestnutcleat.Observer
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -20,7 +20,7 @@
 
 // reconcile reads the engine's state and issues the next order.
 func (b *Book) reconcile(u *upstream, now time.Time) {
-	if u.engine == nil || u.orders.busy || u.breaker.health == chestnutcleat.HealthDown {
+	if u.engine == nil || u.orders.busy || !b.owns(u) || u.breaker.health == chestnutcleat.HealthDown {
 		return
 	}
 	if u.orders.owned.IsZero() {
@@ -32,7 +32,7 @@
 	u.orders.busy = true
 	chestnutcleat.Async(b.Loop, engineTimeout, u.engine.State, func(s chestnutcleat.EngineState, err error) {
 		u.orders.busy = false
-		if err != nil || b.upstreams[u.config.ID] != u {
+		if err != nil || !b.owns(u) {
 			return
 		}
 		b.reconcilePins(u, s.Pins, time.Now())
@@ -40,6 +40,11 @@
 	})
 }
 
+// owns tells whether orders for an upstream may be issued now.
+func (b *Book) owns(u *upstream) bool {
+	return b.upstreams[u.config.ID] == u && (b.Owns == nil || b.Owns(u.config.ID))
+}
+
 // ready waits, for engines that ignore fencing tokens, until no order of a previous owner can still arrive.
 func (b *Book) ready(u *upstream, now time.Time) bool {
 	if u.config.Fencing {
@@ -63,7 +68,7 @@
 		return
 	}
 	b.TakeLoad(func(admitted bool) {
-		if !admitted || b.upstreams[u.config.ID] != u {
+		if !admitted || !b.owns(u) {
 			u.orders.busy = false
 			return
 		}
--- /dev/null
+++ b/dispatch/owned_test.go
@@ -0,0 +1,49 @@
+package dispatch_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// Guards against an upstream that grants nothing for ever after a handover that failed, and against grants by this VM
+// while the handover is still open.
+func TestFailedHandover(t *testing.T) {
+	run(t, func(x *fixture) {
+		owns := true
+		x.book.Owns = func(chestnutcleat.UpstreamID) bool { return owns }
+		x.acquire("first", nil)
+		x.do(func() {
+			x.book.Export(chestnutcleat.UpstreamKey(up).Slot())
+			owns = false
+		})
+		x.release("first", nil)
+		x.acquire("second", nil)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		x.True(x.replies["second"].Ticket == nil)
+		x.do(func() { owns = true })
+		time.Sleep(time.Second)
+		synctest.Wait()
+		x.True(x.replies["second"].Ticket != nil)
+	})
+}
+
+// Guards against orders by a VM whose lease has expired while it was paused.
+func TestNoOrdersWithoutLease(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.config.Models = []chestnutcleat.ModelName{"a"}
+		owns := false
+		x.book.Owns = func(chestnutcleat.UpstreamID) bool { return owns }
+		x.do(func() { x.book.Own(up) })
+		time.Sleep(2 * time.Minute)
+		synctest.Wait()
+		x.engine.set(func() { x.Equal(len(x.engine.orders), 0) })
+		x.do(func() { owns = true })
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		x.engine.set(func() { x.Equal(len(x.engine.orders), 1) })
+	})
+}
--- a/dispatch/sweep.go
+++ b/dispatch/sweep.go
@@ -25,6 +25,10 @@
 			c.Leaving = true
 		}
 		u.config = c
+		if u.frozen && b.Owns != nil && b.Owns(id) {
+			// The handover failed and this VM remained the owner.
+			u.frozen = false
+		}
 		u.cache.size = c.Cache
 		u.cache.evict()
 		u.forget(now)
--- a/node/build.go
+++ b/node/build.go
@@ -41,7 +41,10 @@
 		Folder:     n.Folder,
 		Rand:       n.Rand,
 		OnWithdraw: n.revoked.withdraw,
-		OnChange:   func(*manifest.View) { n.limits.Refresh() },
+		OnChange: func(v *manifest.View) {
+			n.limits.Refresh()
+			n.upstreams.refresh(v)
+		},
 	}
 	vm.Handle(n.Mux, chestnutcleat.MethodFetch, func(_ context.Context, r manifest.FetchRequest) (a manifest.FetchReply, err error) {
 		err = n.do(func() { a = n.manifests.Fetch(r) })
@@ -62,10 +65,11 @@
 		Suspect:  n.suspect,
 		Timeout:  n.timeout,
 	}
-	n.upstreams = &dispatch.Book{
+	n.upstreams = &upstreams{Book: &dispatch.Book{
 		Loop:          n.Loop,
 		Upstream:      n.Upstream,
 		Epoch:         func() chestnutcleat.Epoch { return n.keeper.Epoch() },
+		Owns:          func(id chestnutcleat.UpstreamID) bool { return n.keeper.Check(chestnutcleat.UpstreamKey(id)) == nil },
 		Engine:        n.engine,
 		Observer:      n.Observer,
 		Policy:        n.Policy,
@@ -73,7 +77,7 @@
 		TakeLoad:      n.takeLoad,
 		LeaseDuration: leaseDuration,
 		OrderDelay:    maxOrderDelay,
-	}
+	}}
 }
 
 // maxOrderDelay is the longest time that an order may spend on its way to an engine.
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -27,7 +28,9 @@
 	nodes   []*node.Node
 	cancels []context.CancelFunc
 	random  *rand.Rand
-	mu      sync.Mutex
+	// transport carries control requests to engines; nil for none.
+	transport http.RoundTripper
+	mu        sync.Mutex
 }
 
 // observe collects the events of one node.
@@ -42,8 +45,11 @@
 }
 
 // newFleet starts n nodes and applies a manifest.
-func newFleet(t *testing.T, n int, seed uint64) *fleet {
-	f := &fleet{t: t, network: vm.NewNetwork(seed), store: standin.NewStore(seed), random: rand.New(rand.NewPCG(seed, 7))}
+func newFleet(t *testing.T, n int, seed uint64) *fleet { return newFleetWith(t, n, seed, nil) }
+
+// newFleetWith is newFleet with a transport for the control requests to engines.
+func newFleetWith(t *testing.T, n int, seed uint64, transport http.RoundTripper) *fleet {
+	f := &fleet{t: t, transport: transport, network: vm.NewNetwork(seed), store: standin.NewStore(seed), random: rand.New(rand.NewPCG(seed, 7))}
 	f.network.Delay = 500 * time.Microsecond
 	for i := range n {
 		f.start(i, 1)
@@ -66,11 +72,12 @@
 			Address: address(i), Caller: chestnutcleat.Address(fmt.Sprintf("10.0.0.%d:8000", i+1)),
 			Domain: domains[i%len(domains)], Region: "nordeste",
 		},
-		Peers:    f.network.From(address(i)),
-		Platform: &standin.Client{Store: f.store, Name: string(id)},
-		Observer: observe{id},
-		Seeds:    []chestnutcleat.Address{address(0), address(1)},
-		Rand:     rand.New(rand.NewPCG(uint64(i), f.draw())),
+		Peers:     f.network.From(address(i)),
+		Platform:  &standin.Client{Store: f.store, Name: string(id)},
+		Observer:  observe{id},
+		Transport: f.transport,
+		Seeds:     []chestnutcleat.Address{address(0), address(1)},
+		Rand:      rand.New(rand.NewPCG(uint64(i), f.draw())),
 	}
 	n.Init()
 	ctx, cancel := context.WithCancel(f.t.Context())
--- a/node/node.go
+++ b/node/node.go
@@ -46,7 +46,7 @@
 	programs  *program.Book
 	suspects  *program.Suspects
 	limits    *limit.Book
-	upstreams *dispatch.Book
+	upstreams *upstreams
 	manifests *manifest.Store
 
 	asker     asker
--- /dev/null
+++ b/node/upstreams_test.go
@@ -0,0 +1,109 @@
+package node_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// engines answers the control requests to all engines, which start with no model loaded.
+type engines struct {
+	mu     sync.Mutex
+	models map[string][]chestnutcleat.ModelName
+	orders map[string][]chestnutcleat.Order
+	polls  map[string]int
+}
+
+// RoundTrip implements http.RoundTripper.
+func (e *engines) RoundTrip(q *http.Request) (*http.Response, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out any = struct{}{}
+	switch {
+	case strings.HasPrefix(q.URL.Path, "/load"):
+		e.polls[q.URL.Host]++
+		out = chestnutcleat.LoadReport{}
+	case strings.HasPrefix(q.URL.Path, "/events"):
+		out = []chestnutcleat.CacheEvent{}
+	case strings.HasPrefix(q.URL.Path, "/state"):
+		out = chestnutcleat.EngineState{Models: e.models[q.URL.Host]}
+	case strings.HasPrefix(q.URL.Path, "/orders"):
+		var o chestnutcleat.Order
+		if err := json.NewDecoder(q.Body).Decode(&o); err != nil {
+			return nil, err
+		}
+		e.orders[q.URL.Host] = append(e.orders[q.URL.Host], o)
+		if o.Load != "" {
+			e.models[q.URL.Host] = append(e.models[q.URL.Host], o.Load)
+		}
+	}
+	data, err := json.Marshal(out)
+	if err != nil {
+		return nil, err
+	}
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(data))}, nil
+}
+
+// polled returns how often an engine was polled since the last call, and its orders so far.
+func (e *engines) polled(host string) (int, []chestnutcleat.Order) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := e.polls[host]
+	e.polls[host] = 0
+	return n, e.orders[host]
+}
+
+// Guards against engines that get their orders and are polled only after a first request: after a new manifest, and
+// by the successor of a lost owner. An engine is ordered once and polled by one VM.
+func TestOwnedUpstreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &engines{models: map[string][]chestnutcleat.ModelName{}, orders: map[string][]chestnutcleat.Order{}, polls: map[string]int{}}
+		f := newFleetWith(t, 5, 1, e)
+		defer f.stop()
+		check := func(step string, hosts []string, orders int) {
+			t.Helper()
+			for _, h := range hosts {
+				e.polled(h)
+			}
+			time.Sleep(20 * time.Second)
+			for _, h := range hosts {
+				n, list := e.polled(h)
+				t.Logf("%s: engine %s: %d polls, %d orders", step, h, n, len(list))
+				// The owner polls once per second.
+				is.True(n >= 15 && n <= 25)
+				is.Equal(len(list), orders)
+			}
+		}
+		time.Sleep(20 * time.Second)
+		check("manifest", []string{"10.1.0.1:80", "10.1.0.2:80"}, 1)
+
+		m := testManifest()
+		m.Revision = 1
+		m.Upstreams[0].Models = append(m.Upstreams[0].Models, "large")
+		m.Upstreams[1].Models = append(m.Upstreams[1].Models, "large")
+		f.apply(0, m)
+		time.Sleep(20 * time.Second)
+		check("changed manifest", []string{"10.1.0.1:80", "10.1.0.2:80"}, 2)
+
+		owner := -1
+		for i, n := range f.nodes {
+			if n.Self.ID == f.nodes[0].Place(chestnutcleat.UpstreamKey("e1")).VM {
+				owner = i
+			}
+		}
+		f.kill(owner)
+		time.Sleep(20 * time.Second)
+		check("owner lost", []string{"10.1.0.1:80", "10.1.0.2:80"}, 2)
+	})
+}
