--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -42,6 +42,10 @@
 		s.putFaults(w, body)
 		return
 	}
+	if r.URL.Path == "/executions" && r.Method == http.MethodGet {
+		s.getExecutions(w)
+		return
+	}
 	f := s.next()
 	if f.CutBefore {
 		panic(http.ErrAbortHandler)
@@ -118,6 +122,14 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// getExecutions answers with Executions, for tests that run the stand-in as a process.
+func (s *Service) getExecutions(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(s.Executions()); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // SetFaults replaces the faults.
 func (s *Service) SetFaults(f Faults) {
 	s.mu.Lock()
