--- a/event/process.go
+++ b/event/process.go
@@ -5,6 +5,6 @@
 	Started  = add(701, Info, "process started", "")
 	Stopping = add(702, Info, "graceful shutdown started", "")
 	Stopped  = add(703, Info, "process stopped", "")
-	NotMoved = add(705, Warning, "slots were not handed over; other VMs take them over when the lease ends", "None if the platform was down.")
+	NotMoved = add(705, Warning, "slots were not handed over; other VMs take them over when the lease ends", "Nothing if the platform was down; otherwise check the platform and the other VMs.")
 	Cut      = add(704, Error, "shutdown interrupted requests", "Raise grace in the settings if requests take longer than it.")
 )
--- a/lease/takeover.go
+++ b/lease/takeover.go
@@ -216,7 +216,7 @@
 		t.merged = true
 		t.transfer = chestnutcleat.Transfer{Lost: true, Incomplete: !full}
 		if !full {
-			k.emit(leaseIncomplete, "vm", t.target.VM)
+			k.emit(leaseIncomplete, "member", t.target.VM)
 		}
 	}
 	k.commitTakeover(t)
@@ -324,7 +324,7 @@
 // takenOver serves the slots once no other VM can act for the target.
 func (k *Keeper) takenOver(t *takeover, joined bool, e chestnutcleat.Epoch, slots []chestnutcleat.Slot) {
 	k.endTakeover(t)
-	k.emit(leaseTakeover, "vm", t.target.VM, "slots", len(slots))
+	k.emit(leaseTakeover, "member", t.target.VM, "slots", len(slots))
 	if joined {
 		k.joined(e)
 	}
@@ -341,7 +341,7 @@
 		k.pushAll(k.own)
 	}
 	if h != nil {
-		k.emit(leaseTemporaryEnd, "vm", t.target.VM)
+		k.emit(leaseTemporaryEnd, "member", t.target.VM)
 	}
 	fresh := slices.DeleteFunc(slices.Clone(slots), func(s chestnutcleat.Slot) bool { return h != nil && k.slots[s] == slotMoving })
 	for _, s := range fresh {
--- a/lease/temporary.go
+++ b/lease/temporary.go
@@ -32,7 +32,7 @@
 		k.Loop.After(retryInterval, func() { k.awaitTemporary(t, h, slots) })
 		return
 	}
-	k.emit(leaseTemporary, "vm", t.target.VM, "slots", len(slots))
+	k.emit(leaseTemporary, "member", t.target.VM, "slots", len(slots))
 	k.importSlots(slots, recordsOf(h.store.entries), t.transfer)
 }
 
@@ -44,7 +44,7 @@
 	}
 	delete(k.temporary, id)
 	k.failAppends(h)
-	k.emit(leaseTemporaryEnd, "vm", id)
+	k.emit(leaseTemporaryEnd, "member", id)
 	for s, o := range k.fleet.Owners {
 		if k.slots[s] != slotNone && o.VM == id {
 			k.drop(chestnutcleat.Slot(s))
--- a/logs/observer.go
+++ b/logs/observer.go
@@ -14,6 +14,9 @@
 // redacted replaces the values of attributes that may hold a caller's key.
 const redacted = "[redacted]"
 
+// own lists the fields of every line; an attribute of the same name gets a prefix, as logrus does for its own fields.
+var own = map[string]bool{"event": true, "vm": true, "action": true}
+
 // Observer writes events as log lines.
 type Observer struct {
 	logger *logrus.Entry
@@ -44,6 +47,9 @@
 	fields := logrus.Fields{"event": int(id)}
 	for i := 0; i < len(attributes); i += 2 {
 		name := fmt.Sprint(attributes[i])
+		if own[name] {
+			name = "fields." + name
+		}
 		if i+1 == len(attributes) {
 			fields["unnamed"] = redacted
 			break
--- a/logs/observer_test.go
+++ b/logs/observer_test.go
@@ -38,3 +38,15 @@
 	_, err = New(&b, "warning", "xml", "e1")
 	is.True(err != nil)
 }
+
+// An attribute that replaced the field of the VM would make a line look as if another VM had written it.
+func TestAttributesKeepTheWriter(t *testing.T) {
+	is := is.New(t)
+	var b strings.Builder
+	o, err := New(&b, "info", "json", "e1")
+	is.NoErr(err)
+	o.Emit(event.MemberJoined, "vm", "e2", "event", 7)
+	is.True(strings.Contains(b.String(), `"vm":"e1"`))
+	is.True(strings.Contains(b.String(), `"event":201`))
+	is.True(strings.Contains(b.String(), `"fields.vm":"e2"`))
+}
--- a/member/list.go
+++ b/member/list.go
@@ -219,13 +219,13 @@
 	switch {
 	case !p.present():
 		if before.VM.ID != "" {
-			l.emit(event.MemberGone, "vm", p.VM.ID, "incarnation", p.VM.Incarnation)
+			l.emit(event.MemberGone, "member", p.VM.ID, "incarnation", p.VM.Incarnation)
 		}
 	case p.Suspect:
-		l.emit(event.MemberSuspected, "vm", p.VM.ID)
+		l.emit(event.MemberSuspected, "member", p.VM.ID)
 		l.suspect(p)
 	case fresh:
-		l.emit(event.MemberJoined, "vm", p.VM.ID, "incarnation", p.VM.Incarnation)
+		l.emit(event.MemberJoined, "member", p.VM.ID, "incarnation", p.VM.Incarnation)
 	}
 	if before.VM != p.VM {
 		l.changed = true
--- a/process/process.go
+++ b/process/process.go
@@ -71,13 +71,13 @@
 		return p.shutdown(ctx)
 	})
 	a := p.Settings.Addresses
-	p.Observer.Emit(event.Started, "vm", p.Settings.VM, "domain", p.Settings.Domain, "callers", a.Callers, "operators", a.Operators, "vms", a.VMs)
+	p.Observer.Emit(event.Started, "domain", p.Settings.Domain, "callers", a.Callers, "operators", a.Operators, "vms", a.VMs)
 	if p.Ready != nil {
 		p.Ready()
 	}
 	err := g.Wait()
 	p.client.Close()
-	p.Observer.Emit(event.Stopped, "vm", p.Settings.VM)
+	p.Observer.Emit(event.Stopped)
 	return err
 }
 
--- a/process/shutdown.go
+++ b/process/shutdown.go
@@ -17,7 +17,7 @@
 	case <-p.Stop:
 	case <-p.node.Drained():
 	}
-	p.Observer.Emit(event.Stopping, "vm", p.Settings.VM)
+	p.Observer.Emit(event.Stopping)
 	grace, cancel := context.WithTimeout(ctx, p.Settings.Grace.Or(0))
 	defer cancel()
 	go p.announce(grace, true)
@@ -29,11 +29,11 @@
 	}
 	p.close()
 	if drained != nil {
-		p.Observer.Emit(event.Cut, "vm", p.Settings.VM, "error", drained)
+		p.Observer.Emit(event.Cut, "error", drained)
 		return fmt.Errorf("graceful shutdown: %w", drained)
 	}
 	if moved != nil {
-		p.Observer.Emit(event.NotMoved, "vm", p.Settings.VM, "error", moved)
+		p.Observer.Emit(event.NotMoved, "error", moved)
 	}
 	return nil
 }
