--- a/event/manifest.go
+++ b/event/manifest.go
@@ -15,4 +15,5 @@
 	WritesDelayed      = add(321, Warning, "audit records and key changes wait for the platform", "Check the platform.")
 	WritesResumed      = add(322, Info, "delayed audit records and key changes are written", "")
 	AuditDropped       = add(323, Error, "audit record dropped, as too many wait for the platform", "Check the platform.")
+	PlatformWatch      = add(331, Warning, "watch on the platform failed", "Check the platform if it repeats; owners go on without it.")
 )
