Resume slots whose handover failed

Cause: Export freezes upstreams and customers until Drop. When a handover failed, for example because the successor was paused, the slots became ready again but the books stayed frozen: no ticket and no token was given until the slot moved. Change: Owned has Resume, which the keeper calls for each slot that stays. Excluded: importing the exported records again, which would drop queued requests.

--- a/dispatch/owned.go
+++ b/dispatch/owned.go
@@ -64,6 +64,16 @@
 	return out
 }
 
+// Resume implements chestnutcleat.Owned. The requests that waited since Export get their tickets.
+func (b *Book) Resume(s chestnutcleat.Slot) {
+	for id, u := range b.upstreams {
+		if chestnutcleat.UpstreamKey(id).Slot() == s {
+			u.frozen = false
+			b.serve(u)
+		}
+	}
+}
+
 // Drop implements chestnutcleat.Owned. Queued requests go to the next owner.
 func (b *Book) Drop(s chestnutcleat.Slot) {
 	now := time.Now()
--- a/e2e/caller_test.go
+++ b/e2e/caller_test.go
@@ -29,6 +29,8 @@
 	calls atomic.Int64
 	// closed counts closed listeners, cut broken requests, refused problems.
 	closed, cut, refused atomic.Int64
+	// log receives each cut and refusal; nil for none.
+	log func(format string, args ...any)
 }
 
 // newCaller returns a caller. Without kept connections the transport never repeats a request by itself, so that every cut is counted.
@@ -162,11 +164,13 @@
 			c.closed.Add(1)
 		case errors.As(err, &p):
 			c.refused.Add(1)
+			c.report(q, err)
 			if p.Outcome != chestnutcleat.NotRun || p.Retry == 0 {
 				return a, p
 			}
 		default:
 			c.cut.Add(1)
+			c.report(q, err)
 		}
 		wait := 50 * time.Millisecond
 		if p != nil {
@@ -180,6 +184,12 @@
 	}
 }
 
+func (c *caller) report(q call, err error) {
+	if c.log != nil {
+		c.log("call %s of %s: %v", q.id, q.program, err)
+	}
+}
+
 // listed returns how many VMs a VM tells callers about.
 func (c *caller) listed(vm chestnutcleat.Address) int {
 	r, err := http.NewRequest(http.MethodGet, "http://"+string(vm)+"/v1/vms", nil)
--- a/lease/cluster_test.go
+++ b/lease/cluster_test.go
@@ -73,7 +73,7 @@
 		ID: id, Incarnation: inc, State: chestnutcleat.VMLive, Domain: chestnutcleat.FailureDomain(fmt.Sprint("d", i%3)),
 		Address: chestnutcleat.Address(fmt.Sprintf("%s/%d", id, inc)), Caller: chestnutcleat.Address(id),
 	}
-	n.book = &book{cluster: c, node: n, values: map[chestnutcleat.Slot]uint64{}}
+	n.book = &book{cluster: c, node: n, values: map[chestnutcleat.Slot]uint64{}, exported: map[chestnutcleat.Slot]bool{}}
 	n.keeper = &Keeper{
 		Self: n.vm, Loop: n.loop, Peers: c.network.From(n.vm.Address), Platform: &link{fakePlatform: c.platform, node: n},
 		Members: func() []chestnutcleat.VM { return c.members(n) },
@@ -292,6 +292,8 @@
 	cluster *cluster
 	node    *node
 	values  map[chestnutcleat.Slot]uint64
+	// exported holds the slots that neither Drop nor Resume followed; the real books answer nothing for them.
+	exported map[chestnutcleat.Slot]bool
 }
 
 func recordName(s chestnutcleat.Slot) string { return fmt.Sprintf("program/%d", s) }
@@ -308,6 +310,9 @@
 		if !k.serves(s) {
 			continue
 		}
+		if b.exported[s] {
+			b.cluster.t.Errorf("seed %d, faults %v: %s serves slot %d and was not told to resume it", b.cluster.seed, b.cluster.faults, b.node.vm.ID, s)
+		}
 		b.values[s]++
 		v := b.values[s]
 		k.Append([]chestnutcleat.Record{b.record(s)}, func(err error) {
@@ -323,6 +328,7 @@
 
 func (b *book) Import(s chestnutcleat.Slot, records []chestnutcleat.Record, t chestnutcleat.Transfer) {
 	b.values[s] = 0
+	delete(b.exported, s)
 	for _, r := range records {
 		b.values[s] = max(b.values[s], binary.BigEndian.Uint64(r.Data))
 	}
@@ -334,10 +340,16 @@
 }
 
 func (b *book) Export(s chestnutcleat.Slot) []chestnutcleat.Record {
+	b.exported[s] = true
 	if b.values[s] == 0 {
 		return nil
 	}
 	return []chestnutcleat.Record{b.record(s)}
 }
 
-func (b *book) Drop(s chestnutcleat.Slot) { delete(b.values, s) }
+func (b *book) Resume(s chestnutcleat.Slot) { delete(b.exported, s) }
+
+func (b *book) Drop(s chestnutcleat.Slot) {
+	delete(b.values, s)
+	delete(b.exported, s)
+}
--- a/lease/transfer.go
+++ b/lease/transfer.go
@@ -146,6 +146,9 @@
 				k.drop(s)
 			} else if k.slots[s] == slotMoving {
 				k.slots[s] = slotReady
+				for _, o := range k.States {
+					o.Resume(s)
+				}
 			}
 		}
 	}
--- a/limit/book_test.go
+++ b/limit/book_test.go
@@ -199,6 +199,29 @@
 	return <-out
 }
 
+// Guards against a customer that gets no tokens after a handover that failed.
+func TestResumeAfterExport(t *testing.T) {
+	fixture(t, func(is *is.I, l *control.Loop, b *limit.Book, _ map[chestnutcleat.CustomerID]chestnutcleat.Customer) {
+		is.True(take(l, b, name, "before").Admitted)
+		admitted := 0
+		slot := chestnutcleat.CustomerKey(name).Slot()
+		l.Do(context.Background(), func() {
+			b.Export(slot)
+			b.Take(chestnutcleat.TakeRequest{ID: "waiting", Customer: name, Count: 1}, func(r chestnutcleat.TakeReply) {
+				if r.Admitted {
+					admitted++
+				}
+			})
+		})
+		time.Sleep(time.Second)
+		is.Equal(admitted, 0)
+		l.Do(context.Background(), func() { b.Resume(slot) })
+		time.Sleep(time.Second)
+		is.Equal(admitted, 1)
+		is.True(take(l, b, name, "after").Admitted)
+	})
+}
+
 // Guards against a second token for a repeated request and against a Retry that is too early or too late.
 func TestRepeatAndExactRetry(t *testing.T) {
 	fixture(t, func(is *is.I, l *control.Loop, b *limit.Book, _ map[chestnutcleat.CustomerID]chestnutcleat.Customer) {
--- a/limit/reserve.go
+++ b/limit/reserve.go
@@ -158,6 +158,18 @@
 	return out
 }
 
+// Resume implements chestnutcleat.Owned. The requests that waited since Export are admitted.
+func (b *Book) Resume(s chestnutcleat.Slot) {
+	for _, a := range b.accounts {
+		if a.slot != s || !a.frozen {
+			continue
+		}
+		a.frozen = false
+		b.renew(a)
+		b.pump(a)
+	}
+}
+
 // Drop implements chestnutcleat.Owned.
 func (b *Book) Drop(s chestnutcleat.Slot) {
 	delete(b.unsure, s)
--- a/node/pair.go
+++ b/node/pair.go
@@ -18,6 +18,12 @@
 	return append(p.first.Export(s), p.second.Export(s)...)
 }
 
+// Resume implements chestnutcleat.Owned.
+func (p pair) Resume(s chestnutcleat.Slot) {
+	p.first.Resume(s)
+	p.second.Resume(s)
+}
+
 // Drop implements chestnutcleat.Owned.
 func (p pair) Drop(s chestnutcleat.Slot) {
 	p.first.Drop(s)
--- a/program/suspects.go
+++ b/program/suspects.go
@@ -161,6 +161,9 @@
 	return records
 }
 
+// Resume implements chestnutcleat.Owned; Export changes nothing.
+func (t *Suspects) Resume(chestnutcleat.Slot) {}
+
 // Drop implements chestnutcleat.Owned.
 func (t *Suspects) Drop(slot chestnutcleat.Slot) {
 	for key := range t.marks {
--- a/program/transfer.go
+++ b/program/transfer.go
@@ -149,6 +149,20 @@
 	return records
 }
 
+// Resume implements chestnutcleat.Owned.
+func (b *Book) Resume(s chestnutcleat.Slot) {
+	for key, p := range b.programs {
+		if key.Slot() != s {
+			continue
+		}
+		for _, c := range p.calls {
+			if c.state == pending {
+				c.silent = false
+			}
+		}
+	}
+}
+
 // Drop implements chestnutcleat.Owned; callers that wait must ask the new owner.
 func (b *Book) Drop(s chestnutcleat.Slot) {
 	delete(b.missing, s)
--- a/record.go
+++ b/record.go
@@ -31,6 +31,8 @@
 	Import(s Slot, records []Record, t Transfer)
 	// Export returns the records of a slot for its next owner.
 	Export(s Slot) []Record
+	// Resume goes on with a slot that was exported and that no other VM took over.
+	Resume(s Slot)
 	// Drop forgets a slot that another VM owns now.
 	Drop(s Slot)
 }
