Check slots on decoding; fuzz the decoder of messages between VMs

Cause: a slot from a faulty message could index past the slot table. Excluded: checks at each use. Change: Slot decodes itself from CBOR and JSON; FuzzDecode over four message types. Conclusion: shown by TestSlotChecksItself.

--- a/key.go
+++ b/key.go
@@ -16,12 +16,6 @@
 	KindUpstream Kind = "upstream"
 )
 
-// SlotCount is the number of slots of a fleet.
-const SlotCount = 4096
-
-// Slot is a unit of ownership.
-type Slot uint16
-
 // Key names a piece of control state that has one owner.
 type Key struct {
 	Kind Kind   `json:"kind"`
--- a/key_test.go
+++ b/key_test.go
@@ -1,9 +1,11 @@
 package chestnutcleat
 
 import (
+	"encoding/json"
 	"strconv"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 )
 
@@ -24,3 +26,15 @@
 		is.True(n < 100*SlotCount/64)
 	}
 }
+
+// A slot beyond the last one, from a faulty message, would index past the slot table.
+func TestSlotChecksItself(t *testing.T) {
+	is := is.New(t)
+	var s Slot
+	is.NoErr(json.Unmarshal([]byte("4095"), &s))
+	is.True(json.Unmarshal([]byte("4096"), &s) != nil)
+	data, err := cbor.Marshal(4096)
+	is.NoErr(err)
+	is.True(cbor.Unmarshal(data, &s) != nil)
+	is.Equal(s, Slot(4095))
+}
--- /dev/null
+++ b/vm/fuzz_test.go
@@ -0,0 +1,42 @@
+package vm_test
+
+import (
+	"testing"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/vm"
+)
+
+// A message that another VM mangled must give an error and never a panic; what decodes must encode again.
+func FuzzDecode(f *testing.F) {
+	call := chestnutcleat.Call{Customer: "c", Program: "p", ID: "1", History: []chestnutcleat.Digest{{1}}, Deadline: time.Unix(1, 5)}
+	for _, v := range []any{
+		chestnutcleat.BeginRequest{ID: "r", Call: call},
+		chestnutcleat.SettleRequest{Answer: chestnutcleat.Answer{Body: []byte("x"), Problem: chestnutcleat.NewProblem(chestnutcleat.CodeBusy, chestnutcleat.NotRun, "busy")}},
+		chestnutcleat.AcquireReply{Ticket: &chestnutcleat.Ticket{ID: "t", Expiry: time.Unix(2, 0)}},
+		[]chestnutcleat.Record{{Slot: 1, Name: "program/book/x", Data: []byte{1}}},
+	} {
+		data, err := vm.Encode(v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		check[chestnutcleat.BeginRequest](t, data)
+		check[chestnutcleat.SettleRequest](t, data)
+		check[chestnutcleat.AcquireReply](t, data)
+		check[[]chestnutcleat.Record](t, data)
+	})
+}
+
+func check[T any](t *testing.T, data []byte) {
+	v, err := vm.Decode[T](data)
+	if err != nil {
+		return
+	}
+	if _, err := vm.Encode(v); err != nil {
+		t.Errorf("%T decodes but does not encode: %v", v, err)
+	}
+}
