Say what is missing when a command is used wrongly

Cause: serve without -settings printed "open : no such file or directory"; load without flags did the same; commands that take no argument ignored one; a wrong use of key or check printed the usage text without the reason; a change without an operator's name failed only at the VM; drain of an unknown VM answered bad-request although vm-unknown exists; a refused apply did not say who made the current revision. Change: misuse prints the reason before the usage text and exits with 2; conflict and drain problems as named above.

--- a/cmd/chestnutcleat/apply.go
+++ b/cmd/chestnutcleat/apply.go
@@ -29,7 +29,7 @@
 
 // Usage implements subcommands.Command.
 func (*applyCommand) Usage() string {
-	return "apply [-base REVISION] [-change ID] FILE\n\tThe base is the revision that the file was made from; by default the file's field \"revision\".\n"
+	return "apply [-operators IP:PORT] [-who NAME] [-base REVISION] [-change ID] FILE\n\tThe base is the revision that the file was made from; by default the file's field \"revision\".\n"
 }
 
 // SetFlags implements subcommands.Command.
@@ -42,8 +42,13 @@
 // Execute implements subcommands.Command.
 func (c *applyCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if f.NArg() != 1 {
-		fmt.Fprint(os.Stderr, c.Usage())
-		return subcommands.ExitUsageError
+		return misuse(c, "expected one manifest file, found %d", f.NArg())
+	}
+	if _, err := strconv.ParseUint(c.base, 10, 64); err != nil && c.base != "" {
+		return misuse(c, "-base %q: expected a revision, a number from 0", c.base)
+	}
+	if s, ok := c.named(c); !ok {
+		return s
 	}
 	return c.run(ctx, func(ctx context.Context, o *operator.Client) error {
 		change, err := c.read(f.Arg(0))
@@ -72,7 +77,7 @@
 	if c.base != "" {
 		n, err := strconv.ParseUint(c.base, 10, 64)
 		if err != nil {
-			return manifest.Change{}, fmt.Errorf("-base: expected a revision, found %q", c.base)
+			return manifest.Change{}, fmt.Errorf("-base: %w", err)
 		}
 		base = chestnutcleat.Revision(n)
 	}
--- a/cmd/chestnutcleat/audit.go
+++ b/cmd/chestnutcleat/audit.go
@@ -24,7 +24,7 @@
 func (*auditCommand) Synopsis() string { return "print who changed what" }
 
 // Usage implements subcommands.Command.
-func (*auditCommand) Usage() string { return "audit [-time PREFIX]\n" }
+func (*auditCommand) Usage() string { return "audit [-operators IP:PORT] [-time PREFIX]\n" }
 
 // SetFlags implements subcommands.Command.
 func (c *auditCommand) SetFlags(f *flag.FlagSet) {
@@ -33,7 +33,10 @@
 }
 
 // Execute implements subcommands.Command.
-func (c *auditCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *auditCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if s, ok := surplus(c, f); !ok {
+		return s
+	}
 	return c.run(ctx, func(ctx context.Context, o *operator.Client) error {
 		list, err := o.Audit(ctx, c.time)
 		if err != nil {
--- a/cmd/chestnutcleat/check.go
+++ b/cmd/chestnutcleat/check.go
@@ -36,9 +36,11 @@
 
 // Execute implements subcommands.Command.
 func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() == 0 || (c.kind != "" && c.kind != "settings" && c.kind != "manifest") {
-		fmt.Fprint(os.Stderr, c.Usage())
-		return subcommands.ExitUsageError
+	if c.kind != "" && c.kind != "settings" && c.kind != "manifest" {
+		return misuse(c, "-kind %q: expected settings or manifest", c.kind)
+	}
+	if f.NArg() == 0 {
+		return misuse(c, "no file is given")
 	}
 	status := subcommands.ExitSuccess
 	for _, name := range f.Args() {
--- a/cmd/chestnutcleat/demo.go
+++ b/cmd/chestnutcleat/demo.go
@@ -32,12 +32,18 @@
 	level    string
 }
 
+// Name implements subcommands.Command.
 func (*demoCommand) Name() string { return "demo" }
+
+// Synopsis implements subcommands.Command.
 func (*demoCommand) Synopsis() string {
 	return "run programs on a small fleet with stand-ins, in one process"
 }
+
+// Usage implements subcommands.Command.
 func (*demoCommand) Usage() string { return "demo [-vms N] [-engines N] [-programs N] [-seed N]\n" }
 
+// SetFlags implements subcommands.Command.
 func (c *demoCommand) SetFlags(f *flag.FlagSet) {
 	f.IntVar(&c.vms, "vms", 3, "number of VMs")
 	f.IntVar(&c.engines, "engines", 3, "number of engines")
@@ -46,7 +52,19 @@
 	f.StringVar(&c.level, "log", "warning", "log level: debug, info, warning or error")
 }
 
-func (c *demoCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+// Execute implements subcommands.Command.
+func (c *demoCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if s, ok := surplus(c, f); !ok {
+		return s
+	}
+	for _, n := range []struct {
+		flag  string
+		value int
+	}{{"vms", c.vms}, {"engines", c.engines}, {"programs", c.programs}} {
+		if n.value < 1 {
+			return misuse(c, "-%s %d: expected at least 1", n.flag, n.value)
+		}
+	}
 	if err := c.run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
--- a/cmd/chestnutcleat/drain.go
+++ b/cmd/chestnutcleat/drain.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
 
 	"github.com/google/subcommands"
 
@@ -24,13 +23,17 @@
 func (*drainCommand) Synopsis() string { return "shut a VM down gracefully" }
 
 // Usage implements subcommands.Command.
-func (*drainCommand) Usage() string { return "drain VM\n" }
+func (*drainCommand) Usage() string {
+	return "drain [-operators IP:PORT] [-who NAME] VM\n\tThe address may be that of any VM; it passes the order on.\n"
+}
 
 // Execute implements subcommands.Command.
 func (c *drainCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if f.NArg() != 1 {
-		fmt.Fprint(os.Stderr, c.Usage())
-		return subcommands.ExitUsageError
+		return misuse(c, "expected one VM, found %d", f.NArg())
+	}
+	if s, ok := c.named(c); !ok {
+		return s
 	}
 	return c.run(ctx, func(ctx context.Context, o *operator.Client) error {
 		if err := o.Drain(ctx, chestnutcleat.VMID(f.Arg(0))); err != nil {
--- a/cmd/chestnutcleat/key.go
+++ b/cmd/chestnutcleat/key.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"flag"
 	"fmt"
-	"os"
 
 	"github.com/google/subcommands"
 
@@ -29,9 +28,9 @@
 func (*keyCommand) Usage() string {
 	return `key new
 	Prints a random key, which is not stored anywhere, and its digest.
-key -customer ID give DIGEST
+key [-operators IP:PORT] [-who NAME] -customer ID give DIGEST
 	Lets a customer use the key with this digest.
-key withdraw DIGEST
+key [-operators IP:PORT] [-who NAME] withdraw DIGEST
 	Stops the key on every VM, also while the platform is down. This is final.
 `
 }
@@ -44,21 +43,27 @@
 
 // Execute implements subcommands.Command.
 func (c *keyCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	switch {
-	case f.NArg() == 1 && f.Arg(0) == "new":
+	switch verb := f.Arg(0); {
+	case verb == "new" && f.NArg() == 1:
 		printKey()
 		return subcommands.ExitSuccess
-	case f.NArg() == 2 && f.Arg(0) == "give" && c.customer != "":
+	case verb == "new":
+		return misuse(c, "new takes no argument, found %q", f.Arg(1))
+	case verb != "give" && verb != "withdraw":
+		return misuse(c, "expected new, give or withdraw, found %q", verb)
+	case verb == "give" && c.customer == "":
+		return misuse(c, "give needs flag -customer; flags stand before \"give\"")
+	case f.NArg() != 2:
+		return misuse(c, "%s takes one digest, found %d arguments", verb, f.NArg()-1)
+	case verb == "give":
 		return c.withDigest(ctx, f.Arg(1), func(ctx context.Context, o *operator.Client, d chestnutcleat.Digest) (operator.KeyReply, error) {
 			return o.Give(ctx, operator.GiveRequest{Customer: chestnutcleat.CustomerID(c.customer), Digest: d})
 		})
-	case f.NArg() == 2 && f.Arg(0) == "withdraw":
+	default:
 		return c.withDigest(ctx, f.Arg(1), func(ctx context.Context, o *operator.Client, d chestnutcleat.Digest) (operator.KeyReply, error) {
 			return o.Withdraw(ctx, d)
 		})
 	}
-	fmt.Fprint(os.Stderr, c.Usage())
-	return subcommands.ExitUsageError
 }
 
 // printKey prints a key of at least 128 random bits.
@@ -68,11 +73,14 @@
 }
 
 func (c *keyCommand) withDigest(ctx context.Context, text string, f func(context.Context, *operator.Client, chestnutcleat.Digest) (operator.KeyReply, error)) subcommands.ExitStatus {
+	var d chestnutcleat.Digest
+	if err := d.UnmarshalText([]byte(text)); err != nil {
+		return misuse(c, "digest %q: %v", text, err)
+	}
+	if s, ok := c.named(c); !ok {
+		return s
+	}
 	return c.run(ctx, func(ctx context.Context, o *operator.Client) error {
-		var d chestnutcleat.Digest
-		if err := d.UnmarshalText([]byte(text)); err != nil {
-			return err
-		}
 		r, err := f(ctx, o, d)
 		if err != nil {
 			return err
--- a/cmd/chestnutcleat/load.go
+++ b/cmd/chestnutcleat/load.go
@@ -25,14 +25,20 @@
 	seed     uint64
 }
 
+// Name implements subcommands.Command.
 func (*loadCommand) Name() string { return "load" }
+
+// Synopsis implements subcommands.Command.
 func (*loadCommand) Synopsis() string {
 	return "send programs to a running fleet and print their latency"
 }
+
+// Usage implements subcommands.Command.
 func (*loadCommand) Usage() string {
 	return "load -vms IP:PORT[,IP:PORT] -customer ID -key FILE -model NAME [-rate N] [-duration D]\n"
 }
 
+// SetFlags implements subcommands.Command.
 func (c *loadCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.seeds, "vms", "", "caller addresses of VMs, separated by commas")
 	f.StringVar(&c.customer, "customer", "load", "name of the customer in the table")
@@ -43,7 +49,23 @@
 	f.Uint64Var(&c.seed, "seed", 1, "seed of the programs")
 }
 
-func (c *loadCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+// Execute implements subcommands.Command.
+func (c *loadCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if s, ok := surplus(c, f); !ok {
+		return s
+	}
+	for _, r := range []struct{ flag, value, what string }{
+		{"vms", c.seeds, "callers' addresses of VMs, such as 127.0.0.11:8000"},
+		{"key", c.keyFile, "a file that holds the customer's key"},
+		{"model", c.model, "a model of the manifest"},
+	} {
+		if r.value == "" {
+			return misuse(c, "flag -%s is missing: expected %s", r.flag, r.what)
+		}
+	}
+	if c.rate <= 0 || c.duration <= 0 {
+		return misuse(c, "expected -rate and -duration above 0, found %v and %v", c.rate, c.duration)
+	}
 	if err := c.run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
--- a/cmd/chestnutcleat/serve.go
+++ b/cmd/chestnutcleat/serve.go
@@ -21,15 +21,30 @@
 	settings string
 }
 
-func (*serveCommand) Name() string     { return "serve" }
+// Name implements subcommands.Command.
+func (*serveCommand) Name() string { return "serve" }
+
+// Synopsis implements subcommands.Command.
 func (*serveCommand) Synopsis() string { return "run the process of one VM" }
-func (*serveCommand) Usage() string    { return "serve -settings FILE\n" }
 
+// Usage implements subcommands.Command.
+func (*serveCommand) Usage() string {
+	return "serve -settings FILE\n\tSIGTERM starts a graceful shutdown, a second one ends the process at once.\n"
+}
+
+// SetFlags implements subcommands.Command.
 func (c *serveCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", "", "settings file, JSON with comments")
 }
 
-func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+// Execute implements subcommands.Command.
+func (c *serveCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if s, ok := surplus(c, f); !ok {
+		return s
+	}
+	if c.settings == "" {
+		return misuse(c, "flag -settings is missing: expected the VM's settings file, such as examples/vm1.json")
+	}
 	if err := c.run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
--- a/cmd/chestnutcleat/standin.go
+++ b/cmd/chestnutcleat/standin.go
@@ -29,12 +29,18 @@
 	seed    uint64
 }
 
-func (*standinCommand) Name() string     { return "standin" }
+// Name implements subcommands.Command.
+func (*standinCommand) Name() string { return "standin" }
+
+// Synopsis implements subcommands.Command.
 func (*standinCommand) Synopsis() string { return "run a stand-in platform, engine or service" }
+
+// Usage implements subcommands.Command.
 func (*standinCommand) Usage() string {
-	return "standin [-listen IP:PORT] [-models a,b] platform|engine|service\n"
+	return "standin [-listen IP:PORT] [-models a,b] platform|engine|service\n\tPrints the address that it listens on.\n"
 }
 
+// SetFlags implements subcommands.Command.
 func (c *standinCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.listen, "listen", "127.0.0.1:0", "address to listen on")
 	f.StringVar(&c.models, "models", "small", "models of an engine, separated by commas")
@@ -45,28 +51,30 @@
 	f.Uint64Var(&c.seed, "seed", 1, "seed of the faults")
 }
 
+// Execute implements subcommands.Command.
 func (c *standinCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	h, err := c.handler(f.Arg(0))
-	if err == nil {
-		err = c.run(ctx, f.Arg(0), h)
+	h := c.handler(f.Arg(0))
+	if f.NArg() != 1 || h == nil {
+		return misuse(c, "expected platform, engine or service, found %q", f.Args())
 	}
-	if err != nil {
+	if err := c.run(ctx, f.Arg(0), h); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
 
-func (c *standinCommand) handler(kind string) (http.Handler, error) {
+// handler returns nil for an unknown kind.
+func (c *standinCommand) handler(kind string) http.Handler {
 	switch kind {
 	case "platform":
-		return standinplatform.NewStore(c.seed).Handler(), nil
+		return standinplatform.NewStore(c.seed).Handler()
 	case "engine":
-		return &engine.Engine{Models: modelNames(c.models), Slots: c.slots, Decode: c.decode, Prefill: c.prefill, Fencing: c.fencing, Seed: c.seed, Lag: time.Second}, nil
+		return &engine.Engine{Models: modelNames(c.models), Slots: c.slots, Decode: c.decode, Prefill: c.prefill, Fencing: c.fencing, Seed: c.seed, Lag: time.Second}
 	case "service":
-		return &service.Service{}, nil
+		return &service.Service{}
 	}
-	return nil, fmt.Errorf("stand-in %q: expected platform, engine or service", kind)
+	return nil
 }
 
 func (c *standinCommand) run(ctx context.Context, kind string, h http.Handler) error {
--- a/cmd/chestnutcleat/status.go
+++ b/cmd/chestnutcleat/status.go
@@ -22,10 +22,13 @@
 func (*statusCommand) Synopsis() string { return "show the manifest's revision and the upstreams" }
 
 // Usage implements subcommands.Command.
-func (*statusCommand) Usage() string { return "status\n" }
+func (*statusCommand) Usage() string { return "status [-operators IP:PORT]\n" }
 
 // Execute implements subcommands.Command.
-func (c *statusCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *statusCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if s, ok := surplus(c, f); !ok {
+		return s
+	}
 	return c.run(ctx, func(ctx context.Context, o *operator.Client) error {
 		m, err := o.Manifest(ctx)
 		if err != nil {
--- a/cmd/chestnutcleat/target.go
+++ b/cmd/chestnutcleat/target.go
@@ -30,7 +30,15 @@
 // SetFlags adds the flags that the operators' commands share.
 func (t *target) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&t.address, "operators", defaultAddress, "operators' address of any VM, as IP:port")
-	f.StringVar(&t.who, "who", os.Getenv("USER"), "operator's name for the audit trail")
+	f.StringVar(&t.who, "who", os.Getenv("USER"), "operator's name for the audit trail; by default $USER")
+}
+
+// named reports a change without the operator's name, which the audit trail needs.
+func (t *target) named(c subcommands.Command) (s subcommands.ExitStatus, ok bool) {
+	if t.who == "" {
+		return misuse(c, "flag -who is missing: expected the operator's name for the audit trail"), false
+	}
+	return subcommands.ExitSuccess, true
 }
 
 func (t *target) client() *operator.Client {
--- a/cmd/chestnutcleat/vms.go
+++ b/cmd/chestnutcleat/vms.go
@@ -24,10 +24,13 @@
 func (*vmsCommand) Synopsis() string { return "list the VMs of the fleet" }
 
 // Usage implements subcommands.Command.
-func (*vmsCommand) Usage() string { return "vms\n" }
+func (*vmsCommand) Usage() string { return "vms [-operators IP:PORT]\n" }
 
 // Execute implements subcommands.Command.
-func (c *vmsCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *vmsCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if s, ok := surplus(c, f); !ok {
+		return s
+	}
 	return c.run(ctx, func(ctx context.Context, o *operator.Client) error {
 		list, err := o.VMs(ctx)
 		if err != nil {
--- a/node/drain.go
+++ b/node/drain.go
@@ -42,5 +42,5 @@
 		n.Loop.Post(func() { n.manifests.Record(who, "drain "+string(id), manifest.ResultOf(err)) })
 		return err
 	}
-	return chestnutcleat.NewProblem(chestnutcleat.CodeBadRequest, chestnutcleat.NotRun, "VM %q is not a member of the fleet", id)
+	return chestnutcleat.NewProblem(chestnutcleat.CodeVMUnknown, chestnutcleat.NotRun, "VM %q is not a member of the fleet", id)
 }
--- a/operator/problem.go
+++ b/operator/problem.go
@@ -30,7 +30,7 @@
 	case errors.As(err, &faults):
 		return Problem{Problem: newProblem(chestnutcleat.CodeInvalid, chestnutcleat.NotRun, "%d errors", len(faults)), Errors: faults}
 	case errors.As(err, &conflict):
-		p := newProblem(chestnutcleat.CodeConflict, chestnutcleat.NotRun, "the current revision is %d", conflict.Revision)
+		p := newProblem(chestnutcleat.CodeConflict, chestnutcleat.NotRun, "the current revision is %d by %q", conflict.Revision, conflict.Who)
 		return Problem{Problem: p, Revision: conflict.Revision, Who: conflict.Who, Diff: conflict.Diff}
 	case errors.As(err, &unresolved):
 		p := newProblem(chestnutcleat.CodeUnresolved, chestnutcleat.Unknown, "%v", err).WithRetry(retryDelay)
