Refuse no caller during a rolling restart

A leaving VM refused new programs of callers with an older list, and a restarted VM answered "the key is unknown" (401, no retry) until it had learned the manifest. Change: the callers' listener closes once the slots have moved and before the drain, so such callers meet a closed listener and use another VM; connections close after their next response from the beginning of the shutdown. Requests wait up to 2 s for the first manifest, and are then refused as not-ready (503, not-run, with retry). Excluded: serving new programs during the drain, which would not end under steady load. Drain itself is unchanged.

--- a/caller/active.go
+++ b/caller/active.go
@@ -11,15 +11,17 @@
 	mu      sync.Mutex
 	count   int
 	leaving bool
-	idle    chan struct{}
+	// retiring is set when connections are closed after their next response.
+	retiring bool
+	idle     chan struct{}
 }
 
-// enter counts a request and reports whether the VM is leaving.
+// enter counts a request and reports whether its connection is closed after the response.
 func (a *active) enter() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.count++
-	return a.leaving
+	return a.leaving || a.retiring
 }
 
 func (a *active) leave() {
@@ -32,6 +34,13 @@
 	}
 }
 
+// Retire lets each connection close after its next response; new programs are still served.
+func (h *Handler) Retire() {
+	h.active.mu.Lock()
+	defer h.active.mu.Unlock()
+	h.active.retiring = true
+}
+
 // Drain refuses new programs and waits for the requests in progress.
 func (h *Handler) Drain(ctx context.Context) error {
 	h.once.Do(h.setup)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"sync"
@@ -33,6 +34,8 @@
 	headerTimeout = 10 * time.Second
 	bodyTimeout   = time.Minute
 	idleTimeout   = 2 * time.Minute
+	// effectiveWait is above the time that a VM needs after its start to learn the manifest from the others.
+	effectiveWait = 2 * time.Second
 )
 
 // Handler serves callers; exported fields are set before the first request.
@@ -50,6 +53,8 @@
 	Attempts int
 	// Dial connects to upstreams; nil means TCP.
 	Dial upstream.Dial
+	// Effective is closed once a manifest is in effect; nil means that one is.
+	Effective <-chan struct{}
 	// Metrics receives the counters; nil means a set of its own.
 	Metrics *metrics.Set
 
@@ -88,11 +93,15 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.once.Do(h.setup)
-	leaving := h.active.enter()
+	closing := h.active.enter()
 	defer h.active.leave()
-	if leaving {
+	if closing {
 		w.Header().Set("Connection", "close")
 	}
+	if p := h.await(r.Context()); p != nil {
+		h.refuse(w, p)
+		return
+	}
 	who, p := h.screen(r)
 	if p != nil {
 		h.refuse(w, p)
@@ -115,6 +124,27 @@
 	}
 }
 
+// await waits for a manifest: without one, the key of every caller would be refused as unknown.
+func (h *Handler) await(ctx context.Context) *chestnutcleat.Problem {
+	if h.Effective == nil {
+		return nil
+	}
+	select {
+	case <-h.Effective:
+		return nil
+	default:
+	}
+	t := time.NewTimer(effectiveWait)
+	defer t.Stop()
+	select {
+	case <-h.Effective:
+		return nil
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return refusal(chestnutcleat.CodeNotReady, "no manifest is in effect on this VM; use another one").WithRetry(retryDefault)
+}
+
 func (h *Handler) emit(id chestnutcleat.EventID, attributes ...any) {
 	if h.Observer != nil {
 		h.Observer.Emit(id, attributes...)
--- /dev/null
+++ b/caller/start_test.go
@@ -0,0 +1,25 @@
+package caller_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A VM that has just started must not refuse a valid key as unknown before it has learned the manifest.
+func TestRequestWaitsForManifest(t *testing.T) {
+	is := is.New(t)
+	s := start(t)
+	effective := make(chan struct{})
+	s.handler.Effective = effective
+	got := make(chan answer, 1)
+	go func() { got <- s.chat(t, ask("m", "hello", false)) }()
+	select {
+	case a := <-got:
+		t.Fatalf("answered without a manifest: status %d", a.status)
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(effective)
+	is.Equal((<-got).status, 200)
+}
--- a/node/build.go
+++ b/node/build.go
@@ -41,7 +41,7 @@
 		Folder:     n.Folder,
 		Rand:       n.Rand,
 		OnWithdraw: n.revoked.withdraw,
-		OnChange:   func(*manifest.View) { n.limits.Refresh() },
+		OnChange:   n.changed,
 	}
 	vm.Handle(n.Mux, chestnutcleat.MethodFetch, func(_ context.Context, r manifest.FetchRequest) (a manifest.FetchReply, err error) {
 		err = n.do(func() { a = n.manifests.Fetch(r) })
--- a/node/node.go
+++ b/node/node.go
@@ -58,6 +58,7 @@
 	version   uint64
 	leaveOnce sync.Once
 	drain     drain
+	effective effective
 }
 
 // Init builds the control state; the exported fields are set before.
@@ -67,6 +68,7 @@
 	n.version = uint64(n.Self.Incarnation) << versionBits
 	n.picker.init(n.Policy, rand.New(rand.NewPCG(n.Rand.Uint64(), n.Rand.Uint64())))
 	n.revoked.init()
+	n.effective.reached = make(chan struct{})
 	n.buildMembers()
 	n.buildManifests()
 	n.buildStates()
--- a/problem.go
+++ b/problem.go
@@ -35,6 +35,7 @@
 	CodeInterrupted   Code = "interrupted"
 	CodeOwnerLost     Code = "owner-unavailable"
 	CodeLeaving       Code = "leaving"
+	CodeNotReady      Code = "not-ready"
 	CodeInternal      Code = "internal"
 )
 
@@ -73,6 +74,7 @@
 	CodeInterrupted:   http.StatusBadGateway,
 	CodeOwnerLost:     http.StatusServiceUnavailable,
 	CodeLeaving:       http.StatusServiceUnavailable,
+	CodeNotReady:      http.StatusServiceUnavailable,
 	CodeInternal:      http.StatusInternalServerError,
 	CodeInvalid:       http.StatusUnprocessableEntity,
 	CodeBase:          http.StatusPreconditionRequired,
--- a/process/process.go
+++ b/process/process.go
@@ -133,7 +133,7 @@
 		Policy:    p.Policy,
 	}
 	p.node.Init()
-	p.handler = &caller.Handler{Owners: p.node, Directory: p.node, Observer: p.Observer, Metrics: p.Metrics}
+	p.handler = &caller.Handler{Owners: p.node, Directory: p.node, Observer: p.Observer, Effective: p.node.Effective(), Metrics: p.Metrics}
 	p.callers = p.handler.Server()
 	p.operators = p.operatorServer()
 }
--- a/process/shutdown.go
+++ b/process/shutdown.go
@@ -8,7 +8,8 @@
 )
 
 // shutdown waits for Stop, then ends the process gracefully: no new programs, requests in progress finish, slots move.
-// The listeners stay open until the end, because other VMs and callers with an older list still come here.
+// The listeners stay open until the slots have moved, because callers with an older list still come here; that for other
+// VMs stays open until the end.
 func (p *Process) shutdown(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
@@ -22,9 +23,12 @@
 	defer cancel()
 	go p.announce(grace, true)
 	// Slots move while requests still run here: their entry VM reaches the new owners like any other.
+	p.handler.Retire()
 	moved := p.node.Leave(grace)
-	drained := p.handler.Drain(grace)
-	if err := p.callers.Shutdown(grace); err != nil {
+	// The listener closes before the drain: a caller with an older list then goes to another VM, whereas Drain would
+	// refuse its new programs.
+	drained := p.callers.Shutdown(grace)
+	if err := p.handler.Drain(grace); err != nil {
 		drained = err
 	}
 	p.close()
