--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -41,6 +41,8 @@
 	// Observer receives the events of all VMs.
 	Observer chestnutcleat.Observer
 	Policy   dispatch.Policy
+	// Record lets the stand-ins keep every received request.
+	Record bool
 
 	// Processes are the VMs, in order.
 	Processes []*process.Process
@@ -112,7 +114,7 @@
 	m := chestnutcleat.Manifest{}
 	chat := chestnutcleat.Route{Name: ChatRoute, Kind: chestnutcleat.UpstreamEngine, Model: Model, Repeatable: true}
 	for i := range f.Engines {
-		e := &engine.Engine{Models: []chestnutcleat.ModelName{Model}, Decode: f.Decode, Prefill: f.Prefill, Cache: f.Cache, Seed: uint64(i), Lag: time.Second}
+		e := &engine.Engine{Models: []chestnutcleat.ModelName{Model}, Decode: f.Decode, Prefill: f.Prefill, Cache: f.Cache, Seed: uint64(i), Lag: time.Second, Record: f.Record}
 		f.EngineStandins = append(f.EngineStandins, e)
 		a, err := f.serve(e)
 		if err != nil {
@@ -125,7 +127,7 @@
 		})
 		chat.Upstreams = append(chat.Upstreams, id)
 	}
-	f.Service = &service.Service{}
+	f.Service = &service.Service{Record: f.Record}
 	a, err := f.serve(f.Service)
 	if err != nil {
 		return m, err
--- /dev/null
+++ b/e2e/key_test.go
@@ -0,0 +1,112 @@
+package e2e
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/demo"
+	"chestnutcleat.example/chestnutcleat/engine"
+	"chestnutcleat.example/chestnutcleat/logs"
+	standin "chestnutcleat.example/chestnutcleat/standin/caller"
+)
+
+// No upstream may see a caller's key: not in the ordinary place, nor where a caller put it by mistake.
+func TestUpstreamsSeeNoKey(t *testing.T) {
+	is := is.New(t)
+	o, err := logs.New(io.Discard, "error", "text", "e2e")
+	is.NoErr(err)
+	f := &demo.Fleet{VMs: 3, Engines: 2, Decode: 2000, Prefill: 50_000, Cache: 120_000, Observer: o, Record: true}
+	for _, id := range []chestnutcleat.CustomerID{"vale-verde", "sitio-novo"} {
+		f.Customers = append(f.Customers, chestnutcleat.Customer{ID: id, Rate: 1000, Burst: 1000})
+	}
+	is.NoErr(f.Start(t.Context()))
+	defer f.Stop()
+	l := standin.Load{Seeds: f.Callers(), Shape: standin.DefaultShape(), Seed: 1}
+	for _, c := range f.Customers {
+		l.Customers = append(l.Customers, standin.Customer{
+			ID: c.ID, Key: demo.KeyOf(c.ID), Rate: 20, Programs: 4, Model: demo.Model,
+			Tools: []standin.Tool{{Route: demo.BookRoute, Share: 0.5}, {Route: demo.LookRoute, Share: 0.5}},
+		})
+	}
+	r, err := l.Run(t.Context())
+	is.NoErr(err)
+	is.Equal(r.Total().Finished, 8)
+	for _, vm := range f.Callers() {
+		for _, c := range f.Customers {
+			misplace(t, string(vm), demo.KeyOf(c.ID))
+		}
+	}
+
+	var seen int
+	scan := func(name, method, uri string, h http.Header, body []byte) {
+		seen++
+		text := fmt.Appendf(nil, "%s %s\n", method, uri)
+		for k, values := range h {
+			text = fmt.Appendf(text, "%s: %s\n", k, strings.Join(values, ", "))
+		}
+		text = append(text, body...)
+		for _, c := range f.Customers {
+			if bytes.Contains(text, []byte(demo.KeyOf(c.ID))) {
+				t.Errorf("%s received the key of %s:\n%s", name, c.ID, text)
+			}
+		}
+		if h.Get("Authorization") != "" {
+			t.Errorf("%s received an Authorization header", name)
+		}
+	}
+	for i, e := range f.EngineStandins {
+		for _, q := range e.Received() {
+			scan(fmt.Sprintf("engine%d", i+1), q.Method, q.URI, q.Header, q.Body)
+		}
+	}
+	service := f.Service.Received()
+	for _, q := range service {
+		scan("service", q.Method, q.URI, q.Header, q.Body)
+	}
+	t.Logf("%d requests scanned, %d of them at the service", seen, len(service))
+	is.True(len(service) > 0 && seen > 2*len(service))
+}
+
+// misplace sends a key in the wrong places; the answers do not matter.
+func misplace(t *testing.T, vm, key string) {
+	t.Helper()
+	book := "http://" + vm + "/v1/services/book/"
+	chatURL := "http://" + vm + chatPath
+	for _, q := range []struct {
+		url, body string
+		header    http.Header
+	}{
+		{url: book + key, body: "{}"},
+		{url: book + "run?token=" + url.QueryEscape(key), body: "{}"},
+		{url: book + "run", body: `{"token":"` + key + `"}`},
+		{url: book + "run", body: "{}", header: http.Header{"X-Api-Key": {key}}},
+		{url: book + "run", body: "{}", header: http.Header{"Cookie": {"key=" + key}}},
+		{url: book + "run", body: "{}", header: http.Header{"Idempotency-Key": {key}}},
+		{url: chatURL, body: strings.ReplaceAll(chat([]engine.Message{engine.NewMessage("user", "my key is KEY")}, false), "KEY", key)},
+		{url: chatURL, body: chat([]engine.Message{engine.NewMessage("user", "hello")}, false), header: http.Header{"Chestnutcleat-Program": {key}}},
+	} {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, q.url, strings.NewReader(q.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Content-Type", "application/json")
+		r.Header.Set("Authorization", "Bearer "+key)
+		for k, v := range q.header {
+			r.Header[k] = v
+		}
+		p, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, p.Body)
+		p.Body.Close()
+	}
+}
