Bound the crashes of identical parallel calls

Cause: a fingerprint was limited to one attempt only after its first crash mark, so identical calls that already ran could crash one upstream each. A mark lasted an hour even when the rerun of an innocent call was answered.

A complete answer clears a single mark and lifts the limit for a minute; a crash ends that. Two marks stay. The marks at the witnesses carry the running attempts, so the bound survives a lost owner after the first crash, and a handover carries them too. Excluded: one attempt at a time before the first answer, which also bounds the crashes at two but makes the second of two identical calls wait.

Cost: one more message for each attempt, which reports its end to the owner of the fingerprint (until now only after a crash). Identical calls wait only when three or more run within the first run time; the digest covers method, path and body, so polls of a service are not limited after their first answer.

Not covered: attempts that run when the fingerprint's owner is lost before the first crash are forgotten, and a call that was answered within the last minute may run many times in parallel and then crash more than two.

--- a/program/run.go
+++ b/program/run.go
@@ -15,8 +15,11 @@
 		return
 	}
 	attempt := c.attempt
-	b.Suspect(b.fingerprint(p, c), func(r chestnutcleat.SuspectReply, err error) {
+	f := b.fingerprint(p, c)
+	b.Suspect(f, func(r chestnutcleat.SuspectReply, err error) {
 		if p.gone || c.state != pending || c.attempt != attempt {
+			f.Ended = true
+			b.Suspect(f, func(chestnutcleat.SuspectReply, error) {})
 			return
 		}
 		b.checked(p, c, r, err)
@@ -161,13 +164,16 @@
 	c.state, c.silent, c.started = running, true, false
 }
 
-// free gives back the permission to run a fingerprint with one crash.
-func (b *Book) free(p *program, c *call) {
-	if b.Suspect == nil || c.crashes == 0 {
+// free reports that the current attempt of a call no longer runs.
+func (b *Book) free(p *program, c *call) { b.attemptEnded(p, c, false) }
+
+// attemptEnded tells the owner of the fingerprint that an attempt no longer runs, and whether it was answered.
+func (b *Book) attemptEnded(p *program, c *call, answered bool) {
+	if b.Suspect == nil {
 		return
 	}
 	r := b.fingerprint(p, c)
-	r.Ended = true
+	r.Ended, r.Done = true, answered
 	b.Suspect(r, func(chestnutcleat.SuspectReply, error) {})
 }
 
--- a/program/settle.go
+++ b/program/settle.go
@@ -128,7 +128,7 @@
 
 // settled records the final answer of a call.
 func (b *Book) settled(p *program, c *call, r chestnutcleat.SettleRequest, done func(chestnutcleat.SettleReply)) {
-	b.free(p, c)
+	b.attemptEnded(p, c, r.Answer.Outcome == chestnutcleat.Done && !r.Crashed)
 	if r.Answer.Outcome == "" {
 		r.Answer.Outcome = chestnutcleat.Unknown
 	}
--- a/program/suspects.go
+++ b/program/suspects.go
@@ -13,22 +13,47 @@
 // suspectExpiry is how long the mark of a crash lasts.
 const suspectExpiry = time.Hour
 
-// suspect is the mark of a fingerprint.
+const (
+	// maxCrashes is how many upstreams one fingerprint may cost in all.
+	maxCrashes = 2
+	// cleanTime is how long after a complete answer the attempts of a fingerprint are not limited.
+	cleanTime = time.Minute
+)
+
+// suspect is what is known of a fingerprint: its crashes and the attempts that run.
 type suspect struct {
 	// Holders are the attempts that crashed.
 	Holders []chestnutcleat.RequestID `json:"h"`
 	Expiry  int64                     `json:"e"`
-	// trial is the attempt that may run after one crash.
-	trial      chestnutcleat.RequestID
-	trialUntil time.Time
+	// Running holds the time until which each running attempt counts.
+	Running map[chestnutcleat.RequestID]int64 `json:"r,omitempty"`
+	// clean is until when the fingerprint counts as harmless.
+	clean time.Time
+	// recorded tells that the witnesses may hold a record.
+	recorded bool
+}
+
+// idle tells that nothing need be remembered.
+func (s *suspect) idle(now time.Time) bool {
+	for holder, until := range s.Running {
+		if now.UnixNano() >= until {
+			delete(s.Running, holder)
+		}
+	}
+	return !s.marked(now) && len(s.Running) == 0 && !now.Before(s.clean)
 }
 
-// Suspects is the table of requests that crashed upstreams, by fingerprint.
+// marked tells that a crash is known that has not expired.
+func (s *suspect) marked(now time.Time) bool { return len(s.Holders) > 0 && now.UnixNano() < s.Expiry }
+
+// Suspects is the table of requests that run or crashed upstreams, by fingerprint. The crashes of a fingerprint and its
+// running attempts are together at most maxCrashes, so that identical calls sent in parallel cannot cost more upstreams;
+// further ones wait. A complete answer clears a single mark and lifts the limit for cleanTime.
 type Suspects struct {
 	Loop     chestnutcleat.Loop
 	Journal  chestnutcleat.Journal
 	Observer chestnutcleat.Observer
-	// Trial is the longest time for which one attempt keeps others of its fingerprint waiting; zero means the default.
+	// Trial is the longest time for which an attempt counts as running; zero means the default.
 	Trial time.Duration
 
 	marks    map[chestnutcleat.Key]*suspect
@@ -37,56 +62,94 @@
 
 // Handle answers a request; a crash is answered once its mark is on a majority of witnesses.
 func (t *Suspects) Handle(r chestnutcleat.SuspectRequest, done func(chestnutcleat.SuspectReply, error)) {
+	now := time.Now()
 	key := r.Key()
-	s := t.marks[key]
-	if s != nil && time.Now().UnixNano() >= s.Expiry {
-		delete(t.marks, key)
-		s = nil
-	}
+	s := t.find(key, now)
 	switch {
 	case r.Crashed:
-		t.mark(key, r.Holder, done)
-	case s == nil:
-		done(chestnutcleat.SuspectReply{}, nil)
+		t.mark(key, s, r.Holder, done)
+		return
 	case r.Ended:
-		if s.trial == r.Holder {
-			s.trial = ""
+		delete(s.Running, r.Holder)
+		if r.Done {
+			t.clear(key, s, now)
+		}
+		if s.idle(now) {
+			t.forget(key, s)
 		}
-		done(chestnutcleat.SuspectReply{Crashes: len(s.Holders)}, nil)
-	default:
-		done(chestnutcleat.SuspectReply{Crashes: len(s.Holders), Busy: t.busy(s, r.Holder)}, nil)
+	case len(s.Holders) < maxCrashes && !t.admit(s, r.Holder, now):
+		done(chestnutcleat.SuspectReply{Crashes: len(s.Holders), Busy: true}, nil)
+		return
 	}
+	done(chestnutcleat.SuspectReply{Crashes: len(s.Holders)}, nil)
 }
 
-// busy gives the only allowed run of a marked fingerprint to one holder at a time.
-func (t *Suspects) busy(s *suspect, holder chestnutcleat.RequestID) bool {
-	now := time.Now()
-	if s.trial != "" && s.trial != holder && now.Before(s.trialUntil) {
-		return true
+// find returns the state of a fingerprint without an expired mark.
+func (t *Suspects) find(key chestnutcleat.Key, now time.Time) *suspect {
+	s := t.marks[key]
+	if s == nil {
+		if t.marks == nil {
+			t.marks = map[chestnutcleat.Key]*suspect{}
+		}
+		s = &suspect{}
+		t.marks[key] = s
+	}
+	if len(s.Holders) > 0 && !s.marked(now) {
+		t.unmark(key, s)
+	}
+	if s.Running == nil {
+		s.Running = map[chestnutcleat.RequestID]int64{}
+	}
+	return s
+}
+
+// admit tells whether an attempt may run now and counts it.
+func (t *Suspects) admit(s *suspect, holder chestnutcleat.RequestID, now time.Time) bool {
+	s.idle(now)
+	_, known := s.Running[holder]
+	limited := len(s.Holders) > 0 || !now.Before(s.clean)
+	if !known && limited && len(s.Running)+len(s.Holders) >= maxCrashes {
+		return false
 	}
 	trial := t.Trial
 	if trial == 0 {
 		trial = chestnutcleat.DefaultCallTimeout
 	}
-	s.trial, s.trialUntil = holder, now.Add(trial)
-	return false
+	s.Running[holder] = now.Add(trial).UnixNano()
+	return true
 }
 
-func (t *Suspects) mark(key chestnutcleat.Key, holder chestnutcleat.RequestID, done func(chestnutcleat.SuspectReply, error)) {
-	if t.marks == nil {
-		t.marks = map[chestnutcleat.Key]*suspect{}
+// clear notes a complete answer. Two marks stay: the call is refused for as long as they last.
+func (t *Suspects) clear(key chestnutcleat.Key, s *suspect, now time.Time) {
+	if len(s.Holders) >= maxCrashes {
+		return
 	}
-	s := t.marks[key]
-	if s == nil {
-		s = &suspect{}
-		t.marks[key] = s
+	s.clean = now.Add(cleanTime)
+	if len(s.Holders) > 0 {
+		t.unmark(key, s)
+	}
+}
+
+// unmark forgets the crashes of a fingerprint, also at the witnesses.
+func (t *Suspects) unmark(key chestnutcleat.Key, s *suspect) {
+	s.Holders, s.Expiry, s.recorded = nil, 0, false
+	t.Journal.Append([]chestnutcleat.Record{t.deleted(key)}, func(error) {})
+}
+
+// forget drops the state of an idle fingerprint.
+func (t *Suspects) forget(key chestnutcleat.Key, s *suspect) {
+	delete(t.marks, key)
+	if s.recorded {
+		t.unmark(key, s)
 	}
+}
+
+func (t *Suspects) mark(key chestnutcleat.Key, s *suspect, holder chestnutcleat.RequestID, done func(chestnutcleat.SuspectReply, error)) {
 	if !slices.Contains(s.Holders, holder) {
 		s.Holders = append(s.Holders, holder)
 	}
-	if s.trial == holder {
-		s.trial = ""
-	}
+	delete(s.Running, holder)
+	s.clean, s.recorded = time.Time{}, true
 	s.Expiry = time.Now().Add(suspectExpiry).UnixNano()
 	n := len(s.Holders)
 	t.Journal.Append([]chestnutcleat.Record{t.record(key, s)}, func(err error) {
@@ -94,6 +157,11 @@
 	})
 }
 
+func (t *Suspects) deleted(key chestnutcleat.Key) chestnutcleat.Record {
+	t.sequence++
+	return chestnutcleat.Record{Slot: key.Slot(), Name: suspectPrefix + key.ID, Sequence: t.sequence, Deleted: true}
+}
+
 func (t *Suspects) record(key chestnutcleat.Key, s *suspect) chestnutcleat.Record {
 	data, err := vm.Encode(s)
 	if err != nil {
@@ -112,19 +180,16 @@
 	})
 }
 
-// Sweep forgets expired marks.
+// Sweep forgets expired marks and attempts.
 func (t *Suspects) Sweep() {
-	now := time.Now().UnixNano()
-	var records []chestnutcleat.Record
+	now := time.Now()
 	for key, s := range t.marks {
-		if now >= s.Expiry {
-			delete(t.marks, key)
-			t.sequence++
-			records = append(records, chestnutcleat.Record{Slot: key.Slot(), Name: suspectPrefix + key.ID, Sequence: t.sequence, Deleted: true})
+		if len(s.Holders) > 0 && !s.marked(now) {
+			t.unmark(key, s)
+		}
+		if s.idle(now) {
+			t.forget(key, s)
 		}
-	}
-	if len(records) > 0 {
-		t.Journal.Append(records, func(error) {})
 	}
 }
 
@@ -146,6 +211,7 @@
 			}
 			continue
 		}
+		s.recorded = true
 		t.marks[chestnutcleat.Key{Kind: chestnutcleat.KindProgram, ID: id}] = &s
 	}
 }
@@ -153,8 +219,9 @@
 // Export implements chestnutcleat.Owned.
 func (t *Suspects) Export(slot chestnutcleat.Slot) []chestnutcleat.Record {
 	var records []chestnutcleat.Record
+	now := time.Now()
 	for key, s := range t.marks {
-		if key.Slot() == slot {
+		if key.Slot() == slot && !s.idle(now) {
 			records = append(records, t.record(key, s))
 		}
 	}
--- /dev/null
+++ b/program/suspects_test.go
@@ -0,0 +1,174 @@
+package program_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/program"
+)
+
+// parallel sends identical calls of one customer in programs of their own and runs each permitted attempt for a second.
+// ends tells whether the attempt with a number crashes its upstream. It returns the crashes, the largest number of
+// attempts at a time, and the outcomes.
+func (f *fleet) parallel(calls int, ends func(n int) bool) (crashes, most int, outcomes map[chestnutcleat.Outcome]int) {
+	type attempt struct {
+		call  chestnutcleat.Call
+		reply chestnutcleat.BeginReply
+		until time.Time
+		crash bool
+	}
+	outcomes = map[chestnutcleat.Outcome]int{}
+	var running []attempt
+	number := 0
+	take := func(c chestnutcleat.Call, r chestnutcleat.BeginReply) {
+		switch {
+		case r.Problem != nil:
+			outcomes[r.Problem.Outcome]++
+		case r.Answer != nil:
+			outcomes[r.Answer.Outcome]++
+		case r.Run:
+			number++
+			running = append(running, attempt{c, r, time.Now().Add(time.Second), ends(number)})
+			most = max(most, len(running))
+		}
+	}
+	for i := range calls {
+		c := newCall("same", "")
+		c.Program = chestnutcleat.ProgramID(fmt.Sprint("p", i))
+		c.Deadline = time.Now().Add(time.Hour)
+		f.loop.Post(func() {
+			f.book.Begin(chestnutcleat.BeginRequest{Call: c}, func(r chestnutcleat.BeginReply) { take(c, r) })
+		})
+	}
+	for range 3000 {
+		f.pass(100 * time.Millisecond)
+		f.do(func() {
+			list := running
+			running = nil
+			for _, a := range list {
+				if time.Now().Before(a.until) {
+					running = append(running, a)
+					continue
+				}
+				r := done(a.call, a.reply.Attempt)
+				if a.crash {
+					crashes++
+					r.Answer, r.Crashed = chestnutcleat.Answer{}, true
+				}
+				f.book.Settle(r, func(s chestnutcleat.SettleReply) {
+					if !a.crash {
+						outcomes[chestnutcleat.Done]++
+					}
+					take(a.call, s.Next)
+				})
+			}
+		})
+	}
+	return crashes, most, outcomes
+}
+
+// Guards against identical calls that crash more than two upstreams because they run before the first crash is known,
+// against an innocent call that is refused because it ran on a crashed upstream, and against identical calls that are
+// refused or wait longer than needed.
+func TestParallelSuspects(t *testing.T) {
+	cases := []struct {
+		name  string
+		calls int
+		ends  func(n int) bool
+		// crashes and most are exact, done is the number of calls that end well; the others end as failed.
+		crashes, most, done int
+	}{
+		{name: "all crash", calls: 20, ends: func(int) bool { return true }, crashes: 2, most: 2},
+		{name: "one call, all crash", calls: 1, ends: func(int) bool { return true }, crashes: 2, most: 1},
+		{name: "innocent", calls: 20, ends: func(int) bool { return false }, most: 18, done: 20},
+		{name: "innocent on a crashed upstream", calls: 1, ends: func(n int) bool { return n == 1 }, crashes: 1, most: 1, done: 1},
+		{name: "innocents on a crashed upstream", calls: 20, ends: func(n int) bool { return n == 1 }, crashes: 1, most: 19, done: 20},
+		{name: "two crashes at once", calls: 5, ends: func(n int) bool { return n <= 2 }, crashes: 2, most: 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				crashes, most, outcomes := newFleet(t).parallel(c.calls, c.ends)
+				t.Logf("%d crashes, at most %d attempts at a time, outcomes %v", crashes, most, outcomes)
+				is.Equal(crashes, c.crashes)
+				is.Equal(most, c.most)
+				is.Equal(outcomes[chestnutcleat.Done], c.done)
+				is.Equal(outcomes[chestnutcleat.Failed], c.calls-c.done)
+			})
+		})
+	}
+}
+
+// Guards against a limit of running attempts that a handover or a lost owner after the first crash resets, against
+// attempts that count for ever, and against a cleared mark that returns.
+func TestSuspectsMove(t *testing.T) {
+	ask := chestnutcleat.SuspectRequest{Customer: "c", Route: "r", Body: chestnutcleat.DigestOf([]byte("x"))}
+	with := func(holder string, change func(*chestnutcleat.SuspectRequest)) chestnutcleat.SuspectRequest {
+		r := ask
+		r.Holder = chestnutcleat.RequestID(holder)
+		if change != nil {
+			change(&r)
+		}
+		return r
+	}
+	crash := func(r *chestnutcleat.SuspectRequest) { r.Crashed = true }
+	ended := func(r *chestnutcleat.SuspectRequest) { r.Ended = true }
+	complete := func(r *chestnutcleat.SuspectRequest) { r.Ended, r.Done = true, true }
+	cases := []struct {
+		name  string
+		steps []chestnutcleat.SuspectRequest
+		// move takes the table to a new owner: "handover", "lost", or nothing.
+		move string
+		wait time.Duration
+		want chestnutcleat.SuspectReply
+	}{
+		{name: "two run", steps: []chestnutcleat.SuspectRequest{with("1", nil), with("2", nil)}, want: chestnutcleat.SuspectReply{Busy: true}},
+		{name: "two run, handover", steps: []chestnutcleat.SuspectRequest{with("1", nil), with("2", nil)}, move: "handover", want: chestnutcleat.SuspectReply{Busy: true}},
+		{name: "one ended", steps: []chestnutcleat.SuspectRequest{with("1", nil), with("2", nil), with("2", ended)}},
+		{name: "same again", steps: []chestnutcleat.SuspectRequest{with("1", nil), with("last", nil)}},
+		{name: "one crashed, one runs, lost", steps: []chestnutcleat.SuspectRequest{with("1", nil), with("2", nil), with("1", crash)}, move: "lost", want: chestnutcleat.SuspectReply{Crashes: 1, Busy: true}},
+		{name: "two crashed, lost", steps: []chestnutcleat.SuspectRequest{with("1", nil), with("2", nil), with("1", crash), with("2", crash)}, move: "lost", want: chestnutcleat.SuspectReply{Crashes: 2}},
+		{name: "two crashed, then a late answer", steps: []chestnutcleat.SuspectRequest{with("1", crash), with("2", crash), with("3", complete)}, want: chestnutcleat.SuspectReply{Crashes: 2}},
+		{name: "cleared, lost", steps: []chestnutcleat.SuspectRequest{with("1", nil), with("1", crash), with("2", nil), with("2", complete)}, move: "lost"},
+		{name: "never reported", steps: []chestnutcleat.SuspectRequest{with("1", nil), with("2", nil)}, wait: 3 * time.Minute},
+		{name: "mark expired", steps: []chestnutcleat.SuspectRequest{with("1", crash), with("2", crash)}, wait: 61 * time.Minute},
+		{name: "clean", steps: []chestnutcleat.SuspectRequest{with("1", complete), with("2", nil), with("3", nil), with("4", nil)}},
+		{name: "clean no longer", steps: []chestnutcleat.SuspectRequest{with("1", complete), with("2", nil), with("3", nil), with("2", crash)}, want: chestnutcleat.SuspectReply{Crashes: 1, Busy: true}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t)
+				for _, r := range c.steps {
+					f.do(func() { f.suspects.Handle(r, func(chestnutcleat.SuspectReply, error) {}) })
+				}
+				slot := ask.Key().Slot()
+				if c.move != "" {
+					f.do(func() {
+						records := f.store.records
+						if c.move == "handover" {
+							records = f.suspects.Export(slot)
+						}
+						next := &program.Suspects{Loop: f.loop, Journal: f.store}
+						next.Import(slot, records, chestnutcleat.Transfer{Lost: c.move == "lost"})
+						f.suspects = next
+					})
+				}
+				f.pass(c.wait)
+				f.do(f.suspects.Sweep)
+				var got chestnutcleat.SuspectReply
+				f.do(func() {
+					f.suspects.Handle(with("last", nil), func(r chestnutcleat.SuspectReply, _ error) { got = r })
+				})
+				is.Equal(got, c.want)
+			})
+		})
+	}
+}
--- a/suspect.go
+++ b/suspect.go
@@ -9,8 +9,10 @@
 	Holder RequestID `json:"holder"`
 	// Crashed reports that an upstream died while it ran the attempt.
 	Crashed bool `json:"crashed,omitempty"`
-	// Ended gives back the permission to run after a crash.
+	// Ended reports that the attempt no longer runs.
 	Ended bool `json:"ended,omitempty"`
+	// Done is set with Ended when the upstream answered the attempt completely.
+	Done bool `json:"done,omitempty"`
 }
 
 // Key returns the key whose owner keeps the fingerprint.
@@ -22,6 +24,6 @@
 // SuspectReply tells how many upstreams died while they ran the fingerprint.
 type SuspectReply struct {
 	Crashes int `json:"crashes"`
-	// Busy is set while another attempt of a fingerprint with one crash runs.
+	// Busy is set while so many other attempts of the fingerprint run that one more could cost a third upstream.
 	Busy bool `json:"busy,omitempty"`
 }
