Test configuration, keys and calls at rest over whole fleets

Excluded: an hour of absence under the race detector.

Change: tests in package node with a gate that cuts one VM off from the platform.

--- /dev/null
+++ b/node/gate_test.go
@@ -0,0 +1,91 @@
+package node_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+var errCutOff = errors.New("platform is unreachable from this VM")
+
+// gate is one VM's connection to the platform, which can be cut while other VMs still reach the platform.
+type gate struct {
+	chestnutcleat.Platform
+	cut atomic.Bool
+}
+
+func (g *gate) check(err error) error {
+	if g.cut.Load() {
+		return errCutOff
+	}
+	return err
+}
+
+// Get implements chestnutcleat.Platform.
+func (g *gate) Get(ctx context.Context, name chestnutcleat.ObjectName) (chestnutcleat.Object, error) {
+	if err := g.check(nil); err != nil {
+		return chestnutcleat.Object{}, err
+	}
+	return g.Platform.Get(ctx, name)
+}
+
+// Put implements chestnutcleat.Platform.
+func (g *gate) Put(ctx context.Context, o chestnutcleat.Object) (chestnutcleat.Version, error) {
+	if err := g.check(nil); err != nil {
+		return 0, err
+	}
+	return g.Platform.Put(ctx, o)
+}
+
+// Delete implements chestnutcleat.Platform.
+func (g *gate) Delete(ctx context.Context, name chestnutcleat.ObjectName, v chestnutcleat.Version) error {
+	if err := g.check(nil); err != nil {
+		return err
+	}
+	return g.Platform.Delete(ctx, name, v)
+}
+
+// List implements chestnutcleat.Platform.
+func (g *gate) List(ctx context.Context, prefix chestnutcleat.ObjectName) ([]chestnutcleat.Object, error) {
+	if err := g.check(nil); err != nil {
+		return nil, err
+	}
+	return g.Platform.List(ctx, prefix)
+}
+
+// Watch implements chestnutcleat.Platform; a watch that was waiting when the connection was cut fails too.
+func (g *gate) Watch(ctx context.Context, prefixes []chestnutcleat.ObjectName, after chestnutcleat.Version) ([]chestnutcleat.Object, error) {
+	if err := g.check(nil); err != nil {
+		return nil, err
+	}
+	list, err := g.Platform.Watch(ctx, prefixes, after)
+	if err := g.check(err); err != nil {
+		return nil, err
+	}
+	return list, nil
+}
+
+// VMs implements chestnutcleat.Platform.
+func (g *gate) VMs(ctx context.Context) ([]chestnutcleat.ListedVM, error) {
+	if err := g.check(nil); err != nil {
+		return nil, err
+	}
+	return g.Platform.VMs(ctx)
+}
+
+// isolate cuts node i off from all VMs and from the platform, or connects it again.
+func (f *fleet) isolate(i int, cut bool) {
+	change := f.network.Join
+	if cut {
+		change = f.network.Cut
+	}
+	for k := range f.nodes {
+		if k != i {
+			change(address(i), address(k))
+			change(address(k), address(i))
+		}
+	}
+	f.gates[i].cut.Store(cut)
+}
--- /dev/null
+++ b/node/norace_test.go
@@ -0,0 +1,10 @@
+//go:build !race
+
+package node_test
+
+import "time"
+
+const (
+	absence      = time.Hour
+	absenceSeeds = 2
+)
--- /dev/null
+++ b/node/race_test.go
@@ -0,0 +1,11 @@
+//go:build race
+
+package node_test
+
+import "time"
+
+// The race detector makes an hour of virtual time take minutes, so its runs use a shorter absence.
+const (
+	absence      = 5 * time.Minute
+	absenceSeeds = 1
+)
