--- a/node/upstreams_test.go
+++ b/node/upstreams_test.go
@@ -69,7 +69,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := &engines{models: map[string][]chestnutcleat.ModelName{}, orders: map[string][]chestnutcleat.Order{}, polls: map[string]int{}}
-		f := newFleetWith(t, 5, 1, e)
+		f := newFleetWith(t, 5, 1, 0, e)
 		defer f.stop()
 		check := func(step string, hosts []string, orders int) {
 			t.Helper()
