--- a/caller/admit.go
+++ b/caller/admit.go
@@ -53,7 +53,8 @@
 		return nil
 	}
 	// The id comes from the call id, so that a retry takes no second token.
-	r, err := c.h.Owners.Take(c.ctx, chestnutcleat.TakeRequest{ID: chestnutcleat.RequestID("take-" + c.name), Customer: c.call.Customer, Count: 1})
+	id := chestnutcleat.RequestID("take-" + c.name)
+	r, err := c.h.Owners.Take(c.ctx, chestnutcleat.TakeRequest{ID: id, Customer: c.call.Customer, Count: 1})
 	switch {
 	case err != nil && c.ctx.Err() != nil:
 		return c.stopped()
@@ -61,6 +62,7 @@
 		return ownerProblem(err, "customer")
 	case r.Admitted || c.known():
 		c.level = r.Level
+		c.taken = id
 		return nil
 	}
 	return refusal(chestnutcleat.CodeRate, "the customer's rate is exceeded").WithRetry(max(r.Retry, time.Millisecond))
--- a/caller/call.go
+++ b/caller/call.go
@@ -39,8 +39,10 @@
 	sent bool
 	// answered is set when an upstream began an answer of any attempt.
 	answered bool
-	ctx      context.Context
-	cancel   context.CancelCauseFunc
+	// taken is the request that admitted the call, until its end is reported to the customer's owner.
+	taken  chestnutcleat.RequestID
+	ctx    context.Context
+	cancel context.CancelCauseFunc
 
 	mu        sync.Mutex
 	started   bool
@@ -66,6 +68,7 @@
 		unsubscribe()
 		c.cancel(nil)
 		end()
+		c.reportUnused()
 	}
 }
 
--- a/caller/run.go
+++ b/caller/run.go
@@ -130,7 +130,17 @@
 	if c.who.anonymous || q.Unused {
 		return
 	}
-	u := chestnutcleat.UsageReport{ID: chestnutcleat.RequestID("usage-" + string(g.ticket.ID)), Customer: c.call.Customer, Cost: cost(g.upstream, r.answer.Usage, elapsed)}
+	u := chestnutcleat.UsageReport{ID: chestnutcleat.RequestID("usage-" + string(g.ticket.ID)), Customer: c.call.Customer, Cost: cost(g.upstream, r.answer.Usage, elapsed), Take: c.taken}
+	c.taken = ""
+	c.background(func(ctx context.Context) error { return c.h.Owners.Usage(ctx, u) }, event.CallNotRecorded)
+}
+
+// reportUnused tells the customer's owner that a call ended without any use of an upstream.
+func (c *call) reportUnused() {
+	if c.taken == "" {
+		return
+	}
+	u := chestnutcleat.UsageReport{ID: "unused-" + c.taken, Customer: c.call.Customer, Take: c.taken}
 	c.background(func(ctx context.Context) error { return c.h.Owners.Usage(ctx, u) }, event.CallNotRecorded)
 }
 
--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -87,7 +87,10 @@
 		w.done = append(w.done, done)
 		return
 	}
-	w := &request{AcquireRequest: r, level: r.Level, arrived: now, risen: now, index: -1}
+	w := &request{AcquireRequest: r, level: r.Level, index: -1}
+	if u.queue.fifo {
+		w.level = 0
+	}
 	w.done = []func(chestnutcleat.AcquireReply){done}
 	b.count++
 	w.sequence = b.count
@@ -166,7 +169,7 @@
 func (b *Book) serve(u *upstream) {
 	now := time.Now()
 	for u.room() > 0 {
-		w := u.queue.next(now, u.allowed)
+		w := u.queue.next(u.reserved(), u.allowed)
 		if w == nil {
 			return
 		}
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -2,21 +2,23 @@
 
 import (
 	"container/heap"
+	"container/list"
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
 )
 
-// ageing is how long a request waits before it rises one level. With 10 s the requests of a customer that sends
-// five times its rate rose as fast as they were held back.
-const ageing = 40 * time.Second
+// heldShare is the bound against starvation: while requests above level 0 wait, at least one of heldShare grants of an
+// upstream goes to the one of them that has waited longest. They must not rise instead, as their programs are the
+// oldest and would then go before all others.
+const heldShare = 20
 
 // request is a queued acquire.
 type request struct {
 	chestnutcleat.AcquireRequest
-	level    chestnutcleat.Level
-	arrived  time.Time
-	risen    time.Time
+	level chestnutcleat.Level
+	// element is the place in the queue's list of held requests.
+	element  *list.Element
 	sequence uint64
 	// index is the place in the heap, or -1.
 	index int
@@ -28,10 +30,13 @@
 // queue orders requests by level, then oldest program, then arrival.
 type queue struct {
 	items []*request
-	// ageing holds requests above level 0 in the order of their last rise.
-	ageing []*request
+	// held holds requests above level 0 in the order of their arrival.
+	held list.List
+	// passed counts the grants to level 0 since the last one to a higher level while some were held.
+	passed int
 	fifo   bool
-	cost   time.Duration
+	// cost is the expected run time of the requests of level 0.
+	cost time.Duration
 }
 
 var _ heap.Interface = (*queue)(nil)
@@ -81,10 +86,11 @@
 
 func (q *queue) add(r *request) {
 	heap.Push(q, r)
-	q.cost += r.cost
 	if r.level > 0 {
-		q.ageing = append(q.ageing, r)
+		r.element = q.held.PushBack(r)
+		return
 	}
+	q.cost += r.cost
 }
 
 func (q *queue) remove(r *request) {
@@ -92,39 +98,36 @@
 		return
 	}
 	heap.Remove(q, r.index)
-	q.cost -= r.cost
+	q.taken(r)
+}
+
+// taken updates the sums after a request has left the heap.
+func (q *queue) taken(r *request) {
+	if r.level > 0 {
+		q.held.Remove(r.element)
+	} else {
+		q.cost -= r.cost
+	}
 	if r.timer != nil {
 		r.timer.Stop()
 	}
 }
 
-// age raises requests that have waited long.
-func (q *queue) age(now time.Time) {
-	for len(q.ageing) > 0 {
-		r := q.ageing[0]
-		if r.index >= 0 && now.Sub(r.risen) < ageing {
-			return
-		}
-		q.ageing = q.ageing[1:]
-		if r.index < 0 {
-			continue
-		}
-		r.level--
-		r.risen = now
-		heap.Fix(q, r.index)
-		if r.level > 0 {
-			q.ageing = append(q.ageing, r)
-		}
+// next removes and returns the first request that allowed accepts. If reserved is set, requests above level 0 get only
+// their bounded share.
+func (q *queue) next(reserved bool, allowed func(*request) bool) *request {
+	if r := q.due(allowed); r != nil {
+		q.passed = 0
+		q.remove(r)
+		return r
 	}
-}
-
-// next removes and returns the first request that allowed accepts.
-func (q *queue) next(now time.Time, allowed func(*request) bool) *request {
-	q.age(now)
 	var skipped []*request
 	var found *request
 	for len(q.items) > 0 && found == nil {
 		r := q.items[0]
+		if reserved && r.level > 0 {
+			break
+		}
 		heap.Pop(q)
 		if allowed(r) {
 			found = r
@@ -136,14 +139,31 @@
 		heap.Push(q, r)
 	}
 	if found != nil {
-		q.cost -= found.cost
-		if found.timer != nil {
-			found.timer.Stop()
+		q.passed++
+		if found.level > 0 || q.held.Len() == 0 {
+			q.passed = 0
 		}
+		q.taken(found)
 	}
 	return found
 }
 
+// due returns the longest waiting request above level 0 if it is the turn of those.
+func (q *queue) due(allowed func(*request) bool) *request {
+	if q.passed < heldShare-1 {
+		return nil
+	}
+	for e := q.held.Front(); e != nil; e = e.Next() {
+		if r := e.Value.(*request); allowed(r) {
+			return r
+		}
+	}
+	return nil
+}
+
+// direct returns how many requests of level 0 wait.
+func (q *queue) direct() int { return len(q.items) - q.held.Len() }
+
 // ahead returns the expected run time of the requests that would be served before r.
 func (q *queue) ahead(r *request) time.Duration {
 	var sum time.Duration
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -69,6 +69,15 @@
 	return room
 }
 
+// minReserving is the number of slots from which one is kept for level 0.
+const minReserving = 4
+
+// reserved tells that only the last slot is free. It is kept for requests of level 0: they arrive between those that
+// are held back and would wait until one of those ends.
+func (u *upstream) reserved() bool {
+	return u.config.Slots >= minReserving && len(u.tickets) >= u.config.Slots-1
+}
+
 // allowed tells whether a request may run now: one suspect at a time, and repeatable requests first as probes.
 func (u *upstream) allowed(r *request) bool {
 	if r.Alone && u.alone > 0 {
@@ -166,7 +175,11 @@
 	if u.room() > 0 && u.queue.Len() == 0 {
 		return nil
 	}
-	wait := u.wait(u.queue.ahead(w), u.queue.Len())
+	queued := u.queue.Len()
+	if w.level == 0 {
+		queued = u.queue.direct()
+	}
+	wait := u.wait(u.queue.ahead(w), queued)
 	if now.Add(wait).Before(w.Deadline) {
 		return nil
 	}
@@ -187,7 +200,7 @@
 		Health:   health,
 		Running:  len(u.tickets),
 		Queued:   u.queue.Len(),
-		Wait:     u.wait(u.queue.cost, u.queue.Len()),
+		Wait:     u.wait(u.queue.cost, u.queue.direct()),
 		Occupied: u.cache.used,
 	}
 }
--- a/limit/account.go
+++ b/limit/account.go
@@ -28,6 +28,7 @@
 	recent   recent
 	reports  recent
 	usage    counter
+	demand   demand
 	weight   float64
 	behind   bool
 	timer    chestnutcleat.Timer
@@ -85,5 +86,6 @@
 		*a.pending -= w.count
 	}
 	a.recent.add(w.id, now)
+	a.demand.begin(w.id, now)
 	return w
 }
--- a/limit/book.go
+++ b/limit/book.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// shareFactor is how far above the others' service per weight a customer falls behind. At 1.3 customers that sent no more than
-	// usual fell behind by chance and p95 at full load was 7% higher than without levels.
-	shareFactor = 2
+	// shareFactor and demandFactor are how far above the others' a customer's service and open calls per weight must
+	// be for it to fall behind. Service alone cannot tell a customer that sends too much from one that is above its share
+	// by chance: at 1.3 the latter fell behind too, and at 2 the former got twice its share of a full fleet.
+	shareFactor  = 1
+	demandFactor = 2.5
 	// activeUsage is the counter above which a customer counts as active, in seconds of one engine's time.
 	activeUsage = 0.01
 	// reserveTime is how much use is reserved ahead; a lost owner costs its customers at most this much.
@@ -40,6 +42,7 @@
 	localAt     time.Time
 	localSum    float64
 	localWeight float64
+	localOpen   float64
 	localActive int
 }
 
@@ -77,11 +80,15 @@
 	b.pump(a)
 }
 
-// Usage adds service that a customer received; a repeated report counts once.
+// Usage ends a call and adds the service that its customer received; a repeated report counts once.
 func (b *Book) Usage(r chestnutcleat.UsageReport) {
 	now := time.Now()
 	a, ok := b.account(r.Customer, now)
-	if !ok || a.reports.has(r.ID, now) || math.IsNaN(r.Cost) || r.Cost <= 0 {
+	if !ok {
+		return
+	}
+	a.demand.end(r.Take)
+	if a.reports.has(r.ID, now) || math.IsNaN(r.Cost) || r.Cost <= 0 {
 		return
 	}
 	a.reports.add(r.ID, now)
--- a/limit/summary.go
+++ b/limit/summary.go
@@ -17,6 +17,8 @@
 	Sum    float64            `json:"s"`
 	Weight float64            `json:"w"`
 	Active int                `json:"a"`
+	// Open is the sum of the smoothed numbers of open calls.
+	Open float64 `json:"o"`
 
 	received time.Time
 }
@@ -25,7 +27,8 @@
 func (b *Book) Summary() []byte {
 	now := time.Now()
 	s := summary{VM: b.VM, Number: now.UnixNano()}
-	s.Sum, s.Weight, s.Active = b.local(now)
+	b.count(now)
+	s.Sum, s.Weight, s.Active, s.Open = b.localSum, b.localWeight, b.localActive, b.localOpen
 	data, _ := json.Marshal(s)
 	return data
 }
@@ -33,7 +36,7 @@
 // Merge takes the gossip item of another VM; older and unreadable items are ignored.
 func (b *Book) Merge(data []byte) {
 	var s summary
-	if err := json.Unmarshal(data, &s); err != nil || s.VM == b.VM || s.Active < 0 || s.Sum < 0 || s.Weight < 0 {
+	if err := json.Unmarshal(data, &s); err != nil || s.VM == b.VM || s.Active < 0 || s.Sum < 0 || s.Weight < 0 || s.Open < 0 {
 		return
 	}
 	if old, ok := b.remote[s.VM]; ok && old.Number >= s.Number {
@@ -46,26 +49,29 @@
 	b.remote[s.VM] = s
 }
 
-// local returns the sums of this VM's active customers, computed at most every 100 ms.
-func (b *Book) local(now time.Time) (sum, weight float64, active int) {
+// count updates the sums of this VM's active customers, at most every 100 ms.
+func (b *Book) count(now time.Time) {
 	if now.Sub(b.localAt) < 100*time.Millisecond {
-		return b.localSum, b.localWeight, b.localActive
+		return
 	}
-	b.localAt, b.localSum, b.localWeight, b.localActive = now, 0, 0, 0
+	b.localAt, b.localSum, b.localWeight, b.localActive, b.localOpen = now, 0, 0, 0, 0
 	for _, a := range b.accounts {
+		open := a.demand.read(now)
 		if v := a.usage.read(now); v > activeUsage {
 			b.localSum += v
 			b.localWeight += a.weight
 			b.localActive++
+			b.localOpen += open
 		}
 	}
-	return b.localSum, b.localWeight, b.localActive
 }
 
-// level returns 1 for a customer above its fair share while others are active, otherwise 0. The share is measured
-// against the other active customers: with two customers none can have more than twice the mean of both.
+// level returns 1 for a customer above its fair share of service and of open calls while others are active, otherwise
+// 0. The share is measured against the other active customers: with two customers none can have more than twice the
+// mean of both.
 func (b *Book) level(a *account, now time.Time) chestnutcleat.Level {
-	sum, weight, active := b.local(now)
+	b.count(now)
+	sum, weight, active, open := b.localSum, b.localWeight, b.localActive, b.localOpen
 	for v, s := range b.remote {
 		age := now.Sub(s.received)
 		if age > summaryLifetime {
@@ -76,10 +82,12 @@
 		sum += c.read(now)
 		weight += s.Weight
 		active += s.Active
+		open += s.Open
 	}
-	own := a.usage.read(now)
+	own, mine := a.usage.read(now), a.demand.value
 	others, rest := sum-own, weight-a.weight
-	behind := active > 1 && others > 0 && rest > 0 && own/a.weight > shareFactor*others/rest
+	behind := active > 1 && others > 0 && rest > 0 && own/a.weight > shareFactor*others/rest &&
+		mine/a.weight > demandFactor*max(0, open-mine)/rest
 	if behind != a.behind {
 		a.behind = behind
 		b.levelEvent(a)
--- a/load.go
+++ b/load.go
@@ -22,7 +22,7 @@
 	// Running is the number of tickets in use.
 	Running int `json:"running"`
 	Queued  int `json:"queued"`
-	// Wait is the expected wait of a new request.
+	// Wait is the expected wait of a new request of level 0.
 	Wait time.Duration `json:"wait"`
 	// Occupied is the estimated number of tokens in the prefix cache.
 	Occupied Tokens `json:"occupied"`
--- a/messages.go
+++ b/messages.go
@@ -24,8 +24,10 @@
 type UsageReport struct {
 	ID       RequestID  `json:"id"`
 	Customer CustomerID `json:"customer"`
-	// Cost is the service received in seconds of one engine's time.
+	// Cost is the service received in seconds of one engine's time; zero for a call that did not run.
 	Cost float64 `json:"cost"`
+	// Take is the id of the request that admitted the call, which has ended.
+	Take RequestID `json:"take,omitempty"`
 }
 
 // BeginRequest presents a call to its program's owner.
