--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -41,10 +41,10 @@
 // One operation is an acquire with a history of 100 messages, at full use with some requests queued, and the
 // release of an older ticket.
 func BenchmarkAcquire(b *testing.B) {
-	for _, n := range []int{8, 5000} {
-		b.Run(fmt.Sprint("customers=", n), func(b *testing.B) {
+	for _, c := range []struct{ customers, upstreams int }{{8, 12}, {8, 600}, {5000, 600}} {
+		b.Run(fmt.Sprintf("customers=%d/upstreams=%d", c.customers, c.upstreams), func(b *testing.B) {
 			random := rand.New(rand.NewPCG(1, 1))
-			upstreams := max(12, n*600/5000)
+			n, upstreams := c.customers, c.upstreams
 			config := chestnutcleat.Upstream{Slots: 6, Cache: 1 << 20, Prefill: 4000, Decode: 40}
 			k := dispatch.Book{Loop: idleLoop{}, Upstream: func(id chestnutcleat.UpstreamID) (chestnutcleat.Upstream, bool) {
 				u := config
