--- a/node/fault_test.go
+++ b/node/fault_test.go
@@ -127,7 +127,9 @@
 	for _, c := range cases {
 		for seed := uint64(1); seed <= 3; seed++ {
 			t.Run(fmt.Sprintf("%s/seed=%d", c.name, seed), func(t *testing.T) {
-				t.Parallel()
+				if !raceDetector {
+					t.Parallel()
+				}
 				synctest.Test(t, func(t *testing.T) { faultCase(t, seed, c.dead, c.hurt, c.heal, c.bound) })
 			})
 		}
--- a/node/rate_test.go
+++ b/node/rate_test.go
@@ -57,7 +57,9 @@
 	for name, hurt := range cases {
 		for seed := uint64(1); seed <= 3; seed++ {
 			t.Run(fmt.Sprintf("%s/seed=%d", name, seed), func(t *testing.T) {
-				t.Parallel()
+				if !raceDetector {
+					t.Parallel()
+				}
 				synctest.Test(t, func(t *testing.T) { rateCase(t, seed, hurt) })
 			})
 		}
