--- a/node/configuration_test.go
+++ b/node/configuration_test.go
@@ -24,7 +24,7 @@
 func eachSeed(t *testing.T, seeds uint64, test func(t *testing.T, seed uint64)) {
 	for seed := uint64(1); seed <= seeds; seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			t.Parallel()
+			parallel(t)
 			synctest.Test(t, func(t *testing.T) { test(t, seed) })
 		})
 	}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -158,3 +158,10 @@
 	defer f.mu.Unlock()
 	return f.random.Uint64()
 }
+
+// parallel lets a test run beside others, but not under the race detector.
+func parallel(t *testing.T) {
+	if !raceDetector {
+		t.Parallel()
+	}
+}
--- a/node/norace_test.go
+++ b/node/norace_test.go
@@ -5,6 +5,10 @@
 import "time"
 
 const (
+	// raceDetector reports whether the race detector is on.
+	raceDetector = false
 	absence      = time.Hour
 	absenceSeeds = 2
+	// faultSeeds is the number of seeds of each fault.
+	faultSeeds = 3
 )
