--- a/lease/entry.go
+++ b/lease/entry.go
@@ -9,6 +9,9 @@
 type Entry struct {
 	Stamp  Stamp                `json:"stamp"`
 	Record chestnutcleat.Record `json:"record"`
+
+	// encoded is the entry's JSON once it was written.
+	encoded []byte
 }
 
 // entryKey identifies a record; a newer entry replaces the older one.
--- a/lease/flush.go
+++ b/lease/flush.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
@@ -17,8 +16,6 @@
 	lazyFlush = time.Second
 	// journalPrefix starts the names of the journal objects.
 	journalPrefix chestnutcleat.ObjectName = "journal/"
-	// entryOverhead is a bound of an entry's JSON size beyond its name and data.
-	entryOverhead = 160
 )
 
 // flushState is the state of the journal object.
@@ -124,34 +121,3 @@
 		}
 	})
 }
-
-// object encodes the records, urgent and new ones first, within the platform's limit.
-func (s *store) object(e chestnutcleat.Epoch) (data []byte, whole bool) {
-	list := make([]Entry, 0, len(s.entries))
-	for _, n := range s.entries {
-		if !n.Record.Deleted {
-			list = append(list, n)
-		}
-	}
-	slices.SortFunc(list, func(a, b Entry) int {
-		switch {
-		case a.Record.Urgent != b.Record.Urgent && a.Record.Urgent:
-			return -1
-		case a.Record.Urgent != b.Record.Urgent:
-			return 1
-		case a.Stamp > b.Stamp:
-			return -1
-		}
-		return 1
-	})
-	size, n := entryOverhead, 0
-	for n < len(list) {
-		size += entryOverhead + len(list[n].Record.Name) + len(list[n].Record.Data)*4/3
-		if size > chestnutcleat.MaxObjectBytes {
-			break
-		}
-		n++
-	}
-	data, err := json.Marshal(journalObject{Epoch: e, Entries: list[:n]})
-	return data, err == nil && n == len(list)
-}
--- /dev/null
+++ b/lease/object_test.go
@@ -0,0 +1,65 @@
+package lease
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// The journal object must hold the newest record of each name, urgent ones first, and stay within the platform's limit,
+// or a successor loses calls that may not be repeated.
+func TestObjectOrderAndLimit(t *testing.T) {
+	tests := []struct {
+		name  string
+		bytes int
+		count int
+		whole bool
+	}{
+		{"empty", 0, 0, true},
+		{"few", 100, 10, true},
+		{"more than the limit", 64 << 10, 40, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newStore(3)
+			put := func(i int) {
+				s.put(chestnutcleat.Record{Slot: 1, Name: fmt.Sprint(i), Data: make([]byte, tt.bytes), Urgent: i%2 == 0})
+			}
+			for i := range tt.count {
+				put(i)
+			}
+			s.object(3)
+			// A record that was written before is superseded, one is deleted.
+			if tt.count > 0 {
+				put(1)
+				s.put(chestnutcleat.Record{Slot: 1, Name: "2", Deleted: true})
+			}
+			data, whole := s.object(3)
+			is.Equal(whole, tt.whole)
+			is.True(len(data) <= chestnutcleat.MaxObjectBytes)
+			var j journalObject
+			is.NoErr(json.Unmarshal(data, &j))
+			is.Equal(j.Epoch, chestnutcleat.Epoch(3))
+			seen := map[string]bool{}
+			for i, e := range j.Entries {
+				is.True(!seen[e.Record.Name] && !e.Record.Deleted)
+				seen[e.Record.Name] = true
+				is.Equal(e.Stamp, s.entries[e.key()].Stamp)
+				if i > 0 {
+					p := j.Entries[i-1]
+					is.True(p.Record.Urgent && !e.Record.Urgent || p.Record.Urgent == e.Record.Urgent && p.Stamp > e.Stamp)
+				}
+			}
+			if tt.whole {
+				is.Equal(len(j.Entries), max(0, tt.count-1))
+			} else {
+				is.True(len(data) > chestnutcleat.MaxObjectBytes-2*tt.bytes)
+			}
+		})
+	}
+}
