Test that restarting every VM in turn delays no call

Cause: graceful shutdown had no test under steady calls over a whole fleet.

The in-memory network lost every request that was under way when a process ended, as if its VM had died; the connections of a process that ends are reset, and its peers ask again at once.

Change: Network.Close ends a process whose VM lives on; requests to it fail at once, also those it has received. Detach still drops them silently. The new test restarts 7 VMs in turn with Node.Leave under about 140 calls/s; a call that fails, runs twice or takes more than 500 ms is an error.

--- a/node/norace_test.go
+++ b/node/norace_test.go
@@ -5,6 +5,7 @@
 import "time"
 
 const (
-	absence      = time.Hour
-	absenceSeeds = 2
+	absence       = time.Hour
+	absenceSeeds  = 2
+	gracefulSeeds = 3
 )
--- a/vm/network.go
+++ b/vm/network.go
@@ -27,8 +27,10 @@
 
 	mu sync.Mutex
 	// loss is the share of messages that are lost, in each direction.
-	loss     float64
-	muxes    map[chestnutcleat.Address]*Mux
+	loss  float64
+	muxes map[chestnutcleat.Address]*Mux
+	// ends are closed when the process at an address ends.
+	ends     map[chestnutcleat.Address]chan struct{}
 	cuts     map[link]bool
 	messages map[chestnutcleat.Address]Traffic
 }
@@ -44,6 +46,7 @@
 	return &Network{
 		Rand:     rand.New(rand.NewPCG(seed, seed)),
 		muxes:    map[chestnutcleat.Address]*Mux{},
+		ends:     map[chestnutcleat.Address]chan struct{}{},
 		cuts:     map[link]bool{},
 		messages: map[chestnutcleat.Address]Traffic{},
 	}
@@ -61,6 +64,18 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.muxes[a] = m
+	n.ends[a] = make(chan struct{})
+}
+
+// Close ends the process at an address while its VM lives on, as after a graceful shutdown:
+// its connections are reset, so requests to it fail at once, also those that it has received.
+func (n *Network) Close(a chestnutcleat.Address) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.muxes[a] != nil {
+		close(n.ends[a])
+		delete(n.muxes, a)
+	}
 }
 
 // Detach removes a VM, as if its process had died.
@@ -108,10 +123,11 @@
 	return true
 }
 
-func (n *Network) mux(a chestnutcleat.Address) *Mux {
+// mux returns the handlers at an address and the channel that is closed when their process ends.
+func (n *Network) mux(a chestnutcleat.Address) (*Mux, <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.muxes[a]
+	return n.muxes[a], n.ends[a]
 }
 
 func (n *Network) count(a chestnutcleat.Address, bytes int) {
@@ -137,12 +153,15 @@
 	if err := wait(ctx, n.Delay); err != nil {
 		return err
 	}
-	m := n.mux(to)
-	if !n.pass(p.address, to, len(data)) || m == nil {
+	m, end := n.mux(to)
+	if !n.pass(p.address, to, len(data)) || (m == nil && !closed(end)) {
 		<-ctx.Done()
 		return errors.Join(ErrUnreachable, ctx.Err())
 	}
-	r, err := serveAway(ctx, m, method, data)
+	if m == nil {
+		return errors.Join(ErrUnreachable, wait(ctx, n.Delay))
+	}
+	r, err := serveAway(ctx, m, end, method, data)
 	if err != nil {
 		return err
 	}
@@ -157,17 +176,28 @@
 }
 
 // serveAway runs the handler in a goroutine, so that a sender may give up before the handler ends.
-func serveAway(ctx context.Context, m *Mux, method chestnutcleat.Method, data []byte) (reply, error) {
+func serveAway(ctx context.Context, m *Mux, end <-chan struct{}, method chestnutcleat.Method, data []byte) (reply, error) {
 	done := make(chan reply, 1)
 	go func() { done <- m.serve(ctx, method, data) }()
 	select {
 	case r := <-done:
 		return r, nil
+	case <-end:
+		return reply{}, ErrUnreachable
 	case <-ctx.Done():
 		return reply{}, ctx.Err()
 	}
 }
 
+func closed(end <-chan struct{}) bool {
+	select {
+	case <-end:
+		return true
+	default:
+		return false
+	}
+}
+
 func wait(ctx context.Context, d time.Duration) error {
 	if d <= 0 {
 		return ctx.Err()
