--- /dev/null
+++ b/program/slope_test.go
@@ -0,0 +1,88 @@
+package program_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/program"
+)
+
+// now runs posted functions at once and no timers.
+type now struct{}
+
+func (now) Post(f func()) { f() }
+
+func (now) After(time.Duration, func()) chestnutcleat.Timer { return stopped{} }
+
+type stopped struct{}
+
+func (stopped) Stop() bool { return true }
+
+// counter acknowledges records at once and counts them.
+type counter struct {
+	records, bytes int
+}
+
+func (c *counter) Append(records []chestnutcleat.Record, done func(error)) {
+	for _, r := range records {
+		c.records++
+		c.bytes += len(r.Data)
+	}
+	done(nil)
+}
+
+func live() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkHeldProgram measures memory and time per program held, each with 20 finished calls; one operation is one
+// set of programs. Answers of 1 KB are retained as for callers.
+func BenchmarkHeldProgram(b *testing.B) {
+	for _, n := range []int{200, 800, 3200} {
+		b.Run(fmt.Sprint("programs=", n), func(b *testing.B) {
+			var bytes, records, data float64
+			for b.Loop() {
+				before := live()
+				c := &counter{}
+				book := &program.Book{Loop: now{}, Journal: c, Limits: func() chestnutcleat.Limits { return chestnutcleat.Limits{} }}
+				for p := range n {
+					holdProgram(b, book, chestnutcleat.ProgramID(fmt.Sprint("p", p)))
+				}
+				bytes += float64(live()) - float64(before)
+				records += float64(c.records)
+				data += float64(c.bytes)
+				runtime.KeepAlive(book)
+			}
+			per := float64(b.N * n)
+			b.ReportMetric(bytes/per, "heapB/program")
+			b.ReportMetric(records/per, "records/program")
+			b.ReportMetric(data/per, "recordB/program")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/per/20, "ns/call")
+		})
+	}
+}
+
+func holdProgram(b *testing.B, k *program.Book, id chestnutcleat.ProgramID) {
+	var after chestnutcleat.CallID
+	for i := range 20 {
+		c := newCall(chestnutcleat.CallID(fmt.Sprint("c", i)), after)
+		c.Program = id
+		var r chestnutcleat.BeginReply
+		k.Begin(chestnutcleat.BeginRequest{ID: chestnutcleat.RequestID(fmt.Sprint(id, i)), Call: c}, func(v chestnutcleat.BeginReply) { r = v })
+		if !r.Run {
+			b.Fatalf("call %d of %s does not run: %+v", i, id, r.Problem)
+		}
+		k.Start(chestnutcleat.StartRequest{Customer: c.Customer, Program: id, Call: c.ID, Attempt: r.Attempt}, func(chestnutcleat.StartReply) {})
+		s := done(c, r.Attempt)
+		s.Answer.Body = make([]byte, 1024)
+		k.Settle(s, func(chestnutcleat.SettleReply) {})
+		after = c.ID
+	}
+}
