--- a/node/norace_test.go
+++ b/node/norace_test.go
@@ -10,5 +10,6 @@
 	absence      = time.Hour
 	absenceSeeds = 2
 	// faultSeeds is the number of seeds of each fault.
-	faultSeeds = 3
+	faultSeeds    = 3
+	gracefulSeeds = 3
 )
