Keep leases apart from false suspicions; publish summaries only when they change

Cause: a VM that was wrongly declared gone raises its incarnation, and leases compared it with the process that they named: such a VM counted as dead for ever, its takeover never ended (23 to 64 promise requests a second at rest) and after a pause no VM served its slots (TestVMPaused, 1 of 8 runs). Load, usage and hold items were repeated every 500 ms although unchanged. Excluded: rewriting the fleet object at each rejoin, which would make every witness blank. Change: VM.Start names the process; leases use it, gossip keeps its own incarnation. Unchanged items are refreshed every 2 s, idle owners publish no usage.

--- a/lease/delisted.go
+++ b/lease/delisted.go
@@ -22,7 +22,7 @@
 
 func (k *Keeper) live(id chestnutcleat.VMID, inc chestnutcleat.Incarnation) bool {
 	for _, v := range k.Members() {
-		if v.ID == id && v.Incarnation == inc && v.State != chestnutcleat.VMGone {
+		if v.ID == id && v.Process() == inc && v.State != chestnutcleat.VMGone {
 			return true
 		}
 	}
--- a/lease/takeover.go
+++ b/lease/takeover.go
@@ -48,7 +48,7 @@
 	dead := ok || len(k.fleet.Members) <= maxWitnesses || now.Sub(k.validAt) > lapseTime
 	live := map[chestnutcleat.VMID]bool{}
 	for _, v := range k.Members() {
-		if m := k.fleet.member(v.ID); m != nil && m.Incarnation == v.Incarnation && v.State != chestnutcleat.VMGone {
+		if m := k.fleet.member(v.ID); m != nil && m.Incarnation == v.Process() && v.State != chestnutcleat.VMGone {
 			live[v.ID] = true
 		}
 	}
--- a/lease/transfer.go
+++ b/lease/transfer.go
@@ -54,7 +54,7 @@
 	view := fmt.Sprint(k.version, k.leaving != nil)
 	for _, v := range k.Members() {
 		m := k.fleet.member(v.ID)
-		if m == nil || m.Incarnation != v.Incarnation || v.State != chestnutcleat.VMLive || (v.ID == k.Self.ID && k.leaving != nil) {
+		if m == nil || m.Incarnation != v.Process() || v.State != chestnutcleat.VMLive || (v.ID == k.Self.ID && k.leaving != nil) {
 			continue
 		}
 		live = append(live, v.ID)
--- a/limit/summary.go
+++ b/limit/summary.go
@@ -33,6 +33,12 @@
 	return data
 }
 
+// Busy reports whether this VM owns customers that other owners must count; an idle owner publishes no summary.
+func (b *Book) Busy() bool {
+	b.count(time.Now())
+	return b.localActive > 0 || b.localOpen > 0
+}
+
 // Merge takes the gossip item of another VM; older and unreadable items are ignored.
 func (b *Book) Merge(data []byte) {
 	var s summary
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -61,6 +61,11 @@
 // newFleet starts n nodes and applies a manifest.
 func newFleet(t *testing.T, n int, seed uint64) *fleet { return newFleetWith(t, n, seed, 0, nil) }
 
+// newFleetOver is newFleet with a pause between the starts of two nodes.
+func newFleetOver(t *testing.T, n int, seed uint64, pause time.Duration) *fleet {
+	return newFleetWith(t, n, seed, pause, nil)
+}
+
 // newFleetWith is newFleet with a pause between the starts of two nodes and a transport for the control requests to engines.
 func newFleetWith(t *testing.T, n int, seed uint64, pause time.Duration, transport http.RoundTripper) *fleet {
 	f := &fleet{t: t, transport: transport, network: vm.NewNetwork(seed), store: standin.NewStore(seed), random: rand.New(rand.NewPCG(seed, 7))}
@@ -84,7 +89,7 @@
 	g := &gate{Platform: &standin.Client{Store: f.store, Name: string(id)}}
 	n := &node.Node{
 		Self: chestnutcleat.VM{
-			ID: id, Incarnation: incarnation, State: chestnutcleat.VMLive,
+			ID: id, Incarnation: 1000 * incarnation, State: chestnutcleat.VMLive,
 			Address: address(i), Caller: chestnutcleat.Address(fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250+1)),
 			Domain: domains[i%len(domains)], Region: "nordeste",
 		},
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -36,28 +36,37 @@
 func (n *Node) gossip() {
 	n.version++
 	id := string(n.Self.ID)
-	expiry := time.Now().Add(summaryExpiry)
 	if l := n.upstreams.Loads(); len(l) > 0 {
 		n.loads.merge(l)
-		if data, err := vm.Encode(l); err == nil {
-			n.members.PutUntil(itemLoads+id, n.version, data, expiry)
+		for i := range l {
+			l[i].Sequence = 0
 		}
+		publish(n, itemLoads+id, l)
+	}
+	if n.limits.Busy() {
+		n.members.PutUntil(itemUsage+id, n.version, n.limits.Summary(), time.Now().Add(summaryExpiry))
 	}
-	n.members.PutUntil(itemUsage+id, n.version, n.limits.Summary(), expiry)
 	if data, err := vm.Encode(manifestItem{From: n.Self.Address, Summary: n.manifests.Summary()}); err == nil {
 		if old, _, ok := n.members.Get(itemManifest + id); !ok || string(old) != string(data) {
 			n.members.Put(itemManifest+id, n.version, data)
 		}
 	}
 	if held := n.keeper.Held(); len(held) > 0 {
-		h := holdItem{Place: chestnutcleat.Place{VM: n.Self.ID, Address: n.Self.Address, Caller: n.Self.Caller, Epoch: n.keeper.Epoch()}, Lost: held}
-		if data, err := vm.Encode(h); err == nil {
-			n.members.PutUntil(itemHolds+id, n.version, data, expiry)
-		}
+		place := chestnutcleat.Place{VM: n.Self.ID, Address: n.Self.Address, Caller: n.Self.Caller, Epoch: n.keeper.Epoch()}
+		publish(n, itemHolds+id, holdItem{Place: place, Lost: held})
 	}
 	n.Loop.After(gossipInterval, n.gossip)
 }
 
+// publish spreads an item that expires if it is not refreshed.
+func publish[T any](n *Node, name string, v T) {
+	data, err := vm.Encode(v)
+	if err != nil || !n.publisher.due(name, data) {
+		return
+	}
+	n.members.PutUntil(name, n.version, data, time.Now().Add(summaryExpiry))
+}
+
 // onItem takes a gossip item of another VM.
 func (n *Node) onItem(name string, data []byte) {
 	if _, from, _ := strings.Cut(name, "/"); from == string(n.Self.ID) {
--- a/node/node.go
+++ b/node/node.go
@@ -55,6 +55,7 @@
 	seeds     seeds
 	loads     loads
 	holders   holders
+	publisher publisher
 	picker    picker
 	revoked   revocations
 	version   uint64
@@ -65,6 +66,7 @@
 
 // Init builds the control state; the exported fields are set before.
 func (n *Node) Init() {
+	n.Self.Start = n.Self.Process()
 	n.Loop = control.New()
 	n.Mux = vm.NewMux()
 	n.version = uint64(n.Self.Incarnation) << versionBits
--- a/vm.go
+++ b/vm.go
@@ -16,6 +16,9 @@
 	ID VMID `json:"id"`
 	// Incarnation distinguishes the runs of one VM; a higher one replaces a lower one.
 	Incarnation Incarnation `json:"incarnation"`
+	// Start is the incarnation that the process began with; it stays when a VM that was wrongly declared gone raises its
+	// incarnation. Zero means that it equals Incarnation.
+	Start Incarnation `json:"start,omitempty"`
 	State       VMState     `json:"state"`
 	// Address is where other VMs connect.
 	Address Address `json:"address"`
@@ -24,3 +27,11 @@
 	Domain FailureDomain `json:"domain"`
 	Region Region        `json:"region,omitempty"`
 }
+
+// Process identifies the process of the VM, for leases that outlive a false suspicion.
+func (v *VM) Process() Incarnation {
+	if v.Start != 0 {
+		return v.Start
+	}
+	return v.Incarnation
+}
