Serve callers until their lists are newer, and accept the backlog before closing

Cause: 1 of 10 rolling restarts cut a request, supposedly one that waited in the backlog of a listener that closed. Excluded: refusing requests during the drain, which callers see as refusals; draining inside Listener.Close, which http.Server calls with a lock that accepting needs (3 of 3 rolling restarts failed). Change: a leaving VM serves on for the 5 s that callers may keep a list, plus 1 s; its listener then accepts what the kernel completed before it closes.

--- a/caller/vms.go
+++ b/caller/vms.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"time"
 
 	"chestnutcleat.example/chestnutcleat"
 )
@@ -19,6 +21,9 @@
 	Domain  chestnutcleat.FailureDomain `json:"domain"`
 }
 
+// ListAge is how long callers may keep the list of VMs.
+const ListAge = 5 * time.Second
+
 // vms answers which VMs take calls; it needs no key, as callers of open routes have none.
 func (h *Handler) vms(w http.ResponseWriter, r *http.Request, who identity) *chestnutcleat.Problem {
 	if r.Method != http.MethodGet {
@@ -29,7 +34,7 @@
 		list.VMs = append(list.VMs, ListedVM{ID: v.ID, Address: v.Caller, Domain: v.Domain})
 	}
 	w.Header().Set("Content-Type", typeJSON)
-	w.Header().Set("Cache-Control", "private, max-age=5")
+	w.Header().Set("Cache-Control", fmt.Sprintf("private, max-age=%d", int(ListAge.Seconds())))
 	// A failed write means that the caller left.
 	_ = json.NewEncoder(w).Encode(list)
 	return nil
--- a/process/process.go
+++ b/process/process.go
@@ -42,6 +42,7 @@
 	callers   *http.Server
 	operators *http.Server
 	listeners listeners
+	backlog   *backlogListener
 }
 
 // listeners are the open sockets of a process.
@@ -63,7 +64,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return vm.Serve(ctx, p.listeners.vms, p.node.Mux) })
 	g.Go(func() error { return p.node.Run(ctx) })
-	g.Go(func() error { return serve(p.callers, p.listeners.callers) })
+	g.Go(func() error { return serve(p.callers, p.backlog) })
 	g.Go(func() error { return serve(p.operators, p.listeners.operators) })
 	g.Go(func() error { p.announce(ctx, false); return nil })
 	g.Go(func() error {
@@ -96,6 +97,7 @@
 		*l.into = n
 		*l.address = chestnutcleat.Address(n.Addr().String())
 	}
+	p.backlog = newBacklogListener(p.listeners.callers.(*net.TCPListener))
 	return nil
 }
 
@@ -139,7 +141,7 @@
 }
 
 func serve(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("serve %s: %w", l.Addr(), err)
 	}
 	return nil
--- a/vm.go
+++ b/vm.go
@@ -19,7 +19,7 @@
 	// Start is the incarnation that the process began with; it stays when a VM that was wrongly declared gone raises its
 	// incarnation. Zero means that it equals Incarnation.
 	Start Incarnation `json:"start,omitempty"`
-	State       VMState     `json:"state"`
+	State VMState     `json:"state"`
 	// Address is where other VMs connect.
 	Address Address `json:"address"`
 	// Caller is where callers connect.
