End takeovers of VMs that live, and distrust lists that lack the reader

A VM that was cut off took over live VMs after the cut, because the platform's list named nobody and so all counted as ended (TestFaults, one VM cut off, since leases know the process of a VM). An unreadable call record was dropped, so that a non-repeatable call could run again. Excluded: the change of process identity itself (it only let the cut VM get slots again); giving up the rule for ended VMs, which recovers a fleet that lost most VMs. Change: an unpromised takeover of a VM that lives and renews ends; a list without the reading VM counts for nothing; a slot with an unreadable record counts as incomplete. Event 405, logged once per slot, gives way to 104.

--- a/lease/delisted.go
+++ b/lease/delisted.go
@@ -60,6 +60,11 @@
 		for _, v := range list {
 			listed[v.ID] = true
 		}
+		if !listed[k.Self.ID] {
+			// A list that lacks this VM is too old or wrong: with it, a VM that is cut off would count all others as ended.
+			clear(k.delisted)
+			return
+		}
 		for _, m := range k.fleet.Members {
 			w := Witness{VM: m.VM, Incarnation: m.Incarnation}
 			switch {
--- a/lease/takeover.go
+++ b/lease/takeover.go
@@ -93,11 +93,16 @@
 	if !found {
 		return false
 	}
+	return now.Sub(k.renewedAt(m)) > lapseTime+time.Duration(rank)*2*time.Second
+}
+
+// renewedAt is when the last grant of this witness to a VM ended, or when this VM learned that it is a witness.
+func (k *Keeper) renewedAt(m *Member) time.Time {
 	last := k.learned[m.VM]
 	if g := k.grants[m.VM]; g != nil && g.epoch >= m.Epoch && g.until.After(last) {
 		last = g.until
 	}
-	return now.Sub(last) > lapseTime+time.Duration(rank)*2*time.Second
+	return last
 }
 
 func (k *Keeper) beginTakeover(m Member) {
@@ -153,11 +158,24 @@
 	if m := k.fleet.member(t.target.VM); m != nil && !t.writing {
 		t.target.Witnesses = m.Witnesses
 	}
+	if t.promised.IsZero() && !t.writing && k.recovered(&t.target, time.Now()) {
+		k.endTakeover(t)
+		return
+	}
 	k.askPromises(t)
 	k.consider(t)
 	k.Loop.After(retryInterval, func() { k.advance(t) })
 }
 
+// recovered reports whether a VM whose takeover began lives and renews its lease: it was not known to gossip yet, or cut
+// off for a while. Its witnesses never promise, so the takeover would ask them for ever.
+func (k *Keeper) recovered(m *Member, now time.Time) bool {
+	if m.VM == k.Self.ID || !k.live(m.VM, m.Incarnation) {
+		return false
+	}
+	return !m.has(k.Self.ID) || now.Sub(k.renewedAt(m)) <= lapseTime
+}
+
 func (k *Keeper) askPromises(t *takeover) {
 	for _, w := range t.target.Witnesses {
 		if t.promises[w.VM] {
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -100,6 +100,7 @@
 		Seeds:     []chestnutcleat.Address{address(0), address(1)},
 		Rand:      rand.New(rand.NewPCG(uint64(i), f.draw())),
 	}
+	f.store.SetVM(chestnutcleat.ListedVM{ID: id, Address: address(i)})
 	n.Init()
 	ctx, cancel := context.WithCancel(f.t.Context())
 	f.network.Attach(address(i), n.Mux)
--- a/program/transfer.go
+++ b/program/transfer.go
@@ -13,11 +13,7 @@
 // Import implements chestnutcleat.Owned.
 func (b *Book) Import(s chestnutcleat.Slot, records []chestnutcleat.Record, t chestnutcleat.Transfer) {
 	if t.Incomplete {
-		b.emit(event.ProgramIncomplete, "slot", s)
-		if b.missing == nil {
-			b.missing = map[chestnutcleat.Slot]time.Time{}
-		}
-		b.missing[s] = time.Now()
+		b.lack(s)
 	}
 	var calls []callData
 	for _, r := range latest(records) {
@@ -32,6 +28,7 @@
 			d, err := vm.Decode[callData](r.Data)
 			if err != nil {
 				b.emit(event.ProgramBadRecord, "record", r.Name, "error", err)
+				b.lack(s)
 				continue
 			}
 			calls = append(calls, d)
@@ -43,6 +40,14 @@
 	}
 }
 
+// lack notes that calls of a slot may have run without a record here.
+func (b *Book) lack(s chestnutcleat.Slot) {
+	if b.missing == nil {
+		b.missing = map[chestnutcleat.Slot]time.Time{}
+	}
+	b.missing[s] = time.Now()
+}
+
 // latest returns the newest record of each name.
 func latest(records []chestnutcleat.Record) map[string]chestnutcleat.Record {
 	m := map[string]chestnutcleat.Record{}
