--- /dev/null
+++ b/cmd/chestnutcleat/doc.go
@@ -0,0 +1,2 @@
+// Command chestnutcleat schedules the calls of agent programs.
+package main
--- a/cmd/chestnutcleat/main.go
+++ b/cmd/chestnutcleat/main.go
@@ -1,4 +1,3 @@
-// Command chestnutcleat schedules the calls of agent programs.
 package main
 
 import (
