Report an interrupted shutdown as such

Cause: after a second SIGTERM serve exited with 0 and logged a closed listener as cut requests (run by hand). Excluded: status 1 for every shutdown above its grace, which was already so. Conclusion: the status tells a graceful end from another.

--- a/caller/active.go
+++ b/caller/active.go
@@ -71,3 +71,10 @@
 	defer a.mu.Unlock()
 	return a.leaving
 }
+
+// InProgress returns the number of requests in progress.
+func (h *Handler) InProgress() int {
+	h.active.mu.Lock()
+	defer h.active.mu.Unlock()
+	return h.active.count
+}
--- a/process/shutdown.go
+++ b/process/shutdown.go
@@ -35,6 +35,9 @@
 	p.linger(grace, begun)
 	// The listener closes before the drain: a caller with an older list then goes to another VM, whereas Drain would
 	// refuse its new programs.
+	if ctx.Err() != nil {
+		return p.interrupted()
+	}
 	if err := p.backlog.Finish(); err != nil {
 		p.Observer.Emit(event.Cut, "error", err)
 	}
@@ -53,6 +56,14 @@
 	return nil
 }
 
+// interrupted ends the process at once and reports the requests that this cuts.
+func (p *Process) interrupted() error {
+	n := p.handler.InProgress()
+	p.close()
+	p.Observer.Emit(event.Cut, "requests", n)
+	return fmt.Errorf("graceful shutdown was interrupted with %d requests in progress", n)
+}
+
 // linger serves on until the lists that callers keep no longer name this VM.
 func (p *Process) linger(ctx context.Context, begun time.Time) {
 	t := time.NewTimer(time.Until(begun.Add(caller.ListAge + listMargin)))
