Give each type of the root package a file of its own

Cause: messages.go, manifest.go, engine.go, call.go, platform.go and load.go held up to fifteen types. Excluded: ids.go and units.go, which are lists of one-line types. Change: one file for each type; pickRetry has its unit.

--- /dev/null
+++ b/ack.go
@@ -0,0 +1,4 @@
+package chestnutcleat
+
+// Ack is an empty answer.
+type Ack struct{}
--- /dev/null
+++ b/acquirerequest.go
@@ -0,0 +1,22 @@
+package chestnutcleat
+
+import "time"
+
+// AcquireRequest asks an upstream's owner for a ticket.
+type AcquireRequest struct {
+	ID       RequestID  `json:"id"`
+	Upstream UpstreamID `json:"upstream"`
+	Customer CustomerID `json:"customer"`
+	Program  ProgramID  `json:"program"`
+	Call     CallID     `json:"call"`
+	Level    Level      `json:"level"`
+	Started  time.Time  `json:"started"`
+	Deadline time.Time  `json:"deadline"`
+	// History identifies the prompt's prefix in the cache index.
+	History    []Digest      `json:"history,omitempty"`
+	Prompt     Tokens        `json:"prompt"`
+	Output     Tokens        `json:"output"`
+	Repeatable bool          `json:"repeatable"`
+	Alone      bool          `json:"alone,omitempty"`
+	Timeout    time.Duration `json:"timeout"`
+}
--- a/call.go
+++ b/call.go
@@ -25,34 +25,3 @@
 	// Budget is the token budget that the caller sets for the whole program; zero means the manifest's limit.
 	Budget Tokens `json:"budget,omitempty"`
 }
-
-// Usage is what a call used.
-type Usage struct {
-	Prompt Tokens `json:"prompt"`
-	// Cached is the part of the prompt that the engine's prefix cache held.
-	Cached Tokens `json:"cached"`
-	Output Tokens `json:"output"`
-}
-
-// Total returns the tokens that count against a budget.
-func (u Usage) Total() Tokens { return u.Prompt + u.Output }
-
-// Answer is the whole final answer of a call, kept for callers that ask again.
-type Answer struct {
-	Status  int      `json:"status"`
-	Type    string   `json:"type,omitempty"`
-	Body    []byte   `json:"body,omitempty"`
-	Usage   Usage    `json:"usage"`
-	Outcome Outcome  `json:"outcome"`
-	Problem *Problem `json:"problem,omitempty"`
-	// Dropped is set when the body was too large to be kept.
-	Dropped bool `json:"dropped,omitempty"`
-}
-
-// Ticket allows one request to one upstream.
-type Ticket struct {
-	ID       TicketID   `json:"id"`
-	Upstream UpstreamID `json:"upstream"`
-	Epoch    Epoch      `json:"epoch"`
-	Expiry   time.Time  `json:"expiry"`
-}
--- /dev/null
+++ b/endrequest.go
@@ -0,0 +1,7 @@
+package chestnutcleat
+
+// EndRequest ends a program.
+type EndRequest struct {
+	Customer CustomerID `json:"customer"`
+	Program  ProgramID  `json:"program"`
+}
--- a/node/picker.go
+++ b/node/picker.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/dispatch"
@@ -46,4 +47,4 @@
 }
 
 // pickRetry is when to ask again after no upstream took work; a failed upstream is probed about that often.
-const pickRetry = 1e9
+const pickRetry = time.Second
--- /dev/null
+++ b/objectname.go
@@ -0,0 +1,4 @@
+package chestnutcleat
+
+// ObjectName names an object of the platform, with parts separated by slashes.
+type ObjectName string
--- a/platform.go
+++ b/platform.go
@@ -18,18 +18,6 @@
 // MaxObjectBytes is the largest value that the platform holds.
 const MaxObjectBytes = 1 << 20
 
-// ObjectName names an object of the platform, with parts separated by slashes.
-type ObjectName string
-
-// Object is a value of the platform's object API.
-type Object struct {
-	Name    ObjectName `json:"name"`
-	Version Version    `json:"version"`
-	Data    []byte     `json:"data"`
-	// Deleted is set by Watch for an object that was removed.
-	Deleted bool `json:"deleted,omitempty"`
-}
-
 // Platform is the platform's object API.
 type Platform interface {
 	// Get returns an object or ErrNotFound.
@@ -47,10 +35,3 @@
 	// VMs returns the platform's lagging list of VMs.
 	VMs(ctx context.Context) ([]ListedVM, error)
 }
-
-// ListedVM is an entry of the platform's lagging list.
-type ListedVM struct {
-	ID      VMID    `json:"id"`
-	Address Address `json:"address"`
-	Leaving bool    `json:"leaving,omitempty"`
-}
--- /dev/null
+++ b/releaserequest.go
@@ -0,0 +1,17 @@
+package chestnutcleat
+
+import "time"
+
+// ReleaseRequest returns a ticket.
+type ReleaseRequest struct {
+	Ticket  Ticket        `json:"ticket"`
+	Usage   Usage         `json:"usage"`
+	Elapsed time.Duration `json:"elapsed"`
+	// Failed is set when the upstream could not be reached or broke off.
+	Failed bool `json:"failed,omitempty"`
+	// Crashed is set when the connection broke after the request was sent.
+	Crashed bool `json:"crashed,omitempty"`
+	// Unused is set when no byte was sent.
+	Unused  bool     `json:"unused,omitempty"`
+	History []Digest `json:"history,omitempty"`
+}
--- /dev/null
+++ b/startreply.go
@@ -0,0 +1,6 @@
+package chestnutcleat
+
+// StartReply allows the dispatch or refuses it.
+type StartReply struct {
+	Problem *Problem `json:"problem,omitempty"`
+}
--- /dev/null
+++ b/upstream.go
@@ -0,0 +1,25 @@
+package chestnutcleat
+
+// Upstream is an upstream of the manifest.
+type Upstream struct {
+	ID      UpstreamID    `json:"id"`
+	Kind    UpstreamKind  `json:"kind"`
+	Address Address       `json:"address"`
+	Domain  FailureDomain `json:"domain"`
+	// Models lists the models of an engine and the adapters that it is to have loaded.
+	Models []ModelName `json:"models,omitempty"`
+	// Slots is the number of requests that it runs at the same time.
+	Slots int `json:"slots"`
+	// Cache is the size of an engine's prefix cache in tokens.
+	Cache Tokens `json:"cache,omitempty"`
+	// Prefill is an engine's prompt processing speed in tokens per second.
+	Prefill float64 `json:"prefill,omitempty"`
+	// Decode is an engine's generation speed in tokens per second for one request.
+	Decode float64 `json:"decode,omitempty"`
+	// Fencing is set when the upstream refuses orders with an old fencing token.
+	Fencing bool `json:"fencing,omitempty"`
+	// Role is the role that an engine is to have.
+	Role string `json:"role,omitempty"`
+	// Leaving is set when the upstream must get no new work.
+	Leaving bool `json:"leaving,omitempty"`
+}
