Wait with a context in one place; drop aliases and unused names

Excluded: the stand-in engine's pause, which aborts its request; joining the load generators' and handlers' similar setups, which share shape but not meaning. Change: chestnutcleat.Sleep replaces the copies; place calls do; lease names events as the other packages do; MethodStatus is gone. No behaviour changes. Formatter, vet, staticcheck, revive and the tests of the touched packages pass; the whole race run was not repeated in full. Conclusion: one place to change how waits end.

--- a/lease/flush.go
+++ b/lease/flush.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
 )
 
 const (
@@ -90,7 +91,7 @@
 	stamp := own.store.stamp
 	data, whole := own.store.object(own.epoch)
 	if !whole {
-		k.emit(leaseJournalFull, "records", len(own.store.entries))
+		k.emit(event.LeaseJournalFull, "records", len(own.store.entries))
 	}
 	name, version, known := journalName(k.Self.ID), f.version, f.known
 	chestnutcleat.Async(k.Loop, platformTimeout, func(ctx context.Context) (chestnutcleat.Version, error) {
@@ -106,7 +107,7 @@
 		f.writing = false
 		f.known = err == nil
 		if err != nil {
-			k.emit(leaseJournalFailed, "error", err)
+			k.emit(event.LeaseJournalFailed, "error", err)
 			f.last = time.Now().Add(retryInterval)
 			k.markDirty(true)
 			return
--- a/lease/hold.go
+++ b/lease/hold.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
 )
 
 // hold is a lease that this VM holds: its own, or that of a VM whose slots it holds temporarily.
@@ -146,7 +147,7 @@
 		k.endTemporary(h.subject.VM)
 		return
 	}
-	k.emit(leaseLost, "epoch", h.epoch)
+	k.emit(event.LeaseLost, "epoch", h.epoch)
 	for id := range k.temporary {
 		k.endTemporary(id)
 	}
--- a/lease/joining.go
+++ b/lease/joining.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
 )
 
 func (k *Keeper) me() Member {
@@ -79,7 +80,7 @@
 	}
 	k.own = newHold(*m, e, newStore(e))
 	k.polled = time.Now()
-	k.emit(leaseJoined, "epoch", e)
+	k.emit(event.LeaseJoined, "epoch", e)
 	k.tick()
 }
 
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
 )
 
 const (
@@ -147,9 +148,9 @@
 	ok := k.valid(now)
 	if ok != k.leased {
 		k.leased = ok
-		id := leaseRegained
+		id := event.LeaseRegained
 		if !ok {
-			id = leaseExpired
+			id = event.LeaseExpired
 		}
 		k.emit(id, "epoch", k.own.epoch)
 	}
--- a/lease/takeover.go
+++ b/lease/takeover.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
 )
 
 // temporaryAfter is how long a takeover waits for the platform before it starts temporary ownership.
@@ -238,7 +239,7 @@
 		t.merged = true
 		t.transfer = chestnutcleat.Transfer{Lost: true, Incomplete: !full}
 		if !full {
-			k.emit(leaseIncomplete, "member", t.target.VM)
+			k.emit(event.LeaseIncomplete, "member", t.target.VM)
 		}
 	}
 	k.commitTakeover(t)
@@ -346,7 +347,7 @@
 // takenOver serves the slots once no other VM can act for the target.
 func (k *Keeper) takenOver(t *takeover, joined bool, e chestnutcleat.Epoch, slots []chestnutcleat.Slot) {
 	k.endTakeover(t)
-	k.emit(leaseTakeover, "member", t.target.VM, "slots", len(slots))
+	k.emit(event.LeaseTakeover, "member", t.target.VM, "slots", len(slots))
 	if joined {
 		k.joined(e)
 	}
@@ -363,7 +364,7 @@
 		k.pushAll(k.own)
 	}
 	if h != nil {
-		k.emit(leaseTemporaryEnd, "member", t.target.VM)
+		k.emit(event.LeaseTemporaryEnd, "member", t.target.VM)
 	}
 	fresh := slices.DeleteFunc(slices.Clone(slots), func(s chestnutcleat.Slot) bool { return h != nil && k.slots[s] == slotMoving })
 	for _, s := range fresh {
--- a/lease/temporary.go
+++ b/lease/temporary.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
 )
 
 // startTemporary holds the target's slots by a lease from the target's witnesses until the platform is available.
@@ -32,7 +33,7 @@
 		k.Loop.After(retryInterval, func() { k.awaitTemporary(t, h, slots) })
 		return
 	}
-	k.emit(leaseTemporary, "member", t.target.VM, "slots", len(slots))
+	k.emit(event.LeaseTemporary, "member", t.target.VM, "slots", len(slots))
 	k.importSlots(slots, recordsOf(h.store.entries), t.transfer)
 }
 
@@ -44,7 +45,7 @@
 	}
 	delete(k.temporary, id)
 	k.failAppends(h)
-	k.emit(leaseTemporaryEnd, "member", id)
+	k.emit(event.LeaseTemporaryEnd, "member", id)
 	for s, o := range k.fleet.Owners {
 		if k.slots[s] != slotNone && o.VM == id {
 			k.drop(chestnutcleat.Slot(s))
--- a/lease/transfer.go
+++ b/lease/transfer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
 )
 
 const (
@@ -152,7 +153,7 @@
 		}
 	}
 	if ok && len(moved) > 0 {
-		k.emit(leaseHandover, "slots", len(moved))
+		k.emit(event.LeaseHandover, "slots", len(moved))
 		k.own.store.replace(moved, nil)
 		k.pushAll(k.own)
 		k.announce(parcels)
@@ -243,6 +244,6 @@
 // finish ends the work of this VM.
 func (k *Keeper) finish() {
 	k.left = true
-	k.emit(leaseLeft)
+	k.emit(event.LeaseLeft)
 	k.leaving()
 }
--- a/lease/update.go
+++ b/lease/update.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
 )
 
 // update is a conditional change of the fleet object.
@@ -95,7 +96,7 @@
 	u.next.changed(u.id)
 	data, err := json.Marshal(u.next)
 	if err != nil || u.next.check() != nil {
-		k.emit(leaseFleetInvalid, "error", err)
+		k.emit(event.LeaseFleetInvalid, "error", err)
 		k.endUpdate(u, false)
 		return
 	}
@@ -168,7 +169,7 @@
 	}
 	f := &Fleet{}
 	if err := json.Unmarshal(o.Data, f); err != nil {
-		k.emit(leaseFleetInvalid, "error", err)
+		k.emit(event.LeaseFleetInvalid, "error", err)
 		return
 	}
 	k.adopt(f, o.Version)
--- a/manifest/apply.go
+++ b/manifest/apply.go
@@ -204,7 +204,7 @@
 			o.Version = have.Version
 			continue
 		}
-		if !pause(ctx, settleDelay) {
+		if chestnutcleat.Sleep(ctx, settleDelay) != nil {
 			break
 		}
 	}
@@ -233,7 +233,7 @@
 		case v != version:
 			return a.conflict(ctx, have, m)
 		}
-		if !pause(ctx, settleDelay) {
+		if chestnutcleat.Sleep(ctx, settleDelay) != nil {
 			return &UnresolvedError{Change: a.change.ID, Cause: err}
 		}
 	}
@@ -272,15 +272,3 @@
 	r, err := decodeRoot(o.Data)
 	return r, o.Version, err
 }
-
-// pause waits and reports whether ctx is still valid.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/manifest/keys.go
+++ b/manifest/keys.go
@@ -106,7 +106,7 @@
 				return sameKey(o, k)
 			}
 		}
-		if !pause(ctx, settleDelay) {
+		if chestnutcleat.Sleep(ctx, settleDelay) != nil {
 			return &UnresolvedError{Change: k.Change, Cause: err}
 		}
 	}
--- a/node/ask.go
+++ b/node/ask.go
@@ -38,7 +38,7 @@
 		if err == nil || !worthRepeating(err) {
 			return v, err
 		}
-		if sleep(ctx, pause) != nil {
+		if chestnutcleat.Sleep(ctx, pause) != nil {
 			return v, fmt.Errorf("owner of %s %q did not answer: %w", k.Kind, k.ID, err)
 		}
 		p = next(a.place(k.Slot()), err)
@@ -81,14 +81,3 @@
 	}
 	return known
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/node/node.go
+++ b/node/node.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -149,14 +148,9 @@
 
 // place returns the owner of a slot.
 func (n *Node) place(s chestnutcleat.Slot) chestnutcleat.Place {
-	out := make(chan chestnutcleat.Place, 1)
-	n.Loop.Post(func() { out <- n.keeper.Place(s) })
-	t := time.NewTimer(attemptTimeout)
-	defer t.Stop()
-	select {
-	case p := <-out:
-		return p
-	case <-t.C:
+	var p chestnutcleat.Place
+	if err := n.do(func() { p = n.keeper.Place(s) }); err != nil {
 		return chestnutcleat.Place{}
 	}
+	return p
 }
--- a/node/owners.go
+++ b/node/owners.go
@@ -19,7 +19,7 @@
 		if err != nil || !a.Moved {
 			return a, err
 		}
-		if err := sleep(ctx, minBackoff); err != nil {
+		if err := chestnutcleat.Sleep(ctx, minBackoff); err != nil {
 			return a, err
 		}
 	}
--- a/node/seeds.go
+++ b/node/seeds.go
@@ -31,7 +31,7 @@
 
 func (s *seeds) run(ctx context.Context, p chestnutcleat.Platform, fixed []chestnutcleat.Address) error {
 	s.current.Store(&fixed)
-	for wait := time.Duration(0); sleep(ctx, wait) == nil; {
+	for wait := time.Duration(0); chestnutcleat.Sleep(ctx, wait) == nil; {
 		if s.read(ctx, p, fixed) {
 			wait = listInterval
 		} else {
--- a/peers.go
+++ b/peers.go
@@ -27,7 +27,6 @@
 	MethodOffer    Method = "offer"
 	MethodProgram  Method = "program"
 	MethodSuspect  Method = "suspect"
-	MethodStatus   Method = "status"
 )
 
 // Peers sends requests to other VMs.
--- a/standin/platform/client.go
+++ b/standin/platform/client.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	if err := pause(ctx, time.Duration(f.Latency)); err != nil {
+	if err := chestnutcleat.Sleep(ctx, time.Duration(f.Latency)); err != nil {
 		return err
 	}
 	if c.Store.down() {
@@ -124,17 +124,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/vm/network.go
+++ b/vm/network.go
@@ -150,7 +150,7 @@
 		return err
 	}
 	n := p.network
-	if err := wait(ctx, n.Delay); err != nil {
+	if err := chestnutcleat.Sleep(ctx, n.Delay); err != nil {
 		return err
 	}
 	m, end := n.mux(to)
@@ -159,13 +159,13 @@
 		return errors.Join(ErrUnreachable, ctx.Err())
 	}
 	if m == nil {
-		return errors.Join(ErrUnreachable, wait(ctx, n.Delay))
+		return errors.Join(ErrUnreachable, chestnutcleat.Sleep(ctx, n.Delay))
 	}
 	r, err := serveAway(ctx, m, end, method, data)
 	if err != nil {
 		return err
 	}
-	if err := wait(ctx, n.Delay); err != nil {
+	if err := chestnutcleat.Sleep(ctx, n.Delay); err != nil {
 		return err
 	}
 	if !n.pass(to, p.address, len(r.Body)) {
@@ -197,17 +197,3 @@
 		return false
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
