--- a/cmd/chestnutcleat/main.go
+++ b/cmd/chestnutcleat/main.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"github.com/google/subcommands"
+
+	"chestnutcleat.example/chestnutcleat/settings"
 )
 
 func main() {
@@ -14,6 +16,8 @@
 	subcommands.Register(&demoCommand{}, "processes")
 	subcommands.Register(&loadCommand{}, "processes")
 	subcommands.Register(&serveCommand{}, "processes")
+	subcommands.Register(&roleCommand{name: settings.RoleEntry, synopsis: "run the process of an entry VM on the users' platform"}, "processes")
+	subcommands.Register(&roleCommand{name: settings.RoleStore, synopsis: "run the process of a storage VM on the users' platform"}, "processes")
 	subcommands.Register(&standinCommand{}, "processes")
 	subcommands.Register(&applyCommand{}, "operators")
 	subcommands.Register(&keyCommand{}, "operators")
--- /dev/null
+++ b/cmd/chestnutcleat/role.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/google/subcommands"
+
+	"chestnutcleat.example/chestnutcleat/logs"
+	"chestnutcleat.example/chestnutcleat/role"
+	"chestnutcleat.example/chestnutcleat/settings"
+)
+
+// memoryShare is the part of the process's memory, in percent, that the garbage collector aims to keep below; the rest is
+// for sockets and stacks.
+const memoryShare = 70
+
+// roleCommand runs a process of one role.
+type roleCommand struct {
+	name, synopsis string
+	settings       string
+}
+
+func (c *roleCommand) Name() string { return c.name }
+
+func (c *roleCommand) Synopsis() string { return c.synopsis }
+
+func (c *roleCommand) Usage() string {
+	return c.name + " -settings FILE\n\tSIGTERM starts a graceful shutdown, a second one ends the process at once.\n"
+}
+
+func (c *roleCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "settings file, JSON with comments")
+}
+
+func (c *roleCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if s, ok := surplus(c, f); !ok {
+		return s
+	}
+	if c.settings == "" {
+		return misuse(c, "flag -settings is missing: expected the settings file of the role")
+	}
+	if err := c.run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *roleCommand) run(ctx context.Context) error {
+	s, err := settings.LoadRole(c.settings)
+	if err != nil {
+		return err
+	}
+	if s.Role != c.name {
+		return fmt.Errorf("settings %s are of role %q, expected %q", c.settings, s.Role, c.name)
+	}
+	debug.SetMemoryLimit(int64(s.Memory) << 20 * memoryShare / 100)
+	w := logs.NewBounded(os.Stdout)
+	defer w.Close()
+	l, err := logs.New(w, s.Log.Level, s.Log.Format, s.VM)
+	if err != nil {
+		return err
+	}
+	ctx, stop, end := signals(ctx)
+	defer end()
+	if s.Role == settings.RoleStore {
+		p := &role.Store{Stop: stop}
+		p.Settings, p.Observer = s, l
+		return p.Run(ctx)
+	}
+	p := &role.Entry{Stop: stop}
+	p.Settings, p.Observer = s, l
+	return p.Run(ctx)
+}
--- /dev/null
+++ b/config/doc.go
@@ -0,0 +1,2 @@
+// Package config holds the operators' configuration as VMs use it: routes, services, customers and limits.
+package config
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,29 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/config"
+)
+
+// Metrics counts what became of requests.
+type Metrics struct {
+	Set *metrics.Set
+}
+
+func (m *Metrics) refused(code chestnutcleat.Code) {
+	m.Set.GetOrCreateCounter(fmt.Sprintf(`requests_refused_total{code=%q}`, string(code))).Inc()
+}
+
+func (m *Metrics) answered(t config.Type, d time.Duration) {
+	m.Set.GetOrCreateHistogram(fmt.Sprintf(`request_seconds{type=%q}`, string(t))).Update(d.Seconds())
+}
+
+func (m *Metrics) streamed(first, whole time.Duration) {
+	m.Set.GetOrCreateHistogram(`stream_first_event_seconds`).Update(first.Seconds())
+	m.Set.GetOrCreateHistogram(`request_seconds{type="streaming"}`).Update(whole.Seconds())
+}
--- /dev/null
+++ b/keeper/wanted.go
@@ -0,0 +1,79 @@
+package keeper
+
+import (
+	"cmp"
+	"slices"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// Candidate is a disk that may hold the records.
+type Candidate struct {
+	chestnutcleat.Copy
+	// Alive is set when its VM is heard.
+	Alive bool
+	// Retiring is set when its VM is to be emptied.
+	Retiring bool
+}
+
+// Wanted returns the disks that are to hold the records: count of them if there are enough. A present disk that is lost
+// stays until another one can take its place; a retiring one, or one whose VM now has another disk, does not stay.
+func Wanted(present []chestnutcleat.Copy, candidates []Candidate, count int) []chestnutcleat.Copy {
+	list := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool {
+		return c.Retiring || (!c.Alive && !chestnutcleat.Contains(present, c.Disk))
+	})
+	for _, c := range present {
+		if !named(candidates, c.VM) {
+			// The VM is no longer listed; its disk counts as lost, not as gone, until another one takes its place.
+			list = append(list, Candidate{Copy: c})
+		}
+	}
+	rank := func(c Candidate) int {
+		switch kept := chestnutcleat.Contains(present, c.Disk); {
+		case kept && c.Alive:
+			return 0
+		case c.Alive:
+			return 1
+		}
+		return 2
+	}
+	slices.SortStableFunc(list, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.VM, b.VM))
+	})
+	list = spread(list, count, rank)
+	out := make([]chestnutcleat.Copy, 0, len(list))
+	for _, c := range list {
+		out = append(out, c.Copy)
+	}
+	slices.SortFunc(out, func(a, b chestnutcleat.Copy) int { return cmp.Compare(a.VM, b.VM) })
+	return out
+}
+
+// spread takes count candidates by rank and, within a rank, from failure domains that have none yet first.
+func spread(list []Candidate, count int, rank func(Candidate) int) []Candidate {
+	taken := map[chestnutcleat.FailureDomain]int{}
+	var out []Candidate
+	for len(out) < count && len(list) > 0 {
+		best := 0
+		for i := range list {
+			if rank(list[i]) == rank(list[best]) && taken[list[i].Domain] < taken[list[best].Domain] {
+				best = i
+			}
+		}
+		taken[list[best].Domain]++
+		out = append(out, list[best])
+		list = slices.Delete(list, best, best+1)
+	}
+	return out
+}
+
+func named(list []Candidate, id chestnutcleat.VMID) bool {
+	return slices.ContainsFunc(list, func(c Candidate) bool { return c.VM == id })
+}
+
+// same reports whether two sets have the same disks.
+func same(a, b []chestnutcleat.Copy) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(c chestnutcleat.Copy) bool {
+		return !slices.Contains(b, c)
+	})
+}
--- /dev/null
+++ b/ledger/client.go
@@ -0,0 +1,354 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
+)
+
+var (
+	// ErrNoCopies reports that this VM does not know the copies yet.
+	ErrNoCopies = errors.New("copies are not known")
+	// ErrUnsure reports that too few copies answered.
+	ErrUnsure = errors.New("too few copies answered")
+)
+
+const (
+	// appendTimeout bounds one append; a copy answers within a few milliseconds unless it is lost.
+	appendTimeout = 1 * time.Second
+	// adoptTimeout bounds telling a copy the present set.
+	adoptTimeout = 500 * time.Millisecond
+	// appendRetry is the wait after a failed append.
+	appendRetry = 50 * time.Millisecond
+	// maxBatch and maxBatchBytes bound one append.
+	maxBatch      = 256
+	maxBatchBytes = 1 << 20
+	// postTime is how long a record that nobody waits for is tried.
+	postTime = 5 * time.Second
+	// hedge is how long one copy is waited for before the next one is asked as well.
+	hedge = 25 * time.Millisecond
+	// maxWaiting bounds the records that wait for one copy.
+	maxWaiting = 8192
+)
+
+// Client writes to all copies and reads from enough of them.
+type Client struct {
+	Peers    chestnutcleat.Peers
+	Observer chestnutcleat.Observer
+	// Domain is this VM's failure domain, whose copy is read first.
+	Domain chestnutcleat.FailureDomain
+
+	mu      sync.Mutex
+	copies  chestnutcleat.Copies
+	senders map[chestnutcleat.DiskID]*sender
+	pending map[*operation]bool
+	ctx     context.Context
+}
+
+// operation is a record on its way to the copies.
+type operation struct {
+	record   Record
+	held     map[chestnutcleat.DiskID]bool
+	attempts map[chestnutcleat.RequestID]Attempt
+	expiry   time.Time
+	done     chan struct{}
+	finished bool
+}
+
+// Run keeps the senders until ctx is done.
+func (c *Client) Run(ctx context.Context) error {
+	c.mu.Lock()
+	c.ctx = ctx
+	c.reconcile()
+	c.mu.Unlock()
+	<-ctx.Done()
+	return nil
+}
+
+// Copies returns the set that this VM knows.
+func (c *Client) Copies() chestnutcleat.Copies {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.copies
+}
+
+// SetCopies makes a newer set this VM's own.
+func (c *Client) SetCopies(set chestnutcleat.Copies) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if set.Version <= c.copies.Version {
+		return
+	}
+	c.copies = set
+	c.reconcile()
+	c.Observer.Emit(event.CopiesKnown, "version", set.Version, "copies", len(set.Disks), "next", len(set.Next))
+}
+
+// reconcile starts and stops senders and looks at pending operations anew. It needs the lock.
+func (c *Client) reconcile() {
+	if c.ctx == nil {
+		return
+	}
+	if c.senders == nil {
+		c.senders, c.pending = map[chestnutcleat.DiskID]*sender{}, map[*operation]bool{}
+	}
+	all := c.copies.All()
+	for disk, s := range c.senders {
+		if !chestnutcleat.Contains(all, disk) {
+			s.cancel()
+			delete(c.senders, disk)
+		}
+	}
+	for _, copied := range all {
+		if c.senders[copied.Disk] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(c.ctx)
+		s := &sender{client: c, copy: copied, cancel: cancel, wake: make(chan struct{}, 1)}
+		for o := range c.pending {
+			s.queue = append(s.queue, o)
+		}
+		c.senders[copied.Disk] = s
+		go s.run(ctx)
+	}
+	for o := range c.pending {
+		c.settleOperation(o)
+	}
+}
+
+// settleOperation ends an operation that a write quorum holds. It needs the lock.
+func (c *Client) settleOperation(o *operation) {
+	if !o.finished && c.copies.Written(func(d chestnutcleat.DiskID) bool { return o.held[d] }) {
+		o.finished = true
+		close(o.done)
+		delete(c.pending, o)
+	}
+}
+
+// start queues a record for all copies.
+func (c *Client) start(r Record, expiry time.Time) (*operation, error) {
+	o := &operation{
+		record: r, held: map[chestnutcleat.DiskID]bool{}, attempts: map[chestnutcleat.RequestID]Attempt{},
+		expiry: expiry, done: make(chan struct{}),
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.copies.Version == 0 || c.senders == nil {
+		return nil, ErrNoCopies
+	}
+	c.pending[o] = true
+	for _, s := range c.senders {
+		s.add(o)
+	}
+	return o, nil
+}
+
+// Write returns once a write quorum holds the record; a Reserve returns the other attempts of its program.
+func (c *Client) Write(ctx context.Context, r Record) ([]Attempt, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(postTime)
+	}
+	o, err := c.start(r, deadline)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-o.done:
+	case <-ctx.Done():
+		c.drop(o)
+		return nil, errors.Join(ErrUnsure, ctx.Err())
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]Attempt, 0, len(o.attempts))
+	for _, a := range o.attempts {
+		list = append(list, a)
+	}
+	return list, nil
+}
+
+// Post writes a record that nobody waits for.
+func (c *Client) Post(r Record) {
+	if _, err := c.start(r, time.Now().Add(postTime)); err != nil {
+		c.Observer.Emit(event.RecordLost, "request", r.Attempt, "kind", r.Kind, "error", err)
+	}
+}
+
+func (c *Client) drop(o *operation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o.finished = true
+	delete(c.pending, o)
+}
+
+// sender sends one copy's records, one batch at a time.
+type sender struct {
+	client *Client
+	copy   chestnutcleat.Copy
+	cancel context.CancelFunc
+	wake   chan struct{}
+	// queue is guarded by the client's lock.
+	queue []*operation
+	// told is the version of the set that the copy surely has.
+	told  chestnutcleat.Version
+	broke bool
+}
+
+// add queues an operation. It needs the client's lock.
+func (s *sender) add(o *operation) {
+	if len(s.queue) >= maxWaiting {
+		// A copy that is away this long needs the older records no more than any other: a quorum of the others holds them.
+		s.queue = s.queue[len(s.queue)/2:]
+	}
+	s.queue = append(s.queue, o)
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *sender) run(ctx context.Context) {
+	for {
+		batch, version := s.take()
+		if len(batch) == 0 {
+			select {
+			case <-s.wake:
+				continue
+			case <-ctx.Done():
+				return
+			}
+		}
+		err := s.send(ctx, batch, version)
+		if ctx.Err() != nil {
+			return
+		}
+		s.report(err)
+		if err != nil {
+			s.putBack(batch)
+			if chestnutcleat.Sleep(ctx, appendRetry) != nil {
+				return
+			}
+		}
+	}
+}
+
+// take removes the next batch from the queue, without operations that ended before they were sent.
+func (s *sender) take() ([]*operation, chestnutcleat.Version) {
+	c := s.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, size, n := time.Now(), 0, 0
+	var batch []*operation
+	for _, o := range s.queue {
+		if len(batch) == maxBatch || size > maxBatchBytes {
+			break
+		}
+		n++
+		if now.After(o.expiry) {
+			delete(c.pending, o)
+			continue
+		}
+		size += len(o.record.Input) + len(o.record.Output)
+		batch = append(batch, o)
+	}
+	s.queue = s.queue[n:]
+	return batch, c.copies.Version
+}
+
+// putBack queues what a copy did not take; finished operations need this copy no more.
+func (s *sender) putBack(batch []*operation) {
+	s.client.mu.Lock()
+	defer s.client.mu.Unlock()
+	var again []*operation
+	for _, o := range batch {
+		if !o.finished {
+			again = append(again, o)
+		}
+	}
+	s.queue = append(again, s.queue...)
+}
+
+func (s *sender) send(ctx context.Context, batch []*operation, version chestnutcleat.Version) error {
+	if s.told < version {
+		if err := s.tell(ctx); err != nil {
+			return err
+		}
+	}
+	q := AppendRequest{Target: Target{Disk: s.copy.Disk, Version: version}, Records: make([]Record, len(batch))}
+	for i, o := range batch {
+		q.Records[i] = o.record
+	}
+	var r AppendReply
+	if err := s.call(ctx, appendTimeout, methodAppend, q, &r); err != nil {
+		return err
+	}
+	if r.Newer != nil {
+		s.client.SetCopies(*r.Newer)
+		s.putBack(batch)
+		return nil
+	}
+	if r.Behind {
+		s.told = 0
+		s.putBack(batch)
+		return nil
+	}
+	s.acknowledge(batch, r.Attempts)
+	return nil
+}
+
+// tell makes sure that the copy has this VM's set or a newer one.
+func (s *sender) tell(ctx context.Context) error {
+	set := s.client.Copies()
+	var r AdoptReply
+	if err := s.call(ctx, adoptTimeout, methodAdopt, AdoptRequest{Disk: s.copy.Disk, Copies: set}, &r); err != nil {
+		return err
+	}
+	s.told = r.Copies.Version
+	s.client.SetCopies(r.Copies)
+	return nil
+}
+
+func (s *sender) acknowledge(batch []*operation, attempts [][]Attempt) {
+	c := s.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range batch {
+		if o.record.Kind == Reserve && len(attempts) > 0 {
+			merge(o.attempts, attempts[0])
+			attempts = attempts[1:]
+		}
+		o.held[s.copy.Disk] = true
+		c.settleOperation(o)
+	}
+}
+
+// merge adds what one copy knows of a program; a settlement replaces a reservation.
+func merge(into map[chestnutcleat.RequestID]Attempt, list []Attempt) {
+	for _, a := range list {
+		if known, ok := into[a.ID]; !ok || !known.Settled {
+			into[a.ID] = a
+		}
+	}
+}
+
+func (s *sender) call(ctx context.Context, timeout time.Duration, m chestnutcleat.Method, request, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return s.client.Peers.Call(ctx, s.copy.Address, m, request, reply)
+}
+
+// report logs when a copy is lost and regained.
+func (s *sender) report(err error) {
+	switch {
+	case err != nil && !s.broke:
+		s.client.Observer.Emit(event.CopyLost, "disk", s.copy.Disk, "copy", s.copy.VM, "error", err)
+	case err == nil && s.broke:
+		s.client.Observer.Emit(event.CopyRegained, "disk", s.copy.Disk, "copy", s.copy.VM)
+	}
+	s.broke = err != nil
+}
--- /dev/null
+++ b/mirror/mirror.go
@@ -0,0 +1,286 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+const (
+	// watchWait is how long the platform holds a watch; a connection that goes silent is found by keep-alive probes.
+	watchWait = 20 * time.Second
+	// minRetry and maxRetry bound the wait after a failed call.
+	minRetry = 100 * time.Millisecond
+	maxRetry = 500 * time.Millisecond
+	// spacing lets changes that come together share one call.
+	spacing = 50 * time.Millisecond
+	// returnTime is how long entries that vanished while the platform was away may take to come back after its return.
+	returnTime = 2500 * time.Millisecond
+)
+
+// Snapshot is all objects of a kind at one version.
+type Snapshot struct {
+	Version chestnutcleat.Version  `json:"version"`
+	Objects []chestnutcleat.Stored `json:"objects"`
+}
+
+// Mirror keeps the objects of one kind.
+type Mirror struct {
+	Store chestnutcleat.ObjectStore
+	Kind  chestnutcleat.ObjectKind
+	// Changed runs after each change, one call at a time; nil ignores changes.
+	Changed func(Snapshot)
+	// Lapses keeps objects that vanished while the platform was away until returnTime after its return.
+	Lapses bool
+	// Lost and Regained report the connection to the platform; nil ignores it.
+	Lost     func(error)
+	Regained func()
+	Rand     *rand.Rand
+
+	mu      sync.Mutex
+	objects map[string]chestnutcleat.Stored
+	// lapsed holds until when objects that vanished during an outage stay.
+	lapsed map[string]time.Time
+	// version is that of the last change seen, position where the next watch goes on.
+	version, position chestnutcleat.Version
+	away              bool
+	notify            sync.Mutex
+}
+
+// Version returns the version of the last change.
+func (m *Mirror) Version() chestnutcleat.Version {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version
+}
+
+// Offered returns what another VM may take over: the objects without those that may be gone.
+func (m *Mirror) Offered() Snapshot {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.snapshot()
+	s.Objects = slices.DeleteFunc(s.Objects, func(o chestnutcleat.Stored) bool {
+		_, lapsed := m.lapsed[o.Name]
+		return lapsed
+	})
+	return s
+}
+
+func (m *Mirror) snapshot() Snapshot {
+	s := Snapshot{Version: m.version, Objects: make([]chestnutcleat.Stored, 0, len(m.objects))}
+	for _, o := range m.objects {
+		s.Objects = append(s.Objects, o)
+	}
+	slices.SortFunc(s.Objects, func(a, b chestnutcleat.Stored) int { return strings.Compare(a.Name, b.Name) })
+	return s
+}
+
+// Run follows the platform until ctx is done.
+func (m *Mirror) Run(ctx context.Context) error {
+	retry := minRetry
+	for ctx.Err() == nil {
+		err := m.step(ctx)
+		if err == nil {
+			retry = minRetry
+			_ = chestnutcleat.Sleep(ctx, spacing)
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		m.lost(err)
+		_ = chestnutcleat.Sleep(ctx, retry/2+time.Duration(m.Rand.Int64N(int64(retry))))
+		retry = min(2*retry, maxRetry)
+	}
+	return nil
+}
+
+// step makes one call to the platform.
+func (m *Mirror) step(ctx context.Context) error {
+	m.mu.Lock()
+	position, wait := m.position, watchWait
+	if m.away {
+		// A short first watch tells soon that the platform is back.
+		wait = 0
+	}
+	if next, ok := m.nextLapse(); ok {
+		wait = min(wait, max(0, time.Until(next)))
+	}
+	m.mu.Unlock()
+	if position == 0 {
+		list, version, err := m.Store.List(ctx, m.Kind)
+		if err != nil {
+			return err
+		}
+		m.replace(Snapshot{Version: version, Objects: list})
+		return nil
+	}
+	list, version, err := m.Store.Watch(ctx, m.Kind, position, wait)
+	if errors.Is(err, chestnutcleat.ErrCompacted) {
+		m.mu.Lock()
+		m.position = 0
+		m.mu.Unlock()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	m.apply(list, version)
+	return nil
+}
+
+func (m *Mirror) nextLapse() (time.Time, bool) {
+	var next time.Time
+	for _, t := range m.lapsed {
+		if next.IsZero() || t.Before(next) {
+			next = t
+		}
+	}
+	return next, !next.IsZero()
+}
+
+func (m *Mirror) lost(err error) {
+	m.mu.Lock()
+	was := m.away
+	m.away = true
+	m.mu.Unlock()
+	if !was && m.Lost != nil {
+		m.Lost(err)
+	}
+}
+
+// replace takes over a whole list from the platform.
+func (m *Mirror) replace(s Snapshot) {
+	m.update(func() (changed, regained bool) {
+		if s.Version < m.version {
+			// An answer that is older than what is known, such as one that was delayed.
+			return false, false
+		}
+		regained, m.away = m.away, false
+		next := make(map[string]chestnutcleat.Stored, len(s.Objects))
+		for _, o := range s.Objects {
+			if !o.Deleted {
+				next[o.Name] = o
+			}
+		}
+		for name, o := range m.objects {
+			if _, ok := next[name]; !ok && m.Lapses && regained {
+				next[name] = o
+				m.lapse(name)
+			}
+		}
+		m.objects = next
+		m.forgetReturned()
+		m.version, m.position = s.Version, s.Version
+		return true, regained
+	})
+}
+
+func (m *Mirror) lapse(name string) {
+	if m.lapsed == nil {
+		m.lapsed = map[string]time.Time{}
+	}
+	if _, ok := m.lapsed[name]; !ok {
+		m.lapsed[name] = time.Now().Add(returnTime)
+	}
+}
+
+// forgetReturned drops the lapse of objects that are listed again.
+func (m *Mirror) forgetReturned() {
+	for name := range m.lapsed {
+		if _, ok := m.objects[name]; !ok {
+			delete(m.lapsed, name)
+		}
+	}
+}
+
+// apply takes over changes from the platform.
+func (m *Mirror) apply(list []chestnutcleat.Stored, position chestnutcleat.Version) {
+	m.update(func() (changed, regained bool) {
+		regained, m.away = m.away, false
+		for _, o := range list {
+			if known, ok := m.objects[o.Name]; ok && o.Version < known.Version {
+				continue
+			}
+			changed = true
+			if o.Deleted && m.Lapses && regained {
+				m.lapse(o.Name)
+			} else if o.Deleted {
+				delete(m.objects, o.Name)
+				delete(m.lapsed, o.Name)
+			} else {
+				m.objects[o.Name] = o
+				delete(m.lapsed, o.Name)
+			}
+		}
+		if m.dropLapsed() {
+			changed = true
+		}
+		if len(list) > 0 {
+			m.version = max(m.version, position)
+		}
+		m.position = max(m.position, position)
+		return changed, regained
+	})
+}
+
+// dropLapsed forgets objects that did not come back in time.
+func (m *Mirror) dropLapsed() bool {
+	now, dropped := time.Now(), false
+	for name, t := range m.lapsed {
+		if !now.Before(t) {
+			delete(m.objects, name)
+			delete(m.lapsed, name)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// Offer takes over the snapshot of another VM if it is newer.
+func (m *Mirror) Offer(s Snapshot) {
+	m.update(func() (changed, regained bool) {
+		if s.Version <= m.version {
+			return false, false
+		}
+		next := make(map[string]chestnutcleat.Stored, len(s.Objects))
+		for _, o := range s.Objects {
+			next[o.Name] = o
+		}
+		for name, o := range m.objects {
+			if _, ok := next[name]; !ok && m.Lapses && m.away {
+				next[name] = o
+				m.lapse(name)
+			}
+		}
+		m.objects = next
+		m.version = s.Version
+		m.position = max(m.position, s.Version)
+		return true, false
+	})
+}
+
+// update runs f under the lock and reports what it changed.
+func (m *Mirror) update(f func() (changed, regained bool)) {
+	m.notify.Lock()
+	defer m.notify.Unlock()
+	m.mu.Lock()
+	if m.objects == nil {
+		m.objects = map[string]chestnutcleat.Stored{}
+	}
+	changed, regained := f()
+	s := m.snapshot()
+	m.mu.Unlock()
+	if regained && m.Regained != nil {
+		m.Regained()
+	}
+	if changed && m.Changed != nil {
+		m.Changed(s)
+	}
+}
--- /dev/null
+++ b/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer spreads a short summary of each VM to all others by datagrams.
+package peer
--- /dev/null
+++ b/peer/summary.go
@@ -0,0 +1,33 @@
+package peer
+
+import "chestnutcleat.example/chestnutcleat"
+
+// Member is a VM as its object at the platform describes it.
+type Member struct {
+	VM     chestnutcleat.VMID          `json:"vm"`
+	Role   string                      `json:"role"`
+	Domain chestnutcleat.FailureDomain `json:"domain"`
+	// Address is where other VMs connect and send datagrams.
+	Address chestnutcleat.Address `json:"address"`
+	// Callers is where callers connect; empty on VMs that take no callers.
+	Callers chestnutcleat.Address `json:"callers,omitempty"`
+	// Disk is the VM's data folder; empty for none.
+	Disk chestnutcleat.DiskID `json:"disk,omitempty"`
+	// Started is the Unix time of the process's start in milliseconds.
+	Started int64 `json:"started"`
+}
+
+// Summary is what a VM tells all others.
+type Summary struct {
+	Member
+	// Sequence orders the summaries of one process.
+	Sequence uint64 `json:"sequence"`
+	// Leaving is set while the VM shuts down.
+	Leaving bool `json:"leaving,omitempty"`
+	// Versions are those of the VM's copies of the platform's objects.
+	Versions map[chestnutcleat.ObjectKind]chestnutcleat.Version `json:"versions,omitempty"`
+	// Admitted counts the requests of each customer since the process started.
+	Admitted map[chestnutcleat.CustomerID]uint64 `json:"admitted,omitempty"`
+	// Load is the number of requests that the VM has at each instance.
+	Load map[chestnutcleat.InstanceID]int `json:"load,omitempty"`
+}
--- /dev/null
+++ b/place/doc.go
@@ -0,0 +1,2 @@
+// Package place chooses the instance that runs a request.
+package place
--- /dev/null
+++ b/place/table.go
@@ -0,0 +1,235 @@
+package place
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+const (
+	// firstRest and longestRest bound how long an instance gets no work after connections to it failed; a crashed one is
+	// back after some seconds.
+	firstRest   = 300 * time.Millisecond
+	longestRest = 2 * time.Second
+	// spread is how far above the mean of its service an engine's load may be before a program leaves its cache.
+	spread = 1.25
+	// slack is added to the bound, so that a nearly idle service does not scatter programs.
+	slack = 2
+)
+
+// Want describes the instance that a request needs.
+type Want struct {
+	Service chestnutcleat.ServiceName
+	// Key keeps requests with the same key at one instance; empty means the least loaded one.
+	Key string
+	// Avoid lists instances that this request has tried.
+	Avoid []chestnutcleat.InstanceID
+	// Domain is the caller's VM's failure domain, preferred between equally loaded instances.
+	Domain chestnutcleat.FailureDomain
+}
+
+// Use is one request at an instance.
+type Use struct {
+	chestnutcleat.Instance
+	table *Table
+	ended bool
+}
+
+// Table knows the instances and what runs at them.
+type Table struct {
+	mu       sync.Mutex
+	services map[chestnutcleat.ServiceName][]*state
+	byID     map[chestnutcleat.InstanceID]*state
+}
+
+type state struct {
+	chestnutcleat.Instance
+	// own is the number of requests that this VM has there, others that of all other VMs.
+	own, others int
+	failures    int
+	rest        time.Time
+	hash        uint64
+}
+
+// NewTable returns a table without instances.
+func NewTable() *Table {
+	return &Table{services: map[chestnutcleat.ServiceName][]*state{}, byID: map[chestnutcleat.InstanceID]*state{}}
+}
+
+// Set replaces the list of instances; what is known about those that stay is kept.
+func (t *Table) Set(list []chestnutcleat.Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	services := map[chestnutcleat.ServiceName][]*state{}
+	byID := make(map[chestnutcleat.InstanceID]*state, len(list))
+	for _, i := range list {
+		s := t.byID[i.ID]
+		if s == nil || s.Born != i.Born || s.Address != i.Address {
+			s = &state{hash: xxhash.Sum64String(string(i.ID))}
+		}
+		s.Instance = i
+		byID[i.ID] = s
+		services[i.Service] = append(services[i.Service], s)
+	}
+	t.services, t.byID = services, byID
+}
+
+// SetOthers replaces what other VMs report to run at each instance.
+func (t *Table) SetOthers(load map[chestnutcleat.InstanceID]int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, s := range t.byID {
+		s.others = load[id]
+	}
+}
+
+// Own returns what this VM has at each instance.
+func (t *Table) Own() map[chestnutcleat.InstanceID]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	load := make(map[chestnutcleat.InstanceID]int, len(t.byID))
+	for id, s := range t.byID {
+		if s.own > 0 {
+			load[id] = s.own
+		}
+	}
+	return load
+}
+
+// Known reports whether the instance is listed and not leaving.
+func (t *Table) Known(id chestnutcleat.InstanceID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.byID[id]
+	return s != nil && !s.Leaving
+}
+
+// Pick chooses an instance; it returns nil when none is left.
+func (t *Table) Pick(w Want) *Use {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := t.candidates(w)
+	if len(list) == 0 {
+		return nil
+	}
+	var s *state
+	if w.Key != "" {
+		s = bounded(list, w.Key)
+	} else {
+		s = least(list, w.Domain)
+	}
+	s.own++
+	return &Use{Instance: s.Instance, table: t}
+}
+
+// candidates returns the instances that may get the request: rested ones if there are any.
+func (t *Table) candidates(w Want) []*state {
+	now := time.Now()
+	var rested, resting []*state
+	for _, s := range t.services[w.Service] {
+		switch {
+		case s.Leaving || slices.Contains(w.Avoid, s.ID):
+		case now.Before(s.rest):
+			resting = append(resting, s)
+		default:
+			rested = append(rested, s)
+		}
+	}
+	if len(rested) == 0 {
+		return resting
+	}
+	return rested
+}
+
+func (s *state) load() int { return s.own + s.others }
+
+// bounded returns the first instance by rendezvous hashing whose load is within the bound.
+func bounded(list []*state, key string) *state {
+	total := 0
+	for _, s := range list {
+		total += s.load()
+	}
+	bound := spread*float64(total+1)/float64(len(list)) + slack
+	h := xxhash.Sum64String(key)
+	var best *state
+	var rank uint64
+	for _, s := range list {
+		if float64(s.load()) > bound || s.load() >= s.Slots {
+			continue
+		}
+		if r := mix(h ^ s.hash); best == nil || r > rank {
+			best, rank = s, r
+		}
+	}
+	if best == nil {
+		return least(list, "")
+	}
+	return best
+}
+
+// mix spreads the bits of a hash (the finalizer of MurmurHash3).
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// least returns the instance with the smallest share of its slots taken, in the given failure domain if equal.
+func least(list []*state, domain chestnutcleat.FailureDomain) *state {
+	return slices.MinFunc(list, func(a, b *state) int {
+		if d := a.load()*b.Slots - b.load()*a.Slots; d != 0 {
+			return d
+		}
+		return rank(a, domain) - rank(b, domain)
+	})
+}
+
+func rank(s *state, domain chestnutcleat.FailureDomain) int {
+	if s.Domain == domain {
+		return 0
+	}
+	return 1
+}
+
+// Verdict is what an exchange showed about an instance.
+type Verdict int
+
+// Verdicts on an instance.
+const (
+	// Sound means that it answered.
+	Sound Verdict = iota
+	// Unclear means that the exchange ended for a reason of its own.
+	Unclear
+	// Failed means that it could not be reached or broke off.
+	Failed
+)
+
+// End returns the use.
+func (u *Use) End(v Verdict) {
+	t := u.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if u.ended {
+		return
+	}
+	u.ended = true
+	s := t.byID[u.ID]
+	if s == nil || s.Born != u.Born || s.Address != u.Address {
+		return
+	}
+	s.own--
+	switch v {
+	case Sound:
+		s.failures = 0
+		s.rest = time.Time{}
+	case Failed:
+		s.rest = time.Now().Add(min(firstRest<<min(s.failures, 8), longestRest))
+		s.failures++
+	}
+}
--- /dev/null
+++ b/role/base.go
@@ -0,0 +1,234 @@
+package role
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
+	"chestnutcleat.example/chestnutcleat/mirror"
+	"chestnutcleat.example/chestnutcleat/peer"
+	"chestnutcleat.example/chestnutcleat/platform"
+	"chestnutcleat.example/chestnutcleat/settings"
+	"chestnutcleat.example/chestnutcleat/vm"
+)
+
+const (
+	// fleetKind is the kind of the system's own objects: one for each VM, and the set of copies.
+	fleetKind  chestnutcleat.ObjectKind = "fleet"
+	vmPrefix                            = "vm-"
+	copiesName                          = "copies"
+	// announceInterval is the time between looks at this VM's own object.
+	announceInterval = time.Second
+	// aheadWait gives this VM's own watch the time to bring what another VM already has.
+	aheadWait     = 150 * time.Millisecond
+	methodObjects = chestnutcleat.Method("mirror/objects")
+	objectsTime   = time.Second
+)
+
+// base is what both roles have.
+type base struct {
+	Settings settings.Role
+	Observer chestnutcleat.Observer
+	Metrics  *metrics.Set
+
+	self    peer.Member
+	objects *platform.Objects
+	client  *vm.Client
+	mux     *vm.Mux
+	fleet   *peer.Fleet
+	// mirrors has the kinds that this VM follows.
+	mirrors map[chestnutcleat.ObjectKind]*mirror.Mirror
+	tcp     net.Listener
+
+	mu sync.Mutex
+	// asking holds the kinds that are being asked of another VM.
+	asking map[chestnutcleat.ObjectKind]bool
+	own    chestnutcleat.Stored
+}
+
+// objectsRequest asks another VM for its copy of a kind.
+type objectsRequest struct {
+	Kind chestnutcleat.ObjectKind `json:"kind"`
+}
+
+func (b *base) init(disk chestnutcleat.DiskID) {
+	s := &b.Settings
+	if b.Metrics == nil {
+		b.Metrics = metrics.NewSet()
+	}
+	b.self = peer.Member{
+		VM: s.VM, Role: s.Role, Domain: s.Domain, Address: s.Internal(), Callers: s.Listen.Callers, Disk: disk,
+		Started: time.Now().UnixMilli(),
+	}
+	b.objects = platform.NewObjects(s.Platform)
+	calls := b.Metrics.NewCounter("platform_calls_total")
+	b.objects.Called = func(int, error) { calls.Inc() }
+	b.client = vm.NewClient()
+	b.mux = vm.NewMux()
+	b.mirrors = map[chestnutcleat.ObjectKind]*mirror.Mirror{}
+	b.asking = map[chestnutcleat.ObjectKind]bool{}
+	vm.Handle(b.mux, methodObjects, b.offer)
+}
+
+// follow adds a kind to those that this VM mirrors.
+func (b *base) follow(k chestnutcleat.ObjectKind, lapses bool, changed func(mirror.Snapshot)) {
+	seed := uint64(time.Now().UnixNano())
+	b.mirrors[k] = &mirror.Mirror{
+		Store: b.objects, Kind: k, Lapses: lapses, Changed: changed,
+		Lost:     func(err error) { b.Observer.Emit(event.PlatformLost, "kind", k, "error", err) },
+		Regained: func() { b.Observer.Emit(event.PlatformBack, "kind", k) },
+		Rand:     rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// listen opens the sockets for other VMs.
+func (b *base) listen(ctx context.Context) error {
+	l := net.ListenConfig{KeepAliveConfig: platform.Probes}
+	a := string(b.self.Address)
+	tcp, err := l.Listen(ctx, "tcp", a)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", a, err)
+	}
+	udp, err := l.ListenPacket(ctx, "udp", a)
+	if err != nil {
+		return errors.Join(fmt.Errorf("listen on %s: %w", a, err), tcp.Close())
+	}
+	b.tcp, b.fleet.Conn = tcp, udp
+	return nil
+}
+
+// start runs what both roles have.
+func (b *base) start(ctx context.Context, g *errgroup.Group) {
+	g.Go(func() error { return vm.Serve(ctx, b.tcp, b.mux) })
+	g.Go(func() error { return b.fleet.Run(ctx) })
+	for _, m := range b.mirrors {
+		g.Go(func() error { return m.Run(ctx) })
+	}
+	g.Go(func() error { return b.announce(ctx) })
+}
+
+// versions are those of the kinds that this VM follows.
+func (b *base) versions() map[chestnutcleat.ObjectKind]chestnutcleat.Version {
+	out := make(map[chestnutcleat.ObjectKind]chestnutcleat.Version, len(b.mirrors))
+	for k, m := range b.mirrors {
+		out[k] = m.Version()
+	}
+	return out
+}
+
+// offer answers another VM that is behind.
+func (b *base) offer(_ context.Context, q objectsRequest) (mirror.Snapshot, error) {
+	m := b.mirrors[q.Kind]
+	if m == nil {
+		return mirror.Snapshot{}, fmt.Errorf("kind %q is not followed here", q.Kind)
+	}
+	return m.Offered(), nil
+}
+
+// catchUp asks another VM for the kinds of which it has newer objects.
+func (b *base) catchUp(ctx context.Context, s *peer.Summary) {
+	for k, v := range s.Versions {
+		m := b.mirrors[k]
+		if m == nil || m.Version() >= v {
+			continue
+		}
+		b.mu.Lock()
+		busy := b.asking[k]
+		b.asking[k] = true
+		b.mu.Unlock()
+		if !busy {
+			go b.ask(ctx, m, s.VM, s.Address, v)
+		}
+	}
+}
+
+func (b *base) ask(ctx context.Context, m *mirror.Mirror, id chestnutcleat.VMID, a chestnutcleat.Address, v chestnutcleat.Version) {
+	defer func() {
+		b.mu.Lock()
+		b.asking[m.Kind] = false
+		b.mu.Unlock()
+	}()
+	if chestnutcleat.Sleep(ctx, aheadWait) != nil || m.Version() >= v {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, objectsTime)
+	defer cancel()
+	var s mirror.Snapshot
+	// A VM that does not answer is asked again after its next summary.
+	if err := b.client.Call(ctx, a, methodObjects, objectsRequest{Kind: m.Kind}, &s); err != nil {
+		return
+	}
+	b.Observer.Emit(event.PeerAhead, "kind", m.Kind, "version", s.Version, "before", m.Version(), "from", id)
+	m.Offer(s)
+}
+
+// members decodes the VMs among the fleet's objects and remembers this VM's own.
+func (b *base) members(s mirror.Snapshot) []peer.Member {
+	var list []peer.Member
+	var own chestnutcleat.Stored
+	for _, o := range s.Objects {
+		id, ok := strings.CutPrefix(o.Name, vmPrefix)
+		if !ok {
+			continue
+		}
+		if id == string(b.self.VM) {
+			own = o
+		}
+		var m peer.Member
+		if err := json.Unmarshal(o.Data, &m); err != nil || string(m.VM) != id {
+			b.Observer.Emit(event.EntryUnread, "object", o.Name, "error", err)
+			continue
+		}
+		list = append(list, m)
+	}
+	b.mu.Lock()
+	b.own = own
+	b.mu.Unlock()
+	return list
+}
+
+// announce keeps this VM's own object at the platform.
+func (b *base) announce(ctx context.Context) error {
+	data, err := json.Marshal(b.self)
+	if err != nil {
+		return err
+	}
+	m := b.mirrors[fleetKind]
+	failed := false
+	for ctx.Err() == nil {
+		b.mu.Lock()
+		own := b.own
+		b.mu.Unlock()
+		if m.Version() > 0 && string(own.Data) != string(data) {
+			v, err := b.objects.Write(ctx, fleetKind, chestnutcleat.Stored{Name: vmPrefix + string(b.self.VM), Version: own.Version, Data: data})
+			switch {
+			case err == nil:
+				b.Observer.Emit(event.Announced, "version", v)
+				b.mu.Lock()
+				b.own = chestnutcleat.Stored{Name: own.Name, Version: v, Data: data}
+				b.mu.Unlock()
+				failed = false
+			case !failed:
+				b.Observer.Emit(event.AnnounceFailed, "error", err)
+				failed = true
+			}
+		}
+		wait := announceInterval
+		if m.Version() == 0 {
+			wait = announceInterval / 10
+		}
+		_ = chestnutcleat.Sleep(ctx, wait)
+	}
+	return nil
+}
--- /dev/null
+++ b/role/doc.go
@@ -0,0 +1,2 @@
+// Package role assembles the processes of the system's roles.
+package role
--- /dev/null
+++ b/role/entry.go
@@ -0,0 +1,297 @@
+package role
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/config"
+	"chestnutcleat.example/chestnutcleat/entry"
+	"chestnutcleat.example/chestnutcleat/event"
+	"chestnutcleat.example/chestnutcleat/exchange"
+	"chestnutcleat.example/chestnutcleat/ledger"
+	"chestnutcleat.example/chestnutcleat/mirror"
+	"chestnutcleat.example/chestnutcleat/peer"
+	"chestnutcleat.example/chestnutcleat/place"
+	"chestnutcleat.example/chestnutcleat/platform"
+	"chestnutcleat.example/chestnutcleat/rate"
+)
+
+const (
+	// headerTime bounds the reading of a caller's header; configurations allow 3 s.
+	headerTime = 10 * time.Second
+	// idleTime is above every idle time that callers rely on.
+	idleTime = 2 * time.Minute
+	// maxHeader bounds a caller's header in bytes; configurations allow 16 KiB.
+	maxHeader = 64 << 10
+	// holdTime is how long callers keep a list of addresses, in seconds.
+	holdTime = 2.5
+	// tick is the time between looks at the other VMs.
+	tick = 200 * time.Millisecond
+	// bodyShare and cacheShare are the parts of the process's memory for bodies and kept turns.
+	bodyShare  = 4
+	cacheShare = 16
+)
+
+// Entry is the process of an entry VM.
+type Entry struct {
+	base
+	// Stop starts the graceful shutdown.
+	Stop <-chan struct{}
+
+	config   atomic.Pointer[config.Table]
+	places   *place.Table
+	rates    *rate.Fleet
+	ledger   *ledger.Client
+	handler  *entry.Handler
+	leaving  atomic.Bool
+	servers  []*http.Server
+	callers  net.Listener
+	ready    net.Listener
+	registry net.Listener
+	known    map[chestnutcleat.InstanceID]chestnutcleat.Version
+}
+
+// Run serves until ctx is done or the shutdown has ended.
+func (e *Entry) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	e.init("")
+	e.build(ctx)
+	if err := e.listen(ctx); err != nil {
+		return err
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	e.start(ctx, g)
+	g.Go(func() error { return e.ledger.Run(ctx) })
+	g.Go(func() error { return e.watchFleet(ctx) })
+	e.serve(g)
+	g.Go(func() error {
+		defer cancel()
+		e.shutdown(ctx)
+		return nil
+	})
+	s := &e.Settings
+	e.Observer.Emit(event.Started, "role", s.Role, "domain", s.Domain, "callers", s.Listen.Callers, "vms", e.self.Address, "memory", s.Memory)
+	err := g.Wait()
+	e.client.Close()
+	e.Observer.Emit(event.Stopped, "error", err)
+	return err
+}
+
+func (e *Entry) build(ctx context.Context) {
+	e.places = place.NewTable()
+	e.rates = rate.NewFleet()
+	e.ledger = &ledger.Client{Peers: e.client, Observer: e.Observer, Domain: e.Settings.Domain}
+	e.known = map[chestnutcleat.InstanceID]chestnutcleat.Version{}
+	e.fleet = &peer.Fleet{
+		Self: e.self, Describe: e.describe,
+		Received: func(before, now peer.Summary) { e.received(ctx, before, now) },
+		Heard:    func(id chestnutcleat.VMID) { e.Observer.Emit(event.PeerBack, "peer", id) },
+		Silenced: func(id chestnutcleat.VMID) { e.Observer.Emit(event.PeerLost, "peer", id) },
+	}
+	memory := int64(e.Settings.Memory) << 20
+	pool := exchange.NewPool(platform.Probes)
+	opened := e.Metrics.NewCounter("instance_connections_total")
+	pool.Opened = func(chestnutcleat.Address, error) { opened.Inc() }
+	e.handler = &entry.Handler{
+		Codec: platform.Codec{}, Config: e.config.Load, Places: e.places, Pool: pool, Rates: e.rates, Ledger: e.ledger,
+		Turns: &entry.TurnCache{Size: int(memory / cacheShare)}, Observer: e.Observer, Metrics: &entry.Metrics{Set: e.Metrics},
+		Domain: e.Settings.Domain, Tell: e.fleet.Soon, Memory: memory / bodyShare,
+	}
+	e.follow(platform.ConfigKind, false, e.configChanged)
+	e.follow(platform.InstanceKind, true, e.instancesChanged)
+	e.follow(fleetKind, false, e.fleetChanged)
+}
+
+func (e *Entry) listen(ctx context.Context) error {
+	if err := e.base.listen(ctx); err != nil {
+		return err
+	}
+	s := &e.Settings.Listen
+	l := net.ListenConfig{KeepAliveConfig: platform.Probes}
+	for _, v := range []struct {
+		into    *net.Listener
+		address chestnutcleat.Address
+	}{{&e.callers, s.Callers}, {&e.ready, s.Ready}, {&e.registry, s.Registry}} {
+		n, err := l.Listen(ctx, "tcp", string(v.address))
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", v.address, err)
+		}
+		*v.into = n
+	}
+	return nil
+}
+
+func (e *Entry) serve(g *errgroup.Group) {
+	for _, v := range []struct {
+		listener net.Listener
+		handler  http.Handler
+	}{
+		{e.callers, e.handler},
+		{e.ready, platform.Readiness(e.isReady)},
+		{e.registry, platform.Registry(e.addresses)},
+	} {
+		s := &http.Server{Handler: v.handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader}
+		e.servers = append(e.servers, s)
+		g.Go(func() error {
+			if err := s.Serve(v.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				return fmt.Errorf("serve %s: %w", v.listener.Addr(), err)
+			}
+			return nil
+		})
+	}
+}
+
+func (e *Entry) isReady() bool { return e.config.Load() != nil && !e.leaving.Load() }
+
+// describe fills in this VM's summary.
+func (e *Entry) describe(s *peer.Summary) {
+	s.Leaving = e.leaving.Load()
+	s.Versions = e.versions()
+	s.Admitted = e.rates.Admitted()
+	s.Load = e.places.Own()
+}
+
+// received takes over what another VM tells.
+func (e *Entry) received(ctx context.Context, before, now peer.Summary) {
+	e.countOthers(before, now)
+	e.catchUp(ctx, &now)
+}
+
+// countOthers takes off what another VM admitted since its last summary. What it admitted while it was silent, or before
+// this VM started, is covered by the even share that a silent VM is taken to use.
+func (e *Entry) countOthers(before, now peer.Summary) {
+	counts := map[chestnutcleat.CustomerID]uint64{}
+	for id, n := range now.Admitted {
+		switch {
+		case before.Started == now.Started && before.Sequence > 0:
+			n -= min(n, before.Admitted[id])
+		case now.Started < e.self.Started:
+			continue
+		}
+		if n > 0 {
+			counts[id] = n
+		}
+	}
+	e.rates.Others(counts)
+}
+
+// watchFleet follows which VMs are heard and what they report about instances.
+func (e *Entry) watchFleet(ctx context.Context) error {
+	for chestnutcleat.Sleep(ctx, tick) == nil {
+		peers := e.fleet.Peers()
+		load := map[chestnutcleat.InstanceID]int{}
+		silent := 0
+		for i := range peers {
+			if peers[i].Silent() {
+				silent++
+				continue
+			}
+			for id, n := range peers[i].Load {
+				load[id] += n
+			}
+		}
+		e.places.SetOthers(load)
+		if e.mirrors[fleetKind].Version() > 0 {
+			e.rates.SetFleet(len(peers)+1, silent)
+		}
+	}
+	return nil
+}
+
+// addresses are where callers of a failure domain connect: its own VMs if it has two or more.
+func (e *Entry) addresses(_ chestnutcleat.Region, domain chestnutcleat.FailureDomain) ([]chestnutcleat.Address, float64) {
+	var near, all []chestnutcleat.Address
+	add := func(m *peer.Member) {
+		all = append(all, m.Callers)
+		if m.Domain == domain {
+			near = append(near, m.Callers)
+		}
+	}
+	if !e.leaving.Load() {
+		add(&e.self)
+	}
+	for _, p := range e.fleet.Peers() {
+		if !p.Silent() && !p.Leaving {
+			add(&p.Member)
+		}
+	}
+	if len(near) > 1 {
+		all = near
+	}
+	slices.Sort(all)
+	return all[:min(len(all), maxAddresses)], min(holdTime, e.Settings.Hold)
+}
+
+// maxAddresses is how many addresses a caller takes at most.
+const maxAddresses = 64
+
+// configChanged puts a newer configuration into effect.
+func (e *Entry) configChanged(s mirror.Snapshot) {
+	for _, o := range s.Objects {
+		if o.Name != platform.ConfigName {
+			continue
+		}
+		known := e.config.Load()
+		if known != nil && known.Revision >= o.Version {
+			return
+		}
+		c, err := platform.DecodeConfig(o)
+		if err != nil {
+			e.Observer.Emit(event.ConfigInvalid, "version", o.Version, "error", err)
+			return
+		}
+		e.rates.Set(c.Customers)
+		e.config.Store(config.NewTable(c))
+		e.Observer.Emit(event.ConfigApplied, "number", c.Number, "version", c.Revision, "routes", len(c.Routes), "customers", len(c.Customers))
+		return
+	}
+}
+
+// instancesChanged takes over the list of instances; entries that name none are left out.
+func (e *Entry) instancesChanged(s mirror.Snapshot) {
+	list := make([]chestnutcleat.Instance, 0, len(s.Objects))
+	leaving := 0
+	for _, o := range s.Objects {
+		i, err := platform.DecodeInstance(o)
+		if err != nil {
+			if e.known[chestnutcleat.InstanceID(o.Name)] != o.Version {
+				e.Observer.Emit(event.EntryUnread, "object", o.Name, "version", o.Version, "error", err)
+			}
+			e.known[chestnutcleat.InstanceID(o.Name)] = o.Version
+			continue
+		}
+		if i.Leaving {
+			leaving++
+		}
+		list = append(list, i)
+	}
+	e.places.Set(list)
+	e.Observer.Emit(event.InstancesKnown, "version", s.Version, "instances", len(list), "leaving", leaving)
+}
+
+// fleetChanged takes over the list of VMs and the set of copies.
+func (e *Entry) fleetChanged(s mirror.Snapshot) {
+	e.fleet.SetMembers(e.members(s))
+	for _, o := range s.Objects {
+		if o.Name != copiesName {
+			continue
+		}
+		var set chestnutcleat.Copies
+		if err := json.Unmarshal(o.Data, &set); err != nil {
+			e.Observer.Emit(event.EntryUnread, "object", o.Name, "version", o.Version, "error", err)
+			continue
+		}
+		e.ledger.SetCopies(set)
+	}
+}
--- /dev/null
+++ b/role/store.go
@@ -0,0 +1,192 @@
+package role
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
+	"chestnutcleat.example/chestnutcleat/keeper"
+	"chestnutcleat.example/chestnutcleat/ledger"
+	"chestnutcleat.example/chestnutcleat/mirror"
+	"chestnutcleat.example/chestnutcleat/peer"
+	"chestnutcleat.example/chestnutcleat/platform"
+)
+
+// retireInterval is the time between looks at the orders to empty storage VMs.
+const retireInterval = 300 * time.Millisecond
+
+// Store is the process of a storage VM.
+type Store struct {
+	base
+	// Stop ends the process; all that was acknowledged is on the disk.
+	Stop <-chan struct{}
+
+	store  *ledger.Store
+	keeper *keeper.Keeper
+	ctx    context.Context
+
+	mu       sync.Mutex
+	disks    []peer.Member
+	retiring []chestnutcleat.VMID
+	reported map[chestnutcleat.VMID]platform.RetirementState
+}
+
+// Run serves until ctx is done or Stop is closed.
+func (s *Store) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	store, err := ledger.Open(s.Settings.Folder)
+	if err != nil {
+		return err
+	}
+	s.store = store
+	s.init(store.Disk())
+	store.Peers, store.Observer = s.client, s.Observer
+	store.Register(s.mux)
+	g, ctx := errgroup.WithContext(ctx)
+	s.build(ctx)
+	if err := s.listen(ctx); err != nil {
+		return err
+	}
+	s.start(ctx, g)
+	g.Go(func() error { return store.Run(ctx) })
+	g.Go(func() error { return s.keeper.Run(ctx) })
+	g.Go(func() error { return s.retire(ctx) })
+	g.Go(func() error {
+		defer cancel()
+		select {
+		case <-s.Stop:
+			s.Observer.Emit(event.Stopping)
+		case <-ctx.Done():
+		}
+		return nil
+	})
+	s.Observer.Emit(event.Started, "role", s.Settings.Role, "domain", s.Settings.Domain, "vms", s.self.Address, "disk", store.Disk(), "set", store.Copies().Version)
+	err = g.Wait()
+	s.client.Close()
+	s.Observer.Emit(event.Stopped, "error", err)
+	return err
+}
+
+func (s *Store) build(ctx context.Context) {
+	s.ctx = ctx
+	s.reported = map[chestnutcleat.VMID]platform.RetirementState{}
+	s.fleet = &peer.Fleet{
+		Self:     s.self,
+		Describe: func(m *peer.Summary) { m.Versions = s.versions() },
+		Received: func(_, now peer.Summary) { s.catchUp(ctx, &now) },
+		Heard:    func(id chestnutcleat.VMID) { s.Observer.Emit(event.PeerBack, "peer", id) },
+		Silenced: func(id chestnutcleat.VMID) { s.Observer.Emit(event.PeerLost, "peer", id) },
+	}
+	s.keeper = &keeper.Keeper{
+		VM: s.self.VM, Store: s.store, Objects: s.objects, Observer: s.Observer, Kind: fleetKind, Name: copiesName,
+		// Of 2f+1 copies a write quorum is left after f are lost.
+		Count: 2*s.Settings.Tolerance + 1, Candidates: s.candidates, Rank: s.rank,
+	}
+	s.follow(fleetKind, false, s.fleetChanged)
+	s.follow(platform.RetirementKind, false, s.retirementsChanged)
+}
+
+// fleetChanged takes over the list of VMs and the set of copies.
+func (s *Store) fleetChanged(v mirror.Snapshot) {
+	list := s.members(v)
+	s.fleet.SetMembers(list)
+	disks := slices.DeleteFunc(list, func(m peer.Member) bool { return m.Disk == "" })
+	s.mu.Lock()
+	s.disks = disks
+	s.mu.Unlock()
+	for _, o := range v.Objects {
+		if o.Name != copiesName {
+			continue
+		}
+		if err := s.keeper.Observe(s.ctx, o); err != nil && s.ctx.Err() == nil {
+			s.Observer.Emit(event.SetFailed, "object", o.Version, "error", err)
+		}
+	}
+}
+
+// candidates are the announced disks and what is known about their VMs.
+func (s *Store) candidates() []keeper.Candidate {
+	heard := map[chestnutcleat.VMID]bool{s.self.VM: true}
+	for _, p := range s.fleet.Peers() {
+		heard[p.VM] = !p.Silent()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]keeper.Candidate, 0, len(s.disks))
+	for _, m := range s.disks {
+		list = append(list, keeper.Candidate{
+			Copy:     chestnutcleat.Copy{Disk: m.Disk, VM: m.VM, Address: m.Address, Domain: m.Domain},
+			Alive:    heard[m.VM],
+			Retiring: slices.Contains(s.retiring, m.VM),
+		})
+	}
+	return list
+}
+
+// rank is this VM's place among the storage VMs that are heard.
+func (s *Store) rank() int {
+	n := 0
+	for _, c := range s.candidates() {
+		if c.Alive && c.VM < s.self.VM {
+			n++
+		}
+	}
+	return n
+}
+
+// retirementsChanged takes over the orders to empty storage VMs.
+func (s *Store) retirementsChanged(v mirror.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retiring = s.retiring[:0]
+	for _, o := range v.Objects {
+		s.retiring = append(s.retiring, chestnutcleat.VMID(o.Name))
+	}
+}
+
+// retire reports how far this VM, or a lost one in place of it, is emptied.
+func (s *Store) retire(ctx context.Context) error {
+	for chestnutcleat.Sleep(ctx, retireInterval) == nil {
+		s.mu.Lock()
+		ordered := slices.Clone(s.retiring)
+		s.mu.Unlock()
+		for _, id := range ordered {
+			if id == s.self.VM {
+				s.report(ctx, id)
+			}
+		}
+	}
+	return nil
+}
+
+func (s *Store) report(ctx context.Context, id chestnutcleat.VMID) {
+	state := platform.RetirementRunning
+	set := s.keeper.Set()
+	if set.Version > 0 && !slices.ContainsFunc(set.All(), func(c chestnutcleat.Copy) bool { return c.VM == id }) {
+		state = platform.RetirementComplete
+	}
+	s.mu.Lock()
+	done := s.reported[id] == state
+	s.mu.Unlock()
+	if done {
+		return
+	}
+	if err := s.objects.SetStatus(ctx, platform.RetirementKind, string(id), state.Status()); err != nil {
+		s.Observer.Emit(event.SetFailed, "retirement", id, "error", err)
+		return
+	}
+	s.mu.Lock()
+	s.reported[id] = state
+	s.mu.Unlock()
+	what := event.Retiring
+	if state == platform.RetirementComplete {
+		what = event.Retired
+	}
+	s.Observer.Emit(what, "vm", id, "set", set.Version)
+}
--- /dev/null
+++ b/sse/doc.go
@@ -0,0 +1,2 @@
+// Package sse reads server-sent events.
+package sse
