List configuration and instances in turn, and reload settings at SIGHUP

Ruled out: a slow answer of the platform; the log of its calls shows the watch silent until 410 came at 6.8 s while lists were fresh. Change: VMs list both kinds in turn, one list every 350 ms over the whole fleet, and tell the others at once; settings are read again at SIGHUP and when the file changes.

--- a/cmd/chestnutcleat/role.go
+++ b/cmd/chestnutcleat/role.go
@@ -1,14 +1,21 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
+	"time"
 
 	"github.com/google/subcommands"
 
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
 	"chestnutcleat.example/chestnutcleat/logs"
 	"chestnutcleat.example/chestnutcleat/role"
 	"chestnutcleat.example/chestnutcleat/settings"
@@ -18,6 +25,9 @@
 // for sockets and stacks.
 const memoryShare = 70
 
+// settingsInterval is the time between looks for a change of the settings file without a signal.
+const settingsInterval = 2 * time.Second
+
 // roleCommand runs a process of one role.
 type roleCommand struct {
 	name, synopsis string
@@ -67,12 +77,55 @@
 	}
 	ctx, stop, end := signals(ctx)
 	defer end()
+	reload := c.watch(ctx, l)
 	if s.Role == settings.RoleStore {
 		p := &role.Store{Stop: stop}
-		p.Settings, p.Observer = s, l
+		p.Settings, p.Observer, p.Reload = s, l, reload
 		return p.Run(ctx)
 	}
 	p := &role.Entry{Stop: stop}
-	p.Settings, p.Observer = s, l
+	p.Settings, p.Observer, p.Reload = s, l, reload
 	return p.Run(ctx)
 }
+
+// watch reads the settings again at SIGHUP and when the file changes without a signal.
+func (c *roleCommand) watch(ctx context.Context, l chestnutcleat.Observer) <-chan settings.Role {
+	out := make(chan settings.Role)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	known, err := os.ReadFile(c.settings)
+	if err != nil {
+		l.Emit(event.SettingsBad, "file", c.settings, "error", err)
+	}
+	go func() {
+		defer signal.Stop(signals)
+		t := time.NewTicker(settingsInterval)
+		defer t.Stop()
+		for {
+			asked := false
+			select {
+			case <-ctx.Done():
+				return
+			case <-signals:
+				asked = true
+			case <-t.C:
+			}
+			data, err := os.ReadFile(c.settings)
+			if err == nil && !asked && bytes.Equal(data, known) {
+				continue
+			}
+			known = data
+			s, invalid := settings.ParseRole(c.settings, data)
+			if err := errors.Join(err, invalid); err != nil {
+				l.Emit(event.SettingsBad, "file", c.settings, "error", err)
+				continue
+			}
+			select {
+			case out <- s:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return out
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -131,7 +131,17 @@
 	if err != nil {
 		return err
 	}
-	m.apply(list, version)
+	m.apply(list, position, version)
+	return nil
+}
+
+// Refresh takes over the platform's list, for the case that a watch waits in vain.
+func (m *Mirror) Refresh(ctx context.Context) error {
+	list, version, err := m.Store.List(ctx, m.Kind)
+	if err != nil {
+		return err
+	}
+	m.replace(Snapshot{Version: version, Objects: list})
 	return nil
 }
 
@@ -163,6 +173,9 @@
 			return false, false
 		}
 		regained, m.away = m.away, false
+		if s.Version == m.position && !regained && len(m.lapsed) == 0 {
+			return false, false
+		}
 		next := make(map[string]chestnutcleat.Stored, len(s.Objects))
 		for _, o := range s.Objects {
 			if !o.Deleted {
@@ -200,9 +213,13 @@
 	}
 }
 
-// apply takes over changes from the platform.
-func (m *Mirror) apply(list []chestnutcleat.Stored, position chestnutcleat.Version) {
+// apply takes over the changes that a watch from one position to another brought.
+func (m *Mirror) apply(list []chestnutcleat.Stored, from, position chestnutcleat.Version) {
 	m.update(func() (changed, regained bool) {
+		if m.position != from {
+			// A whole list came meanwhile; the next watch goes on from there.
+			return false, false
+		}
 		regained, m.away = m.away, false
 		for _, o := range list {
 			if known, ok := m.objects[o.Name]; ok && o.Version < known.Version {
--- a/role/base.go
+++ b/role/base.go
@@ -9,6 +9,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -34,11 +35,16 @@
 	aheadWait     = 150 * time.Millisecond
 	methodObjects = chestnutcleat.Method("mirror/objects")
 	objectsTime   = time.Second
+	// pollSlot is the time between two lists that the VMs take in turn: a watch that waits in vain, as the platform does not
+	// tell it of a change, must not hold up a configuration or the leaving of an instance.
+	pollSlot = 350 * time.Millisecond
 )
 
 // base is what both roles have.
 type base struct {
 	Settings settings.Role
+	// Reload brings changed settings; those of addresses, folder and role take effect at the next start.
+	Reload   <-chan settings.Role
 	Observer chestnutcleat.Observer
 	Metrics  *metrics.Set
 
@@ -55,6 +61,29 @@
 	// asking holds the kinds that are being asked of another VM.
 	asking map[chestnutcleat.ObjectKind]bool
 	own    chestnutcleat.Stored
+	// latest has the settings after the last reload.
+	latest atomic.Pointer[settings.Role]
+}
+
+// settings returns the settings in effect.
+func (b *base) settings() *settings.Role {
+	if s := b.latest.Load(); s != nil {
+		return s
+	}
+	return &b.Settings
+}
+
+// reload takes over changed settings.
+func (b *base) reload(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-b.Reload:
+			b.latest.Store(&s)
+			b.Observer.Emit(event.SettingsRead, "grace", s.Grace, "hold", s.Hold)
+		}
+	}
 }
 
 // objectsRequest asks another VM for its copy of a kind.
@@ -116,6 +145,7 @@
 		g.Go(func() error { return m.Run(ctx) })
 	}
 	g.Go(func() error { return b.announce(ctx) })
+	g.Go(func() error { return b.reload(ctx) })
 }
 
 // versions are those of the kinds that this VM follows.
@@ -127,6 +157,46 @@
 	return out
 }
 
+// poll lists the given kinds in turn with the other VMs that are heard, so that the calls do not grow with the fleet.
+func (b *base) poll(ctx context.Context, kinds ...chestnutcleat.ObjectKind) error {
+	for {
+		now := time.Now()
+		if chestnutcleat.Sleep(ctx, now.Truncate(pollSlot).Add(pollSlot).Sub(now)) != nil {
+			return nil
+		}
+		slot := int(time.Now().UnixMilli() / pollSlot.Milliseconds())
+		rank, heard := b.rankHeard()
+		if slot/len(kinds)%heard != rank {
+			continue
+		}
+		m := b.mirrors[kinds[slot%len(kinds)]]
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, objectsTime)
+			defer cancel()
+			before := m.Version()
+			// The mirror's watch reports a platform that does not answer.
+			if m.Refresh(ctx) == nil && m.Version() > before && before > 0 {
+				b.fleet.Soon()
+			}
+		}()
+	}
+}
+
+// rankHeard returns this VM's place among the VMs that are heard, and their number.
+func (b *base) rankHeard() (rank, heard int) {
+	heard = 1
+	for _, p := range b.fleet.Peers() {
+		if p.Silent() {
+			continue
+		}
+		heard++
+		if p.VM < b.self.VM {
+			rank++
+		}
+	}
+	return rank, heard
+}
+
 // offer answers another VM that is behind.
 func (b *base) offer(_ context.Context, q objectsRequest) (mirror.Snapshot, error) {
 	m := b.mirrors[q.Kind]
--- a/role/entry.go
+++ b/role/entry.go
@@ -73,6 +73,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	e.start(ctx, g)
 	g.Go(func() error { return e.ledger.Run(ctx) })
+	g.Go(func() error { return e.poll(ctx, platform.ConfigKind, platform.InstanceKind) })
 	g.Go(func() error { return e.watchFleet(ctx) })
 	e.serve(g)
 	g.Go(func() error {
@@ -230,7 +231,7 @@
 		all = near
 	}
 	slices.Sort(all)
-	return all[:min(len(all), maxAddresses)], min(holdTime, e.Settings.Hold)
+	return all[:min(len(all), maxAddresses)], min(holdTime, e.settings().Hold)
 }
 
 // maxAddresses is how many addresses a caller takes at most.
--- a/role/shutdown.go
+++ b/role/shutdown.go
@@ -24,7 +24,7 @@
 	case <-e.Stop:
 	}
 	begun := time.Now()
-	grace := time.Duration(e.Settings.Grace * float64(time.Second))
+	grace := time.Duration(e.settings().Grace * float64(time.Second))
 	e.Observer.Emit(event.Stopping, "requests", e.handler.Running(), "grace", grace)
 	e.leaving.Store(true)
 	e.handler.Leave()
