Give tokens of customers' rates between VMs; test the roles' packages

Cause: a limit by counts that VMs tell each other lets each VM admit a whole burst until it notices that it is cut off. Ruled out: a shorter time until a VM counts as silent, which leaves a burst per island. Change: even shares; a VM that runs short asks with its summary and others give what they can spare, taking it off first. A record's time is bounded, as a caller's deadline of 10^15 ms could not be encoded and failed its batch.

--- a/cmd/chestnutcleat/role.go
+++ b/cmd/chestnutcleat/role.go
@@ -28,6 +28,9 @@
 // settingsInterval is the time between looks for a change of the settings file without a signal.
 const settingsInterval = 2 * time.Second
 
+// droppedInterval is the time between two reports of dropped log lines.
+const droppedInterval = 10 * time.Second
+
 // roleCommand runs a process of one role.
 type roleCommand struct {
 	name, synopsis string
@@ -78,6 +81,7 @@
 	ctx, stop, end := signals(ctx)
 	defer end()
 	reload := c.watch(ctx, l)
+	go reportDropped(ctx, w, l)
 	if s.Role == settings.RoleStore {
 		p := &role.Store{Stop: stop}
 		p.Settings, p.Observer, p.Reload = s, l, reload
@@ -129,3 +133,14 @@
 	}()
 	return out
 }
+
+// reportDropped logs how many lines were dropped since the last time.
+func reportDropped(ctx context.Context, w *logs.Bounded, l chestnutcleat.Observer) {
+	known := int64(0)
+	for chestnutcleat.Sleep(ctx, droppedInterval) == nil {
+		if n := w.Dropped(); n > known {
+			l.Emit(event.LinesDropped, "lines", n-known)
+			known = n
+		}
+	}
+}
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -19,17 +19,20 @@
 	recordSlack = 30 * time.Second
 	// defaultRetention is used where a route does not say how long programs may come back.
 	defaultRetention = time.Minute
+	// maxProgram is the longest life of a program that records are kept for beyond the retention.
+	maxProgram = time.Hour
 	// raceWait is the longest wait before a turn that did not fit beside another one tries once more.
 	raceWait = 20 * time.Millisecond
 )
 
-// recordUntil is how long a record of this turn is needed.
-func (t *turn) recordUntil() time.Time {
+// recordUntil is the Unix time in seconds until which a record of this turn is needed.
+func (t *turn) recordUntil() int64 {
 	keep := t.route.Retention
 	if keep <= 0 {
 		keep = defaultRetention
 	}
-	return time.Now().Add(max(t.Wait, 0) + max(t.ProgramWait, 0) + keep + recordSlack)
+	// What callers say about their time is bounded, so that nobody fills the disks for good.
+	return time.Now().Add(min(t.Wait+t.ProgramWait, maxProgram) + keep + recordSlack).Unix()
 }
 
 func (t *turn) budgeted() bool { return t.Budget > 0 && t.Program != "" }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -42,8 +42,8 @@
 	Observer chestnutcleat.Observer
 	Metrics  *Metrics
 	Domain   chestnutcleat.FailureDomain
-	// Tell makes the VM send its counts to the others at once.
-	Tell func()
+	// Ask makes the VM ask others for tokens at once.
+	Ask func()
 	// Memory bounds the bodies that are held at one time, in bytes.
 	Memory int64
 
@@ -207,13 +207,13 @@
 	if c.customer == nil {
 		return nil
 	}
-	ok, soon, retry := c.Rates.Admit(c.customer.ID)
+	ok, ask, retry := c.Rates.Admit(c.customer.ID)
+	if ask {
+		c.Ask()
+	}
 	if !ok {
 		return problem(chestnutcleat.CodeRate, chestnutcleat.NotRun, "customer %s is above its rate", c.customer.ID).WithRetry(max(retry, retryTime()))
 	}
-	if soon {
-		c.Tell()
-	}
 	return nil
 }
 
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -26,8 +26,8 @@
 
 // Pool keeps idle connections to instances.
 type Pool struct {
-	// Dialer opens connections.
-	Dialer net.Dialer
+	// Dial opens connections.
+	Dial func(ctx context.Context, a chestnutcleat.Address) (net.Conn, error)
 	// Opened is called for each new connection; nil ignores it.
 	Opened func(a chestnutcleat.Address, err error)
 
@@ -47,7 +47,13 @@
 
 // NewPool returns a pool without connections; probes find connections that went silent.
 func NewPool(probes net.KeepAliveConfig) *Pool {
-	return &Pool{Dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes}, idle: map[chestnutcleat.Address][]*conn{}}
+	d := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes}
+	return &Pool{
+		Dial: func(ctx context.Context, a chestnutcleat.Address) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp", string(a))
+		},
+		idle: map[chestnutcleat.Address][]*conn{},
+	}
 }
 
 // take returns an idle connection that has no unread bytes, or a new one.
@@ -58,7 +64,7 @@
 		}
 		c.Close()
 	}
-	raw, err := p.Dialer.DialContext(ctx, "tcp", string(a))
+	raw, err := p.Dial(ctx, a)
 	if p.Opened != nil {
 		p.Opened(a, err)
 	}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -56,8 +56,8 @@
 // Observe takes over the set's object from the platform.
 func (k *Keeper) Observe(ctx context.Context, o chestnutcleat.Stored) error {
 	var set chestnutcleat.Copies
-	if err := json.Unmarshal(o.Data, &set); err != nil {
-		return fmt.Errorf("decode set of copies: %w", err)
+	if err := decode(o, &set); err != nil {
+		return err
 	}
 	k.mu.Lock()
 	if o.Version <= k.object {
@@ -69,6 +69,13 @@
 	return k.Store.Adopt(ctx, set)
 }
 
+func decode(o chestnutcleat.Stored, set *chestnutcleat.Copies) error {
+	if err := json.Unmarshal(o.Data, set); err != nil {
+		return fmt.Errorf("decode set of copies: %w", err)
+	}
+	return nil
+}
+
 // Set returns the set as this VM last saw it.
 func (k *Keeper) Set() chestnutcleat.Copies {
 	k.mu.Lock()
--- /dev/null
+++ b/keeper/wanted_test.go
@@ -0,0 +1,73 @@
+package keeper
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+func disk(id string) chestnutcleat.Copy {
+	// The VM's name is the disk's without the number of its replacement; the failure domain is its first letter.
+	return chestnutcleat.Copy{Disk: chestnutcleat.DiskID(id), VM: chestnutcleat.VMID(id[:1]), Domain: chestnutcleat.FailureDomain(id[:1])}
+}
+
+func candidate(id string, flags ...string) Candidate {
+	c := Candidate{Copy: disk(id), Alive: true}
+	for _, f := range flags {
+		switch f {
+		case "lost":
+			c.Alive = false
+		case "retiring":
+			c.Retiring = true
+		}
+	}
+	return c
+}
+
+// Each way in which storage VMs come and go must end in the set that has the most copies alive.
+func TestWanted(t *testing.T) {
+	for name, c := range map[string]struct {
+		present    []string
+		candidates []Candidate
+		want       string
+	}{
+		"first set":           {nil, []Candidate{candidate("a"), candidate("b"), candidate("c"), candidate("d")}, "abc"},
+		"too few":             {nil, []Candidate{candidate("a")}, "a"},
+		"nothing to do":       {[]string{"a", "b", "c"}, []Candidate{candidate("a"), candidate("b"), candidate("c"), candidate("d")}, "abc"},
+		"lost, no other":      {[]string{"a", "b", "c"}, []Candidate{candidate("a"), candidate("b"), candidate("c", "lost")}, "abc"},
+		"lost, replaced":      {[]string{"a", "b", "c"}, []Candidate{candidate("a"), candidate("b"), candidate("c", "lost"), candidate("d")}, "abd"},
+		"new disk":            {[]string{"a", "b", "c"}, []Candidate{candidate("a"), candidate("b"), candidate("c2")}, "abc2"},
+		"new disk, lost":      {[]string{"a", "b", "c"}, []Candidate{candidate("a"), candidate("b"), candidate("c2", "lost")}, "ab"},
+		"retiring, replaced":  {[]string{"a", "b", "c"}, []Candidate{candidate("a"), candidate("b"), candidate("c", "retiring"), candidate("d")}, "abd"},
+		"retiring, no other":  {[]string{"a", "b", "c"}, []Candidate{candidate("a"), candidate("b"), candidate("c", "retiring")}, "ab"},
+		"not listed any more": {[]string{"a", "b", "c"}, []Candidate{candidate("a"), candidate("b")}, "abc"},
+		"grows back":          {[]string{"a", "b"}, []Candidate{candidate("a"), candidate("b"), candidate("d")}, "abd"},
+		"lost spare":          {[]string{"a", "b"}, []Candidate{candidate("a"), candidate("b"), candidate("d", "lost")}, "ab"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var present []chestnutcleat.Copy
+			for _, id := range c.present {
+				present = append(present, disk(id))
+			}
+			got := ""
+			for _, v := range Wanted(present, c.candidates, 3) {
+				got += string(v.Disk)
+			}
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+// Copies in one failure domain would be lost together.
+func TestWantedSpreads(t *testing.T) {
+	is := is.New(t)
+	x := candidate("b")
+	x.Domain = "a"
+	list := Wanted(nil, []Candidate{candidate("a"), x, candidate("c"), candidate("d")}, 3)
+	is.Equal(list[0].Disk, chestnutcleat.DiskID("a"))
+	is.Equal(list[1].Disk, chestnutcleat.DiskID("c"))
+	is.Equal(list[2].Disk, chestnutcleat.DiskID("d"))
+}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -1,10 +1,6 @@
 package ledger
 
-import (
-	"time"
-
-	"chestnutcleat.example/chestnutcleat"
-)
+import "chestnutcleat.example/chestnutcleat"
 
 // Kind tells what a record says.
 type Kind uint8
@@ -35,8 +31,8 @@
 	Previous chestnutcleat.RequestID `json:"r,omitempty"`
 	Input    []byte                  `json:"i,omitempty"`
 	Output   []byte                  `json:"o,omitempty"`
-	// Until is when the record may be forgotten unless its program or chain is used later.
-	Until time.Time `json:"u,omitzero"`
+	// Until is the Unix time in seconds at which the record may be forgotten unless its program or chain is used later.
+	Until int64 `json:"u,omitempty"`
 	// Copies is set in Adopt records.
 	Copies *chestnutcleat.Copies `json:"s,omitempty"`
 }
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -20,12 +20,12 @@
 
 type programState struct {
 	attempts map[chestnutcleat.RequestID]Attempt
-	until    time.Time
+	until    int64
 }
 
 type turnState struct {
 	Turn
-	until time.Time
+	until int64
 }
 
 // state is what a copy's records add up to. Records may be applied in any order and more than once.
@@ -62,7 +62,7 @@
 		p = &programState{attempts: map[chestnutcleat.RequestID]Attempt{}}
 		s.programs[k] = p
 	}
-	p.until = later(p.until, r.Until)
+	p.until = max(p.until, r.Until)
 	known, ok := p.attempts[r.Attempt]
 	if r.Kind == Reserve && ok && known.Settled {
 		return
@@ -76,7 +76,7 @@
 		s.turns[k] = &turnState{Turn: Turn{ID: r.Attempt, Previous: r.Previous, Input: r.Input, Output: r.Output}}
 	}
 	// A turn is kept with its whole chain.
-	for t := s.turns[k]; t != nil && t.until.Before(r.Until); t = s.turns[turnKey{r.Customer, t.Previous}] {
+	for t := s.turns[k]; t != nil && t.until < r.Until; t = s.turns[turnKey{r.Customer, t.Previous}] {
 		t.until = r.Until
 		if t.Previous == "" {
 			break
@@ -84,13 +84,6 @@
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // attempts returns what is known of a program, without one attempt's own record.
 func (s *state) attempts(r *Record) []Attempt {
 	p := s.programs[programKey{r.Customer, r.Program}]
@@ -127,12 +120,12 @@
 // expire forgets what is past its time.
 func (s *state) expire(now time.Time) {
 	for k, p := range s.programs {
-		if now.After(p.until) {
+		if now.Unix() > p.until {
 			delete(s.programs, k)
 		}
 	}
 	for k, t := range s.turns {
-		if now.After(t.until) {
+		if now.Unix() > t.until {
 			delete(s.turns, k)
 		}
 	}
@@ -163,14 +156,14 @@
 	switch r.Kind {
 	case Reserve, Settle:
 		p := s.programs[programKey{r.Customer, r.Program}]
-		if p == nil || p.until.Before(r.Until) {
+		if p == nil || p.until < r.Until {
 			return false
 		}
 		a, ok := p.attempts[r.Attempt]
 		return ok && (a.Settled || r.Kind == Reserve)
 	case Keep:
 		t := s.turns[turnKey{r.Customer, r.Attempt}]
-		return t != nil && !t.until.Before(r.Until)
+		return t != nil && t.until >= r.Until
 	}
 	return false
 }
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/rate"
 	"chestnutcleat.example/chestnutcleat/vm"
 )
 
@@ -30,6 +31,9 @@
 	Summary
 	// Heard is when the last summary arrived; zero if none did.
 	Heard time.Time
+	// grantStarted and grantSequence are those of the last grant that the VM sent.
+	grantStarted  int64
+	grantSequence uint64
 }
 
 // Silent reports whether the VM's state is not known at the moment.
@@ -40,8 +44,10 @@
 	Self Member
 	// Describe fills in the changing part of this VM's summary.
 	Describe func(*Summary)
-	// Received runs for each newer summary with the one before; nil ignores it.
-	Received func(before, now Summary)
+	// Received runs for each newer summary; nil ignores it.
+	Received func(Summary)
+	// Granted runs for the tokens that another VM gives; nil ignores them.
+	Granted func(rate.Tokens)
 	// Heard and Silenced report that a VM is heard again or no longer; nil ignores it.
 	Heard, Silenced func(chestnutcleat.VMID)
 	// Conn is the socket for datagrams.
@@ -51,6 +57,7 @@
 	peers    map[chestnutcleat.VMID]*Peer
 	listed   map[chestnutcleat.VMID]Member
 	sequence uint64
+	grants   uint64
 	now      chan struct{}
 	once     sync.Once
 }
@@ -126,11 +133,56 @@
 			// An ICMP error of an earlier datagram; the socket goes on.
 			continue
 		}
-		s, err := vm.Decode[Summary](buffer[:n])
-		if err != nil || s.VM == "" || s.VM == f.Self.VM {
+		m, err := vm.Decode[message](buffer[:n])
+		if err != nil {
+			// A datagram of something else; the next summary is not far.
+			continue
+		}
+		if m.Summary != nil && m.Summary.VM != "" && m.Summary.VM != f.Self.VM {
+			f.receive(*m.Summary)
+		}
+		if m.Grant != nil {
+			f.receiveGrant(m.Grant)
+		}
+	}
+}
+
+// receiveGrant takes tokens once: a repeated or overtaken datagram gives nothing.
+func (f *Fleet) receiveGrant(g *Grant) {
+	f.mu.Lock()
+	p := f.peers[g.From]
+	ok := p != nil && g.To == f.Self.Started && (g.Started > p.grantStarted || g.Started == p.grantStarted && g.Sequence > p.grantSequence)
+	if ok {
+		p.grantStarted, p.grantSequence = g.Started, g.Sequence
+	}
+	f.mu.Unlock()
+	if ok && f.Granted != nil {
+		f.Granted(g.Tokens)
+	}
+}
+
+// Grant sends tokens to another VM; a lost datagram loses them.
+func (f *Fleet) Grant(to *Member, t rate.Tokens) {
+	f.mu.Lock()
+	f.grants++
+	g := Grant{From: f.Self.VM, Started: f.Self.Started, Sequence: f.grants, To: to.Started, Tokens: t}
+	f.mu.Unlock()
+	f.write(message{Grant: &g}, to.Address)
+}
+
+func (f *Fleet) write(m message, to ...chestnutcleat.Address) {
+	data, err := vm.Encode(m)
+	if err != nil || len(data) > maxDatagram {
+		// The encoding of our own types does not fail, and what they hold is bounded by the fleet's and the customers' number.
+		panic(fmt.Sprintf("datagram of %d bytes: %v", len(data), err))
+	}
+	for _, v := range to {
+		a, err := netip.ParseAddrPort(string(v))
+		if err != nil {
 			continue
 		}
-		f.receive(s)
+		// A lost datagram is made up for by the next one.
+		_, _ = f.Conn.WriteTo(data, net.UDPAddrFromAddrPort(a))
 	}
 }
 
@@ -145,14 +197,14 @@
 		f.mu.Unlock()
 		return
 	}
-	before, silent := p.Summary, p.Silent()
+	silent := p.Silent()
 	p.Summary, p.Heard = s, time.Now()
 	f.mu.Unlock()
 	if silent && f.Heard != nil {
 		f.Heard(s.VM)
 	}
 	if f.Received != nil {
-		f.Received(before, s)
+		f.Received(s)
 	}
 }
 
@@ -190,19 +242,11 @@
 	s := Summary{Member: f.Self, Sequence: f.sequence}
 	f.mu.Unlock()
 	f.Describe(&s)
-	data, err := vm.Encode(s)
-	if err != nil || len(data) > maxDatagram {
-		// The encoding of our own type does not fail; a summary that is too large is a fault of Describe.
-		panic(fmt.Sprintf("summary of %d bytes: %v", len(data), err))
-	}
+	to := make([]chestnutcleat.Address, 0, len(peers))
 	for i := range peers {
-		a, err := netip.ParseAddrPort(string(peers[i].Address))
-		if err != nil {
-			continue
-		}
-		// A lost datagram is made up for by the next one.
-		_, _ = f.Conn.WriteTo(data, net.UDPAddrFromAddrPort(a))
+		to = append(to, peers[i].Address)
 	}
+	f.write(message{Summary: &s}, to...)
 }
 
 func (f *Fleet) reportSilent(peers []Peer, silent map[chestnutcleat.VMID]bool) {
--- a/peer/summary.go
+++ b/peer/summary.go
@@ -1,6 +1,9 @@
 package peer
 
-import "chestnutcleat.example/chestnutcleat"
+import (
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/rate"
+)
 
 // Member is a VM as its object at the platform describes it.
 type Member struct {
@@ -26,8 +29,25 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Versions are those of the VM's copies of the platform's objects.
 	Versions map[chestnutcleat.ObjectKind]chestnutcleat.Version `json:"versions,omitempty"`
-	// Admitted counts the requests of each customer since the process started.
-	Admitted map[chestnutcleat.CustomerID]uint64 `json:"admitted,omitempty"`
+	// Needs are the tokens of customers' rates that the VM asks the others for.
+	Needs rate.Tokens `json:"needs,omitempty"`
 	// Load is the number of requests that the VM has at each instance.
 	Load map[chestnutcleat.InstanceID]int `json:"load,omitempty"`
 }
+
+// Grant gives another VM tokens of customers' rates.
+type Grant struct {
+	From chestnutcleat.VMID `json:"from"`
+	// Started is the start of the giver's process, Sequence orders its grants.
+	Started  int64  `json:"started"`
+	Sequence uint64 `json:"sequence"`
+	// To is the start of the receiver's process; another process takes nothing.
+	To     int64       `json:"to"`
+	Tokens rate.Tokens `json:"tokens"`
+}
+
+// message is one datagram.
+type message struct {
+	Summary *Summary `json:"summary,omitempty"`
+	Grant   *Grant   `json:"grant,omitempty"`
+}
--- a/role/entry.go
+++ b/role/entry.go
@@ -48,12 +48,14 @@
 	// Stop starts the graceful shutdown.
 	Stop <-chan struct{}
 
-	config   atomic.Pointer[config.Table]
-	places   *place.Table
-	rates    *rate.Fleet
-	ledger   *ledger.Client
-	handler  *entry.Handler
-	leaving  atomic.Bool
+	config  atomic.Pointer[config.Table]
+	places  *place.Table
+	rates   *rate.Fleet
+	ledger  *ledger.Client
+	handler *entry.Handler
+	leaving atomic.Bool
+	// heard is the number of other VMs that are heard.
+	heard    atomic.Int64
 	servers  []*http.Server
 	callers  net.Listener
 	ready    net.Listener
@@ -96,7 +98,8 @@
 	e.known = map[chestnutcleat.InstanceID]chestnutcleat.Version{}
 	e.fleet = &peer.Fleet{
 		Self: e.self, Describe: e.describe,
-		Received: func(before, now peer.Summary) { e.received(ctx, before, now) },
+		Received: func(s peer.Summary) { e.received(ctx, &s) },
+		Granted:  e.rates.Take,
 		Heard:    func(id chestnutcleat.VMID) { e.Observer.Emit(event.PeerBack, "peer", id) },
 		Silenced: func(id chestnutcleat.VMID) { e.Observer.Emit(event.PeerLost, "peer", id) },
 	}
@@ -107,7 +110,7 @@
 	e.handler = &entry.Handler{
 		Codec: platform.Codec{}, Config: e.config.Load, Places: e.places, Pool: pool, Rates: e.rates, Ledger: e.ledger,
 		Turns: &entry.TurnCache{Size: int(memory / cacheShare)}, Observer: e.Observer, Metrics: &entry.Metrics{Set: e.Metrics},
-		Domain: e.Settings.Domain, Tell: e.fleet.Soon, Memory: memory / bodyShare,
+		Domain: e.Settings.Domain, Ask: e.fleet.Soon, Memory: memory / bodyShare,
 	}
 	e.follow(platform.ConfigKind, false, e.configChanged)
 	e.follow(platform.InstanceKind, true, e.instancesChanged)
@@ -159,32 +162,18 @@
 func (e *Entry) describe(s *peer.Summary) {
 	s.Leaving = e.leaving.Load()
 	s.Versions = e.versions()
-	s.Admitted = e.rates.Admitted()
+	s.Needs = e.rates.Needs()
 	s.Load = e.places.Own()
 }
 
-// received takes over what another VM tells.
-func (e *Entry) received(ctx context.Context, before, now peer.Summary) {
-	e.countOthers(before, now)
-	e.catchUp(ctx, &now)
-}
-
-// countOthers takes off what another VM admitted since its last summary. What it admitted while it was silent, or before
-// this VM started, is covered by the even share that a silent VM is taken to use.
-func (e *Entry) countOthers(before, now peer.Summary) {
-	counts := map[chestnutcleat.CustomerID]uint64{}
-	for id, n := range now.Admitted {
-		switch {
-		case before.Started == now.Started && before.Sequence > 0:
-			n -= min(n, before.Admitted[id])
-		case now.Started < e.self.Started:
-			continue
-		}
-		if n > 0 {
-			counts[id] = n
+// received takes over what another VM tells, and gives it the tokens that it asks for.
+func (e *Entry) received(ctx context.Context, s *peer.Summary) {
+	if len(s.Needs) > 0 {
+		if given := e.rates.Give(s.Needs, int(e.heard.Load())); len(given) > 0 {
+			e.fleet.Grant(&s.Member, given)
 		}
 	}
-	e.rates.Others(counts)
+	e.catchUp(ctx, s)
 }
 
 // watchFleet follows which VMs are heard and what they report about instances.
@@ -192,19 +181,20 @@
 	for chestnutcleat.Sleep(ctx, tick) == nil {
 		peers := e.fleet.Peers()
 		load := map[chestnutcleat.InstanceID]int{}
-		silent := 0
+		heard := 0
 		for i := range peers {
 			if peers[i].Silent() {
-				silent++
 				continue
 			}
+			heard++
 			for id, n := range peers[i].Load {
 				load[id] += n
 			}
 		}
 		e.places.SetOthers(load)
+		e.heard.Store(int64(heard))
 		if e.mirrors[fleetKind].Version() > 0 {
-			e.rates.SetFleet(len(peers)+1, silent)
+			e.rates.SetVMs(len(peers) + 1)
 		}
 	}
 	return nil
--- a/role/store.go
+++ b/role/store.go
@@ -79,7 +79,7 @@
 	s.fleet = &peer.Fleet{
 		Self:     s.self,
 		Describe: func(m *peer.Summary) { m.Versions = s.versions() },
-		Received: func(_, now peer.Summary) { s.catchUp(ctx, &now) },
+		Received: func(m peer.Summary) { s.catchUp(ctx, &m) },
 		Heard:    func(id chestnutcleat.VMID) { s.Observer.Emit(event.PeerBack, "peer", id) },
 		Silenced: func(id chestnutcleat.VMID) { s.Observer.Emit(event.PeerLost, "peer", id) },
 	}
