Hear restarted VMs at once, and shrink the set of copies for retirement only

Cause: a VM that started again numbers its summaries anew. Ruled out: lost datagrams; both others took the VM for silent at the moment of its announcement and heard it 12 s later. Change: a newer process resets the numbering; a disk that is gone stays in the set until another takes its place; large fleets, which send less often, count as silent later. Tests of package peer: TestRestartIsHeard and TestLargeFleetIsHeard fail without it.

--- a/keeper/wanted.go
+++ b/keeper/wanted.go
@@ -17,14 +17,14 @@
 }
 
 // Wanted returns the disks that are to hold the records: count of them if there are enough. A present disk that is lost
-// stays until another one can take its place; a retiring one, or one whose VM now has another disk, does not stay.
+// stays until another one can take its place; only a retiring one goes without a replacement.
 func Wanted(present []chestnutcleat.Copy, candidates []Candidate, count int) []chestnutcleat.Copy {
 	list := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool {
 		return c.Retiring || (!c.Alive && !chestnutcleat.Contains(present, c.Disk))
 	})
 	for _, c := range present {
-		if !named(candidates, c.VM) {
-			// The VM is no longer listed; its disk counts as lost, not as gone, until another one takes its place.
+		if !announced(candidates, c.Disk) && !retiring(candidates, c.VM) {
+			// The VM is not listed or has another disk by now; this one counts as lost until another one takes its place.
 			list = append(list, Candidate{Copy: c})
 		}
 	}
@@ -67,8 +67,12 @@
 	return out
 }
 
-func named(list []Candidate, id chestnutcleat.VMID) bool {
-	return slices.ContainsFunc(list, func(c Candidate) bool { return c.VM == id })
+func announced(list []Candidate, d chestnutcleat.DiskID) bool {
+	return slices.ContainsFunc(list, func(c Candidate) bool { return c.Disk == d })
+}
+
+func retiring(list []Candidate, id chestnutcleat.VMID) bool {
+	return slices.ContainsFunc(list, func(c Candidate) bool { return c.VM == id && c.Retiring })
 }
 
 // same reports whether two sets have the same disks.
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -21,9 +21,9 @@
 	interval = 200 * time.Millisecond
 	// perSecond bounds the datagrams that a VM of a large fleet sends.
 	perSecond = 150
-	// SilentAfter is the age from which a VM's last summary says nothing about the present.
-	SilentAfter = 1200 * time.Millisecond
-	maxDatagram = 60 << 10
+	// silentIntervals is the number of missed summaries after which a VM's state is not known; a few datagrams get lost.
+	silentIntervals = 6
+	maxDatagram     = 60 << 10
 )
 
 // Peer is another VM and its last summary.
@@ -31,13 +31,20 @@
 	Summary
 	// Heard is when the last summary arrived; zero if none did.
 	Heard time.Time
+	// patience is the age from which the last summary says nothing about the present.
+	patience time.Duration
 	// grantStarted and grantSequence are those of the last grant that the VM sent.
 	grantStarted  int64
 	grantSequence uint64
 }
 
 // Silent reports whether the VM's state is not known at the moment.
-func (p *Peer) Silent() bool { return p.Heard.IsZero() || time.Since(p.Heard) > SilentAfter }
+func (p *Peer) Silent() bool { return p.Heard.IsZero() || time.Since(p.Heard) > p.patience }
+
+// intervalOf is the time between the summaries of a VM that has n peers.
+func intervalOf(n int) time.Duration {
+	return max(interval, time.Duration(n)*time.Second/perSecond)
+}
 
 // Fleet sends this VM's summary and keeps those of others.
 type Fleet struct {
@@ -81,12 +88,15 @@
 		}
 		f.listed[m.VM] = m
 		if p := f.peers[m.VM]; p == nil {
-			f.peers[m.VM] = &Peer{Summary: Summary{Member: m}}
+			f.peers[m.VM] = &Peer{Summary: Summary{Member: m}, patience: silentIntervals * interval}
 		} else if m.Started > p.Started {
-			p.Member = m
+			// The process started again: its summaries are numbered anew.
+			p.Summary = Summary{Member: m}
 		}
 	}
+	patience := silentIntervals * intervalOf(len(f.listed))
 	for id, p := range f.peers {
+		p.patience = patience
 		if _, ok := f.listed[id]; !ok && p.Silent() {
 			delete(f.peers, id)
 		}
@@ -120,7 +130,9 @@
 	f.init()
 	stop := context.AfterFunc(ctx, func() { f.Conn.Close() })
 	defer stop()
-	go f.send(ctx)
+	var sending sync.WaitGroup
+	sending.Go(func() { f.send(ctx) })
+	defer sending.Wait()
 	buffer := make([]byte, maxDatagram)
 	for {
 		n, _, err := f.Conn.ReadFrom(buffer)
@@ -190,7 +202,7 @@
 	f.mu.Lock()
 	p := f.peers[s.VM]
 	if p == nil {
-		p = &Peer{}
+		p = &Peer{patience: silentIntervals * interval}
 		f.peers[s.VM] = p
 	}
 	if !newer(&s, p) {
@@ -232,7 +244,7 @@
 		peers := f.Peers()
 		f.sendTo(peers)
 		f.reportSilent(peers, silent)
-		t.Reset(max(interval, time.Duration(len(peers))*time.Second/perSecond))
+		t.Reset(intervalOf(len(peers)))
 	}
 }
 
--- /dev/null
+++ b/peer/fleet_test.go
@@ -0,0 +1,226 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/rate"
+	"chestnutcleat.example/chestnutcleat/vm"
+)
+
+// wire carries datagrams in memory.
+type wire struct {
+	mu    sync.Mutex
+	socks map[string]*sock
+	cut   map[string]bool
+	sent  int
+}
+
+// sock is a socket of one VM.
+type sock struct {
+	net.PacketConn
+	wire    *wire
+	address string
+	in      chan []byte
+	ended   chan struct{}
+	once    sync.Once
+}
+
+func (w *wire) open(address string) *sock {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := &sock{wire: w, address: address, in: make(chan []byte, 64), ended: make(chan struct{})}
+	w.socks[address] = s
+	return s
+}
+
+func (s *sock) ReadFrom(b []byte) (int, net.Addr, error) {
+	select {
+	case data := <-s.in:
+		return copy(b, data), nil, nil
+	case <-s.ended:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+func (s *sock) WriteTo(b []byte, to net.Addr) (int, error) {
+	s.wire.mu.Lock()
+	defer s.wire.mu.Unlock()
+	s.wire.sent++
+	if o := s.wire.socks[to.String()]; o != nil && !s.wire.cut[s.address] && !s.wire.cut[to.String()] {
+		select {
+		case o.in <- append([]byte{}, b...):
+		default:
+		}
+	}
+	return len(b), nil
+}
+
+func (s *sock) Close() error {
+	s.once.Do(func() { close(s.ended) })
+	return nil
+}
+
+func member(n int) Member {
+	return Member{
+		VM: chestnutcleat.VMID(fmt.Sprint("v", n)), Role: "entry",
+		Address: chestnutcleat.Address(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7).String()),
+		Started: time.Now().UnixMilli(),
+	}
+}
+
+// begin runs a VM's fleet until stop is called.
+func begin(t *testing.T, w *wire, self Member, list []Member) (f *Fleet, stop func()) {
+	f = &Fleet{Self: self, Describe: func(*Summary) {}, Conn: w.open(string(self.Address))}
+	f.SetMembers(list)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- f.Run(ctx) }()
+	return f, func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func silent(f *Fleet) map[chestnutcleat.VMID]bool {
+	out := map[chestnutcleat.VMID]bool{}
+	for _, p := range f.Peers() {
+		out[p.VM] = p.Silent()
+	}
+	return out
+}
+
+// A process that started again must be heard at once, also when the platform tells of it before its first datagram: taken
+// for an older summary, it was not listed for as long as the process before had run.
+func TestRestartIsHeard(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		t.Run(fmt.Sprint("listed first ", listed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := &wire{socks: map[string]*sock{}, cut: map[string]bool{}}
+				list := []Member{member(1), member(2)}
+				one, stopOne := begin(t, w, list[0], list)
+				_, stopTwo := begin(t, w, list[1], list)
+				time.Sleep(time.Minute)
+				is.Equal(silent(one), map[chestnutcleat.VMID]bool{"v2": false})
+				stopTwo()
+				time.Sleep(2 * time.Second)
+				is.Equal(silent(one), map[chestnutcleat.VMID]bool{"v2": true})
+				list[1] = member(2)
+				if listed {
+					one.SetMembers(list)
+				}
+				_, stopTwo = begin(t, w, list[1], list)
+				time.Sleep(2 * interval)
+				is.Equal(silent(one), map[chestnutcleat.VMID]bool{"v2": false})
+				stopTwo()
+				stopOne()
+			})
+		})
+	}
+}
+
+// A VM that is cut off must become silent on both sides, and be heard again afterwards.
+func TestCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := &wire{socks: map[string]*sock{}, cut: map[string]bool{}}
+		list := []Member{member(1), member(2)}
+		one, stopOne := begin(t, w, list[0], list)
+		two, stopTwo := begin(t, w, list[1], list)
+		time.Sleep(time.Second)
+		for _, cut := range []bool{false, true, false} {
+			w.mu.Lock()
+			w.cut[string(list[1].Address)] = cut
+			w.mu.Unlock()
+			time.Sleep((silentIntervals + 2) * interval)
+			is.Equal(silent(one)["v2"], cut)
+			is.Equal(silent(two)["v1"], cut)
+		}
+		stopOne()
+		stopTwo()
+	})
+}
+
+// Tokens must be taken once, in order, and only by the process that asked.
+func TestGrants(t *testing.T) {
+	is := is.New(t)
+	got := 0.0
+	f := &Fleet{Self: Member{VM: "v1", Started: 5}, Granted: func(t rate.Tokens) { got += t["c"] }}
+	f.SetMembers([]Member{{VM: "v2"}})
+	grant := func(started int64, sequence uint64, to int64) {
+		f.receiveGrant(&Grant{From: "v2", Started: started, Sequence: sequence, To: to, Tokens: rate.Tokens{"c": 1}})
+	}
+	grant(1, 1, 5)
+	grant(1, 1, 5) // repeated
+	grant(1, 3, 5)
+	grant(1, 2, 5) // overtaken
+	grant(1, 4, 4) // for the process before
+	grant(2, 1, 5) // giver started again
+	grant(1, 9, 5) // giver's process before
+	f.receiveGrant(&Grant{From: "other", Started: 1, Sequence: 1, To: 5, Tokens: rate.Tokens{"c": 1}})
+	is.Equal(got, 3.0)
+}
+
+// The datagrams of a VM must stay level as the fleet grows: each costs a system call here and a wake-up there.
+func TestDatagramsOfLargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := &wire{socks: map[string]*sock{}, cut: map[string]bool{}}
+		var list []Member
+		for i := range 200 {
+			list = append(list, member(i))
+		}
+		_, stop := begin(t, w, list[0], list)
+		time.Sleep(20 * time.Second)
+		stop()
+		is.True(w.sent <= 20*perSecond+len(list))
+	})
+}
+
+// VMs of a large fleet that send less often must not count as silent between two summaries.
+func TestLargeFleetIsHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := &wire{socks: map[string]*sock{}, cut: map[string]bool{}}
+		var list []Member
+		for i := range 200 {
+			list = append(list, member(i))
+		}
+		one, stopOne := begin(t, w, list[0], list)
+		_, stopTwo := begin(t, w, list[1], list)
+		for range 30 {
+			time.Sleep(time.Second)
+			is.True(!silent(one)["v1"])
+		}
+		stopOne()
+		stopTwo()
+	})
+}
+
+// A datagram that is not ours, or that another VM spoiled, must be passed over.
+func FuzzReceive(f *testing.F) {
+	data, err := vm.Encode(message{Summary: &Summary{Member: Member{VM: "v2"}, Needs: rate.Tokens{"c": 1}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if m, err := vm.Decode[message](data); err == nil && m.Summary != nil {
+			fleet := &Fleet{Self: Member{VM: "v1"}}
+			fleet.SetMembers(nil)
+			fleet.receive(*m.Summary)
+		}
+	})
+}
