Let a set of two copies outlive the loss of one

Ruled out: lost records; the other copy had them all, since two copies are both written. Change: a change needs a read quorum of the present set, which is enough to fence older versions and to copy all records; replaced disks leave the set with their replacement; a present copy that does not answer may be left out if the next set has a write quorum without it; a lost copy of an even number is dropped.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/event"
 	"chestnutcleat.example/chestnutcleat/ledger"
@@ -141,7 +139,8 @@
 	return k.write(ctx, event.SetProposed, next, object)
 }
 
-// reachable reports whether enough present disks are heard to carry a change out.
+// reachable reports whether enough present disks are heard to carry a change out: what counts as written must be read, and
+// no more may be written without them.
 func (k *Keeper) reachable(set chestnutcleat.Copies) bool {
 	alive := map[chestnutcleat.DiskID]bool{k.Store.Disk(): true}
 	for _, c := range k.Candidates() {
@@ -149,7 +148,7 @@
 			alive[c.Disk] = true
 		}
 	}
-	return set.Written(func(d chestnutcleat.DiskID) bool { return alive[d] })
+	return set.Read(func(d chestnutcleat.DiskID) bool { return alive[d] })
 }
 
 // finish lets all next copies join and makes them the present ones; if that fails for too long, the change is taken back.
@@ -168,19 +167,34 @@
 	return errors.Join(err, k.write(ctx, event.SetCancelled, back, object))
 }
 
+// joinAll lets the next copies join. A present one that does not answer may be left out if the others are a write quorum:
+// each of them then has all records.
 func (k *Keeper) joinAll(ctx context.Context, set chestnutcleat.Copies) error {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	g, ctx := errgroup.WithContext(ctx)
-	for _, c := range set.Next {
-		g.Go(func() error {
+	failed := make([]error, len(set.Next))
+	var g sync.WaitGroup
+	for i, c := range set.Next {
+		g.Go(func() {
 			if err := k.Store.Join(ctx, c, set); err != nil {
-				return fmt.Errorf("copy %s of VM %s: %w", c.Disk, c.VM, err)
+				failed[i] = fmt.Errorf("copy %s of VM %s: %w", c.Disk, c.VM, err)
 			}
-			return nil
 		})
 	}
-	return g.Wait()
+	g.Wait()
+	joined := 0
+	for i, c := range set.Next {
+		switch {
+		case failed[i] == nil:
+			joined++
+		case !chestnutcleat.Contains(set.Disks, c.Disk):
+			return failed[i]
+		}
+	}
+	if joined < chestnutcleat.WriteQuorum(len(set.Next)) {
+		return errors.Join(failed...)
+	}
+	return nil
 }
 
 // write replaces the set's object; another VM's change in between is a conflict and decides.
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -415,6 +415,56 @@
 	synctest.Wait()
 }
 
+// After a storage VM is emptied without another to take its place, two copies are left. The loss of one's disk must not stop
+// the set from growing back: two copies are both written to, so one of them has all records.
+func TestTwoCopies(t *testing.T) {
+	for _, v := range []string{"wiped", "killed for long"} {
+		t.Run(v, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newFleet(ctx, t, 3, 1)
+				time.Sleep(2 * time.Second)
+				f.mu.Lock()
+				f.list[0].retiring = true
+				f.mu.Unlock()
+				time.Sleep(catchUp)
+				f.halt(f.list[0])
+				write := func(id string) {
+					if err := f.write(id, ""); err != nil {
+						t.Errorf("write %s: %v", id, err)
+					}
+				}
+				write("before")
+				f.halt(f.list[1])
+				if v == "wiped" {
+					f.wipe(f.list[1])
+				} else {
+					time.Sleep(catchUp)
+					write("alone")
+				}
+				f.start(f.list[1])
+				time.Sleep(catchUp)
+				write("after")
+				f.halt(f.list[2])
+				f.wipe(f.list[2])
+				f.start(f.list[2])
+				time.Sleep(catchUp)
+				for _, id := range []string{"before", "after"} {
+					if _, err := f.fetch(id); err != nil {
+						t.Errorf("turn %s: %v", id, err)
+					}
+				}
+				if n := len(f.members()); n != 2 {
+					t.Errorf("%d copies", n)
+				}
+				f.end()
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // Reservations at the same moment must not pass the budget together, and one after the other must use it up.
 func TestBudgetUnderLosses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/keeper/wanted.go
+++ b/keeper/wanted.go
@@ -40,7 +40,11 @@
 	slices.SortStableFunc(list, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.VM, b.VM))
 	})
-	list = spread(list, count, rank)
+	list = withoutReplaced(spread(list, count, rank), candidates)
+	if n := len(list); n > 1 && n%2 == 0 && !list[n-1].Alive {
+		// Of an even number a write quorum is more than half: without the lost one, as many may still be lost and fewer must answer.
+		list = list[:n-1]
+	}
 	out := make([]chestnutcleat.Copy, 0, len(list))
 	for _, c := range list {
 		out = append(out, c.Copy)
@@ -67,6 +71,13 @@
 	return out
 }
 
+// withoutReplaced leaves out lost disks whose VM's new disk is in the list.
+func withoutReplaced(list, candidates []Candidate) []Candidate {
+	return slices.DeleteFunc(list, func(c Candidate) bool {
+		return !announced(candidates, c.Disk) && slices.ContainsFunc(list, func(o Candidate) bool { return o.VM == c.VM && o.Disk != c.Disk })
+	})
+}
+
 func announced(list []Candidate, d chestnutcleat.DiskID) bool {
 	return slices.ContainsFunc(list, func(c Candidate) bool { return c.Disk == d })
 }
