Hold customers to a sliding window of their rate, with lent tokens

Cause: customers below their limit were refused where their requests came together: a VM's share of a token bucket of a small customer is five tokens, and a bucket allows less in a window than the customer's rate and burst do. Ruled out: a wrong count of VMs; the limits in the log are the operators'. Change: uses are forgotten after one window, tokens are lent instead of given (the lender counts them as used, so shares are kept over restarts), and a request without a token waits up to 12 ms for a loan.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -23,6 +23,8 @@
 	configRetry = 500 * time.Millisecond
 	// busyRetry is when an instance is likely to have a free place; it is spread, so that callers do not return together.
 	busyRetry = 150 * time.Millisecond
+	// tokenWait is some round trips between VMs of one region.
+	tokenWait = 12 * time.Millisecond
 	// defaultBody bounds bodies when the configuration does not.
 	defaultBody = 4 << 20
 	// defaultTimeout bounds requests of routes without a timeout.
@@ -207,16 +209,37 @@
 	if c.customer == nil {
 		return nil
 	}
-	ok, ask, retry := c.Rates.Admit(c.customer.ID)
-	if ask {
+	d := c.Rates.Admit(c.customer.ID)
+	if d.Ask {
 		c.Ask()
 	}
-	if !ok {
-		return problem(chestnutcleat.CodeRate, chestnutcleat.NotRun, "customer %s is above its rate", c.customer.ID).WithRetry(max(retry, retryTime()))
+	if !d.Admitted && d.Given != nil {
+		d = c.awaitTokens(d)
+	}
+	if !d.Admitted {
+		return problem(chestnutcleat.CodeRate, chestnutcleat.NotRun, "customer %s is above its rate", c.customer.ID).WithRetry(max(d.Retry, retryTime()))
 	}
 	return nil
 }
 
+// awaitTokens waits for tokens that other VMs may give, so that a customer below its rate is not refused where it comes first.
+func (c *call) awaitTokens(d rate.Decision) rate.Decision {
+	t := time.NewTimer(tokenWait)
+	defer t.Stop()
+	for !d.Admitted && d.Given != nil {
+		select {
+		case <-d.Given:
+			d = c.Rates.Admit(c.customer.ID)
+		case <-t.C:
+			c.Rates.Dry(c.customer.ID)
+			return d
+		case <-c.r.Context().Done():
+			return d
+		}
+	}
+	return d
+}
+
 // retryTime spreads the return of refused callers.
 func retryTime() time.Duration {
 	return busyRetry + time.Duration(rand.Int64N(int64(busyRetry)))
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -54,7 +54,7 @@
 	// Received runs for each newer summary; nil ignores it.
 	Received func(Summary)
 	// Granted runs for the tokens that another VM gives; nil ignores them.
-	Granted func(rate.Tokens)
+	Granted func(t rate.Tokens, asked time.Time)
 	// Heard and Silenced report that a VM is heard again or no longer; nil ignores it.
 	Heard, Silenced func(chestnutcleat.VMID)
 	// Conn is the socket for datagrams.
@@ -169,15 +169,15 @@
 	}
 	f.mu.Unlock()
 	if ok && f.Granted != nil {
-		f.Granted(g.Tokens)
+		f.Granted(g.Tokens, time.UnixMilli(g.Asked))
 	}
 }
 
-// Grant sends tokens to another VM; a lost datagram loses them.
-func (f *Fleet) Grant(to *Member, t rate.Tokens) {
+// Grant sends tokens to the VM that asked for them; a lost datagram loses them.
+func (f *Fleet) Grant(to *Summary, t rate.Tokens) {
 	f.mu.Lock()
 	f.grants++
-	g := Grant{From: f.Self.VM, Started: f.Self.Started, Sequence: f.grants, To: to.Started, Tokens: t}
+	g := Grant{From: f.Self.VM, Started: f.Self.Started, Sequence: f.grants, To: to.Started, Asked: to.Sent, Tokens: t}
 	f.mu.Unlock()
 	f.write(message{Grant: &g}, to.Address)
 }
@@ -251,7 +251,7 @@
 func (f *Fleet) sendTo(peers []Peer) {
 	f.mu.Lock()
 	f.sequence++
-	s := Summary{Member: f.Self, Sequence: f.sequence}
+	s := Summary{Member: f.Self, Sequence: f.sequence, Sent: time.Now().UnixMilli()}
 	f.mu.Unlock()
 	f.Describe(&s)
 	to := make([]chestnutcleat.Address, 0, len(peers))
--- a/peer/summary.go
+++ b/peer/summary.go
@@ -29,6 +29,8 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Versions are those of the VM's copies of the platform's objects.
 	Versions map[chestnutcleat.ObjectKind]chestnutcleat.Version `json:"versions,omitempty"`
+	// Sent is the sender's own time, as Unix time in milliseconds.
+	Sent int64 `json:"sent"`
 	// Needs are the tokens of customers' rates that the VM asks the others for.
 	Needs rate.Tokens `json:"needs,omitempty"`
 	// Load is the number of requests that the VM has at each instance.
@@ -42,7 +44,9 @@
 	Started  int64  `json:"started"`
 	Sequence uint64 `json:"sequence"`
 	// To is the start of the receiver's process; another process takes nothing.
-	To     int64       `json:"to"`
+	To int64 `json:"to"`
+	// Asked is the receiver's own time of its request, as Unix time in milliseconds.
+	Asked  int64       `json:"asked"`
 	Tokens rate.Tokens `json:"tokens"`
 }
 
--- /dev/null
+++ b/rate/window.go
@@ -0,0 +1,66 @@
+package rate
+
+import "time"
+
+const (
+	// slotTime is the resolution in which uses are forgotten.
+	slotTime = 100 * time.Millisecond
+	// holdTime is how long a giver counts a given token as not yet used; the taker uses it within takeTime of asking.
+	holdTime = time.Second
+	takeTime = 700 * time.Millisecond
+)
+
+// window counts uses within a sliding window. A use is forgotten when its whole slot has left the window.
+type window struct {
+	length time.Duration
+	slots  []slot
+	total  float64
+}
+
+// slot has the uses of one slotTime.
+type slot struct {
+	number int64
+	used   float64
+}
+
+func slotOf(t time.Time) int64 { return t.UnixNano() / int64(slotTime) }
+
+// forget drops the slots that have left the window.
+func (w *window) forget(now time.Time) {
+	first := slotOf(now.Add(-w.length))
+	n := 0
+	for n < len(w.slots) && w.slots[n].number < first {
+		w.total -= w.slots[n].used
+		n++
+	}
+	w.slots = w.slots[n:]
+	if len(w.slots) == 0 {
+		// Rounding must not add up.
+		w.total = 0
+	}
+}
+
+// add counts uses at a time, which may lie ahead.
+func (w *window) add(at time.Time, n float64) {
+	w.total += n
+	number := slotOf(at)
+	i := len(w.slots)
+	for i > 0 && w.slots[i-1].number > number {
+		i--
+	}
+	if i > 0 && w.slots[i-1].number == number {
+		w.slots[i-1].used += n
+		return
+	}
+	w.slots = append(w.slots, slot{})
+	copy(w.slots[i+1:], w.slots[i:])
+	w.slots[i] = slot{number: number, used: n}
+}
+
+// scale changes all uses by a factor.
+func (w *window) scale(factor float64) {
+	for i := range w.slots {
+		w.slots[i].used *= factor
+	}
+	w.total *= factor
+}
--- a/role/entry.go
+++ b/role/entry.go
@@ -93,7 +93,7 @@
 
 func (e *Entry) build(ctx context.Context) {
 	e.places = place.NewTable()
-	e.rates = rate.NewFleet()
+	e.rates = rate.NewFleet(time.Duration(e.Settings.Window * float64(time.Second)))
 	e.ledger = &ledger.Client{Peers: e.client, Observer: e.Observer, Domain: e.Settings.Domain}
 	e.known = map[chestnutcleat.InstanceID]chestnutcleat.Version{}
 	e.fleet = &peer.Fleet{
@@ -170,7 +170,7 @@
 func (e *Entry) received(ctx context.Context, s *peer.Summary) {
 	if len(s.Needs) > 0 {
 		if given := e.rates.Give(s.Needs, int(e.heard.Load())); len(given) > 0 {
-			e.fleet.Grant(&s.Member, given)
+			e.fleet.Grant(s, given)
 		}
 	}
 	e.catchUp(ctx, s)
--- a/settings/role.go
+++ b/settings/role.go
@@ -39,6 +39,8 @@
 	// Hold is the longest time that callers keep a list of addresses, in seconds.
 	Hold float64 `json:"hold"`
 	Log  Log     `json:"log,omitempty"`
+	// Window is the span over which customers' rates hold, in seconds.
+	Window float64 `json:"window"`
 	// Metrics is the port of the metrics address; zero for none.
 	Metrics int `json:"metrics,omitempty"`
 }
@@ -103,6 +105,9 @@
 	if r.Grace <= 0 {
 		d.Add("grace", "expected seconds above 0, found %v", r.Grace)
 	}
+	if r.Window <= 0 {
+		d.Add("window", "expected seconds above 0, found %v", r.Window)
+	}
 	oneOf(d, "log.level", r.Log.Level, levels)
 	oneOf(d, "log.format", r.Log.Format, formats)
 }
