Answer a call that hits its timeout with deadline-exceeded

Ruled out: the stand-in's own end and the caller's deadline; only the order of the two timers decides. Change: an attempt that timed out waits for the call's own deadline. Also the linters' findings in packages rate and role.

--- a/caller/run.go
+++ b/caller/run.go
@@ -89,7 +89,13 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), c.route.Timeout.Or(chestnutcleat.DefaultCallTimeout))
 	defer cancel()
-	return c.exchange.attempt(ctx, g)
+	r := c.exchange.attempt(ctx, g)
+	if ctx.Err() != nil {
+		// The call's own deadline is not later than the attempt's, but its timer may not have run yet: without the wait the
+		// caller would be told that the upstream broke off.
+		<-c.ctx.Done()
+	}
+	return r
 }
 
 // intend records the intent to send a call that may not be repeated.
--- a/rate/fleet.go
+++ b/rate/fleet.go
@@ -56,7 +56,7 @@
 	// demand is in requests per second, as of the time at.
 	demand float64
 	at     time.Time
-	asked time.Time
+	asked  time.Time
 	// dry is when a request last waited in vain for tokens of other VMs.
 	dry time.Time
 }
--- a/rate/fleet_test.go
+++ b/rate/fleet_test.go
@@ -112,35 +112,35 @@
 // A customer far above its rate must be held to it over all VMs, evenly spread, at one VM, at a split into halves, with all
 // VMs alone, and over a restart of all VMs. A limit by counts that VMs tell each other fails this when they are cut off.
 func TestRateHolds(t *testing.T) {
-	for name, during := range map[string]func(r *rig, any func() int){
-		"spread": func(r *rig, any func() int) { r.run(20*time.Second, 1300, any) },
+	for name, during := range map[string]func(r *rig, anywhere func() int){
+		"spread": func(r *rig, anywhere func() int) { r.run(20*time.Second, 1300, anywhere) },
 		"one VM": func(r *rig, _ func() int) { r.run(20*time.Second, 1300, func() int { return 3 }) },
-		"changes": func(r *rig, any func() int) {
+		"changes": func(r *rig, anywhere func() int) {
 			for i := range 10 {
 				r.run(2*time.Second, 1300, func() int { return i % vms })
 			}
 		},
-		"halves": func(r *rig, any func() int) {
-			r.run(3*time.Second, 1300, any)
+		"halves": func(r *rig, anywhere func() int) {
+			r.run(3*time.Second, 1300, anywhere)
 			r.split(true)
-			r.run(6*time.Second, 1300, any)
+			r.run(6*time.Second, 1300, anywhere)
 			r.split(false)
-			r.run(6*time.Second, 1300, any)
+			r.run(6*time.Second, 1300, anywhere)
 		},
-		"all alone": func(r *rig, any func() int) {
+		"all alone": func(r *rig, anywhere func() int) {
 			for i := range vms {
 				for j := range vms {
 					r.cut[i][j] = true
 				}
 			}
-			r.run(10*time.Second, 1300, any)
+			r.run(10*time.Second, 1300, anywhere)
 		},
-		"all restarted": func(r *rig, any func() int) {
-			r.run(5*time.Second, 1300, any)
+		"all restarted": func(r *rig, anywhere func() int) {
+			r.run(5*time.Second, 1300, anywhere)
 			for i := range vms {
 				r.list[i] = newLimiter()
 			}
-			r.run(10*time.Second, 1300, any)
+			r.run(10*time.Second, 1300, anywhere)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/role/base.go
+++ b/role/base.go
@@ -24,11 +24,12 @@
 	"chestnutcleat.example/chestnutcleat/vm"
 )
 
+// fleetKind is the kind of the system's own objects: one for each VM, and the set of copies.
+const fleetKind chestnutcleat.ObjectKind = "fleet"
+
 const (
-	// fleetKind is the kind of the system's own objects: one for each VM, and the set of copies.
-	fleetKind  chestnutcleat.ObjectKind = "fleet"
-	vmPrefix                            = "vm-"
-	copiesName                          = "copies"
+	vmPrefix   = "vm-"
+	copiesName = "copies"
 	// announceInterval is the time between looks at this VM's own object.
 	announceInterval = time.Second
 	// aheadWait gives this VM's own watch the time to bring what another VM already has.
