Lend fewer tokens for a shorter time

Ruled out: a wrong window; each VM's own share was used up when it refused. Change: loans for 0.15 s of demand, used within 0.3 s, counted from 0.4 s on.

--- a/rate/fleet.go
+++ b/rate/fleet.go
@@ -11,15 +11,15 @@
 
 const (
 	// demandTime is the time over which demand is averaged.
-	demandTime = 500 * time.Millisecond
+	demandTime = 300 * time.Millisecond
 	// reserveTime is the demand that a VM wants to hold tokens for.
-	reserveTime = 600 * time.Millisecond
+	reserveTime = 150 * time.Millisecond
 	// leastReserve is what a VM without demand wants to hold.
-	leastReserve = 2
+	leastReserve = 1
 	// askShare is the part of the wanted tokens below which a VM asks others.
 	askShare = 0.75
 	// keepTime is the demand that a VM keeps tokens for when another one asks.
-	keepTime = 400 * time.Millisecond
+	keepTime = 100 * time.Millisecond
 	// maxRetry bounds when a refused caller is told to come back; its demand may have ended by then.
 	maxRetry = time.Second
 	// dryTime is how long requests do not wait for tokens after one waited in vain.
@@ -27,7 +27,7 @@
 	// askSpacing is the least time between two requests for tokens of one customer.
 	askSpacing = 20 * time.Millisecond
 	// generous is how many times its even part of a need a VM gives, as others may have nothing to give.
-	generous = 2
+	generous = 1
 )
 
 // Tokens are admissions, by customer.
--- a/rate/window.go
+++ b/rate/window.go
@@ -6,8 +6,8 @@
 	// slotTime is the resolution in which uses are forgotten.
 	slotTime = 100 * time.Millisecond
 	// holdTime is how long a giver counts a given token as not yet used; the taker uses it within takeTime of asking.
-	holdTime = time.Second
-	takeTime = 700 * time.Millisecond
+	holdTime = 400 * time.Millisecond
+	takeTime = 300 * time.Millisecond
 )
 
 // window counts uses within a sliding window. A use is forgotten when its whole slot has left the window.
