Check settings of roles, forget VMs that are gone, start parts before the watch

Ruled out for the panic: a late message; the stack shows the watch's own post. The order of two goroutines has no test of its own: no run of the old order failed on demand.

--- a/cmd/chestnutcleat/check.go
+++ b/cmd/chestnutcleat/check.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 
 	"github.com/google/subcommands"
 	"github.com/tailscale/hujson"
@@ -26,18 +27,18 @@
 
 // Usage implements subcommands.Command.
 func (*checkCommand) Usage() string {
-	return "check [-kind settings|manifest] FILE...\n\tPrints every error with file, line, field and what was expected.\n"
+	return "check [-kind settings|role|manifest] FILE...\n\tPrints every error with file, line, field and what was expected.\n"
 }
 
 // SetFlags implements subcommands.Command.
 func (c *checkCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.kind, "kind", "", "settings or manifest; by default the fields of the file decide")
+	f.StringVar(&c.kind, "kind", "", "settings, role (settings of the entry and store roles) or manifest; by default the fields of the file decide")
 }
 
 // Execute implements subcommands.Command.
 func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.kind != "" && c.kind != "settings" && c.kind != "manifest" {
-		return misuse(c, "-kind %q: expected settings or manifest", c.kind)
+	if !slices.Contains([]string{"", "settings", "role", "manifest"}, c.kind) {
+		return misuse(c, "-kind %q: expected settings, role or manifest", c.kind)
 	}
 	if f.NArg() == 0 {
 		return misuse(c, "no file is given")
@@ -63,20 +64,26 @@
 	if kind == "" {
 		kind = kindOf(data)
 	}
-	if kind == "settings" {
+	switch kind {
+	case "settings":
 		_, err = settings.Parse(name, data)
-		return err
+	case "role":
+		_, err = settings.ParseRole(name, data)
+	default:
+		_, err = manifest.Parse(name, data)
 	}
-	_, err = manifest.Parse(name, data)
 	return err
 }
 
-// kindOf takes a file with a field that only settings have as settings.
+// kindOf takes a file with a field that only settings have as settings, and with a role as those of a role.
 func kindOf(data []byte) string {
 	v, err := hujson.Parse(data)
 	if err != nil {
 		return "manifest"
 	}
+	if v.Find("/role") != nil {
+		return "role"
+	}
 	for _, p := range []string{"/vm", "/addresses", "/platform"} {
 		if v.Find(p) != nil {
 			return "settings"
--- a/cmd/chestnutcleat/check_test.go
+++ b/cmd/chestnutcleat/check_test.go
@@ -14,6 +14,7 @@
 	tests := []struct{ name, text, want string }{
 		{"settings", "{\n  \"vm\": \"e1\",\n  \"platfrom\": \"x\"\n}", ":3: platfrom: unknown field, expected one of vm,"},
 		{"manifest", "{\n  \"customers\": [\n    {\"id\": \"a\", \"rate\": 0, \"burst\": 1}\n  ]\n}", ":3: customers[0].rate: expected requests per second above 0"},
+		{"role", "{\n  \"role\": \"entry\",\n  \"ports\": [7, 3]\n}", ":3: ports: expected the first and the last port for messages between VMs"},
 		{"malformed", "{\n  customers\n}", ":2: expected JSON with comments"},
 	}
 	for _, tt := range tests {
--- a/event/system.go
+++ b/event/system.go
@@ -29,6 +29,7 @@
 	AnnounceFailed = add(825, Warning, "VM could not be announced at the platform", "Check the platform; the announcement is tried again.")
 	SettingsRead   = add(826, Info, "settings read", "")
 	SettingsBad    = add(827, Error, "settings could not be read; the ones before stay in effect", "Correct the settings file.")
+	PeerForgotten  = add(828, Warning, "object of a silent VM removed", "Nothing if the VM is gone; a VM that lives announces itself again.")
 	Answered       = add(851, Info, "request answered by an instance", "")
 	Refused        = add(852, Info, "request refused", "")
 	Broken         = add(853, Warning, "request failed at an instance", "Find the instance in the attributes; the caller was told what is known.")
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -349,6 +349,7 @@
 func TestNothingAcknowledgedIsLost(t *testing.T) {
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { series(t, seed) })
 		})
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -83,10 +83,7 @@
 
 // Run runs the control state until ctx is done.
 func (n *Node) Run(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return n.Loop.Run(ctx) })
-	g.Go(func() error { return n.watch(ctx) })
-	g.Go(func() error { return n.seeds.run(ctx, n.Platform, n.Seeds) })
+	// The parts start before anything that the watch brings: a fleet object that came first met a keeper without maps.
 	n.Loop.Post(func() {
 		n.manifests.Start(func() {})
 		n.members.Run()
@@ -96,6 +93,10 @@
 		n.upstreams.Run()
 		n.gossip()
 	})
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return n.Loop.Run(ctx) })
+	g.Go(func() error { return n.watch(ctx) })
+	g.Go(func() error { return n.seeds.run(ctx, n.Platform, n.Seeds) })
 	return g.Wait()
 }
 
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -31,6 +31,8 @@
 	Summary
 	// Heard is when the last summary arrived; zero if none did.
 	Heard time.Time
+	// known is when this VM first knew of the other one.
+	known time.Time
 	// patience is the age from which the last summary says nothing about the present.
 	patience time.Duration
 	// grantStarted and grantSequence are those of the last grant that the VM sent.
@@ -41,6 +43,14 @@
 // Silent reports whether the VM's state is not known at the moment.
 func (p *Peer) Silent() bool { return p.Heard.IsZero() || time.Since(p.Heard) > p.patience }
 
+// Quiet returns how long the VM has not been heard.
+func (p *Peer) Quiet() time.Duration {
+	if p.Heard.IsZero() {
+		return time.Since(p.known)
+	}
+	return time.Since(p.Heard)
+}
+
 // intervalOf is the time between the summaries of a VM that has n peers.
 func intervalOf(n int) time.Duration {
 	return max(interval, time.Duration(n)*time.Second/perSecond)
@@ -88,7 +98,7 @@
 		}
 		f.listed[m.VM] = m
 		if p := f.peers[m.VM]; p == nil {
-			f.peers[m.VM] = &Peer{Summary: Summary{Member: m}, patience: silentIntervals * interval}
+			f.peers[m.VM] = &Peer{Summary: Summary{Member: m}, known: time.Now(), patience: silentIntervals * interval}
 		} else if m.Started > p.Started {
 			// The process started again: its summaries are numbered anew.
 			p.Summary = Summary{Member: m}
@@ -202,7 +212,7 @@
 	f.mu.Lock()
 	p := f.peers[s.VM]
 	if p == nil {
-		p = &Peer{patience: silentIntervals * interval}
+		p = &Peer{known: time.Now(), patience: silentIntervals * interval}
 		f.peers[s.VM] = p
 	}
 	if !newer(&s, p) {
--- a/role/base.go
+++ b/role/base.go
@@ -33,7 +33,11 @@
 	// announceInterval is the time between looks at this VM's own object.
 	announceInterval = time.Second
 	// aheadWait gives this VM's own watch the time to bring what another VM already has.
-	aheadWait     = 150 * time.Millisecond
+	aheadWait = 150 * time.Millisecond
+	// goneAfter is the silence after which a VM's object is removed; a VM that lives announces itself again.
+	goneAfter = 30 * time.Second
+	// goneInterval is the time between looks for VMs that are gone.
+	goneInterval  = 5 * time.Second
 	methodObjects = chestnutcleat.Method("mirror/objects")
 	objectsTime   = time.Second
 	// pollSlot is the time between two lists that the VMs take in turn: a watch that waits in vain, as the platform does not
@@ -62,6 +66,8 @@
 	// asking holds the kinds that are being asked of another VM.
 	asking map[chestnutcleat.ObjectKind]bool
 	own    chestnutcleat.Stored
+	// listed has the versions of the VMs' objects.
+	listed map[chestnutcleat.VMID]chestnutcleat.Version
 	// latest has the settings after the last reload.
 	latest atomic.Pointer[settings.Role]
 }
@@ -251,6 +257,7 @@
 func (b *base) members(s mirror.Snapshot) []peer.Member {
 	var list []peer.Member
 	var own chestnutcleat.Stored
+	listed := map[chestnutcleat.VMID]chestnutcleat.Version{}
 	for _, o := range s.Objects {
 		id, ok := strings.CutPrefix(o.Name, vmPrefix)
 		if !ok {
@@ -265,13 +272,43 @@
 			continue
 		}
 		list = append(list, m)
+		listed[m.VM] = o.Version
 	}
 	b.mu.Lock()
-	b.own = own
+	b.own, b.listed = own, listed
 	b.mu.Unlock()
 	return list
 }
 
+// forgetGone removes the objects of VMs of this role that have been silent for long, so that their shares of rates are used
+// again. The first of the VMs that are heard does it, and only while it hears more than half of them.
+func (b *base) forgetGone(ctx context.Context) error {
+	for chestnutcleat.Sleep(ctx, goneInterval) == nil {
+		peers := b.fleet.Peers()
+		rank, heard := b.rankHeard()
+		if rank != 0 || 2*heard <= len(peers)+1 {
+			continue
+		}
+		for i := range peers {
+			if p := &peers[i]; p.Quiet() > goneAfter {
+				b.forget(ctx, p)
+			}
+		}
+	}
+	return nil
+}
+
+func (b *base) forget(ctx context.Context, p *peer.Peer) {
+	b.mu.Lock()
+	v := b.listed[p.VM]
+	b.mu.Unlock()
+	if v == 0 {
+		return
+	}
+	err := b.objects.Remove(ctx, fleetKind, vmPrefix+string(p.VM), v)
+	b.Observer.Emit(event.PeerForgotten, "peer", p.VM, "silent", p.Quiet().Seconds(), "version", v, "error", err)
+}
+
 // announce keeps this VM's own object at the platform.
 func (b *base) announce(ctx context.Context) error {
 	data, err := json.Marshal(b.self)
--- a/role/entry.go
+++ b/role/entry.go
@@ -75,6 +75,7 @@
 	g.Go(func() error { return e.ledger.Run(ctx) })
 	g.Go(func() error { return e.poll(ctx, platform.ConfigKind, platform.InstanceKind) })
 	g.Go(func() error { return e.watchFleet(ctx) })
+	g.Go(func() error { return e.forgetGone(ctx) })
 	e.serve(g)
 	g.Go(func() error {
 		defer cancel()
--- a/role/shutdown.go
+++ b/role/shutdown.go
@@ -10,9 +10,9 @@
 
 const (
 	// drainTime is kept of the grace for the requests that are in progress when the listener closes.
-	drainTime = 3 * time.Second
+	drainTime = 3500 * time.Millisecond
 	// exitTime is kept of the grace for the end of the process.
-	exitTime = 500 * time.Millisecond
+	exitTime = time.Second
 )
 
 // shutdown waits for the order to stop, lets callers go to other VMs and ends the process.
