--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -480,11 +480,19 @@
 		if err := f.write("second", ""); !errors.Is(err, ledger.ErrUnsure) || time.Since(start) > 0 {
 			t.Errorf("%v after %v", err, time.Since(start))
 		}
+		// What nobody waits for is written later: a settlement that is dropped leaves its reservation in place for good.
+		r := ledger.Record{Kind: ledger.Settle, Customer: "c", Program: "p", Attempt: "a", Tokens: 5, Until: time.Now().Add(time.Hour).Unix()}
+		f.client.Post(r)
 		f.setCut(f.list[0], false)
 		time.Sleep(2 * time.Second)
 		if err := f.write("third", ""); err != nil {
 			t.Error(err)
 		}
+		r.Kind, r.Attempt = ledger.Reserve, "b"
+		others, err := f.client.Write(ctx, r)
+		if err != nil || len(others) != 1 || others[0].Tokens != 5 {
+			t.Errorf("attempts %v, error %v", others, err)
+		}
 		f.end()
 		cancel()
 		synctest.Wait()
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -142,9 +142,6 @@
 	if c.copies.Version == 0 || c.senders == nil {
 		return nil, ErrNoCopies
 	}
-	if !c.writable() {
-		return nil, ErrUnsure
-	}
 	c.pending[o] = true
 	for _, s := range c.senders {
 		s.add(o)
@@ -152,21 +149,26 @@
 	return o, nil
 }
 
-// writable reports whether enough copies to write to answered last time; a record that can't be written is refused at once.
-// It needs the lock.
+// writable reports whether enough copies to write to answered last time.
 func (c *Client) writable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return c.copies.Written(func(d chestnutcleat.DiskID) bool {
 		s := c.senders[d]
 		return s != nil && !s.lost
 	})
 }
 
-// Write returns once a write quorum holds the record; a Reserve returns the other attempts of its program.
+// Write returns once a write quorum holds the record; a Reserve returns the other attempts of its program. While too few copies
+// answer it fails at once.
 func (c *Client) Write(ctx context.Context, r Record) ([]Attempt, error) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(postTime)
 	}
+	if c.Copies().Version > 0 && !c.writable() {
+		return nil, ErrUnsure
+	}
 	o, err := c.start(r, deadline)
 	if err != nil {
 		return nil, err
