Keep instances that the platform loses all at once

Ruled out: resting instances, which are still tried when no other is left. Change: if a third of the entries, two at least, go within a second, they stay like those that vanish in a known outage until 2.5 s later. TestUnseenLapse fails without it.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -22,6 +22,11 @@
 	spacing = 50 * time.Millisecond
 	// returnTime is how long entries that vanished while the platform was away may take to come back after its return.
 	returnTime = 2500 * time.Millisecond
+	// massTime and massShare tell a lapse that this VM did not see the cause of: one object in massShare goes within massTime.
+	massTime  = time.Second
+	massShare = 3
+	// massLeast is the smallest number of objects that make a mass.
+	massLeast = 2
 )
 
 // Snapshot is all objects of a kind at one version.
@@ -47,12 +52,20 @@
 	objects map[string]chestnutcleat.Stored
 	// lapsed holds until when objects that vanished during an outage stay.
 	lapsed map[string]time.Time
+	// dropped has the objects that went within massTime.
+	dropped []dropped
 	// version is that of the last change seen, position where the next watch goes on.
 	version, position chestnutcleat.Version
 	away              bool
 	notify            sync.Mutex
 }
 
+// dropped is an object that was removed.
+type dropped struct {
+	object chestnutcleat.Stored
+	at     time.Time
+}
+
 // Version returns the version of the last change.
 func (m *Mirror) Version() chestnutcleat.Version {
 	m.mu.Lock()
@@ -229,8 +242,7 @@
 			if o.Deleted && m.Lapses && regained {
 				m.lapse(o.Name)
 			} else if o.Deleted {
-				delete(m.objects, o.Name)
-				delete(m.lapsed, o.Name)
+				m.remove(o.Name)
 			} else {
 				m.objects[o.Name] = o
 				delete(m.lapsed, o.Name)
@@ -247,6 +259,29 @@
 	})
 }
 
+// remove forgets an object. If many go at once the platform has lost them while this VM waited for news, so they stay like
+// those that vanish while it is known to be away.
+func (m *Mirror) remove(name string) {
+	now := time.Now()
+	o, ok := m.objects[name]
+	delete(m.objects, name)
+	delete(m.lapsed, name)
+	if !ok || !m.Lapses {
+		return
+	}
+	m.dropped = slices.DeleteFunc(m.dropped, func(d dropped) bool { return now.Sub(d.at) > massTime })
+	m.dropped = append(m.dropped, dropped{o, now})
+	if n := len(m.dropped); n < massLeast || n*massShare < n+len(m.objects) {
+		return
+	}
+	for _, d := range m.dropped {
+		if _, back := m.objects[d.object.Name]; !back {
+			m.objects[d.object.Name] = d.object
+			m.lapse(d.object.Name)
+		}
+	}
+}
+
 // dropLapsed forgets objects that did not come back in time.
 func (m *Mirror) dropLapsed() bool {
 	now, dropped := time.Now(), false
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -219,6 +219,38 @@
 	})
 }
 
+// When the platform loses most entries in an outage that no call of this VM noticed, they must stay until they had the time to
+// come back: without that a VM knew no instance of a service for half a second (recorded day inc-a610). Single entries that go
+// are gone at once.
+func TestUnseenLapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPlatform()
+		all := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"}
+		for _, name := range all {
+			p.set(name)
+		}
+		_, seen := follow(t, p)
+		time.Sleep(time.Second)
+		p.delete("i")
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(seen(), all[:8])
+		time.Sleep(2 * massTime)
+		for _, name := range all[:8] {
+			p.delete(name)
+			time.Sleep(60 * time.Millisecond)
+		}
+		is.Equal(seen(), all[:8])
+		for _, name := range all[:6] {
+			p.set(name)
+		}
+		time.Sleep(returnTime / 2)
+		is.Equal(seen(), all[:8])
+		time.Sleep(returnTime)
+		is.Equal(seen(), all[:6])
+	})
+}
+
 // A VM that the platform turns away must take newer objects from another VM, and never older ones.
 func TestOffer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
