--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -192,11 +192,11 @@
 	f.write(message{Grant: &g}, to.Address)
 }
 
-func (f *Fleet) write(m message, to ...chestnutcleat.Address) {
+// write sends a datagram and reports whether it was small enough.
+func (f *Fleet) write(m message, to ...chestnutcleat.Address) bool {
 	data, err := vm.Encode(m)
 	if err != nil || len(data) > maxDatagram {
-		// The encoding of our own types does not fail, and what they hold is bounded by the fleet's and the customers' number.
-		panic(fmt.Sprintf("datagram of %d bytes: %v", len(data), err))
+		return false
 	}
 	for _, v := range to {
 		a, err := netip.ParseAddrPort(string(v))
@@ -206,6 +206,7 @@
 		// A lost datagram is made up for by the next one.
 		_, _ = f.Conn.WriteTo(data, net.UDPAddrFromAddrPort(a))
 	}
+	return true
 }
 
 func (f *Fleet) receive(s Summary) {
@@ -268,7 +269,11 @@
 	for i := range peers {
 		to = append(to, peers[i].Address)
 	}
-	f.write(message{Summary: &s}, to...)
+	if !f.write(message{Summary: &s}, to...) {
+		// With very many customers and instances the details are left out; that the VM lives must still be heard.
+		s.Load, s.Needs, s.Breaks = nil, nil, nil
+		f.write(message{Summary: &s}, to...)
+	}
 }
 
 func (f *Fleet) reportSilent(peers []Peer, silent map[chestnutcleat.VMID]bool) {
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -209,6 +209,30 @@
 	})
 }
 
+// A summary that does not fit into a datagram must not end the process or silence the VM.
+func TestLargeSummary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := &wire{socks: map[string]*sock{}, cut: map[string]bool{}}
+		list := []Member{member(1), member(2)}
+		one, stopOne := begin(t, w, list[0], list)
+		load := map[chestnutcleat.InstanceID]int{}
+		for i := range 10_000 {
+			load[chestnutcleat.InstanceID(fmt.Sprint("instance ", i))] = i
+		}
+		big := &Fleet{Self: list[1], Describe: func(s *Summary) { s.Load = load }, Conn: w.open(string(list[1].Address))}
+		big.SetMembers(list)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- big.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		is.Equal(silent(one), map[chestnutcleat.VMID]bool{"v2": false})
+		cancel()
+		is.NoErr(<-done)
+		stopOne()
+	})
+}
+
 // A datagram that is not ours, or that another VM spoiled, must be passed over.
 func FuzzReceive(f *testing.F) {
 	data, err := vm.Encode(message{Summary: &Summary{Member: Member{VM: "v2"}, Needs: rate.Tokens{"c": 1}}})
--- a/place/table.go
+++ b/place/table.go
@@ -100,14 +100,6 @@
 	return load
 }
 
-// Known reports whether the instance is listed and not leaving.
-func (t *Table) Known(id chestnutcleat.InstanceID) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.byID[id]
-	return s != nil && !s.Leaving
-}
-
 // Pick chooses an instance; it returns nil when none is left.
 func (t *Table) Pick(w Want) *Use {
 	t.mu.Lock()
--- a/place/table_test.go
+++ b/place/table_test.go
@@ -117,7 +117,7 @@
 	is.Equal(len(table.Own()), 0)
 	u.End(Sound)
 	is.Equal(len(table.Own()), 0)
-	is.True(table.Known("i0"))
+	is.Equal(table.Pick(Want{Service: "s"}).Born, int64(7))
 	table.Set(nil)
-	is.True(!table.Known("i0"))
+	is.True(table.Pick(Want{Service: "s"}) == nil)
 }
