--- a/cmd/chestnutcleat/check.go
+++ b/cmd/chestnutcleat/check.go
@@ -38,7 +38,7 @@
 // Execute implements subcommands.Command.
 func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if !slices.Contains([]string{"", "settings", "role", "manifest"}, c.kind) {
-		return misuse(c, "-kind %q: expected settings, role or manifest", c.kind)
+		return misuse(c, "-kind %q: expected settings or manifest, or role for settings of a role", c.kind)
 	}
 	if f.NArg() == 0 {
 		return misuse(c, "no file is given")
