Divide customers' rates among few holders in large fleets

A customer with 96 tokens in a window has 1.9 at each VM, lends none once a request was admitted there, and each question went to 49 VMs of which the one whose turn it was had nothing to spare.

Ruled out: real excess (admitted requests stayed far below the limit); lending parts of tokens: 78 of 192 tokens were used at seven times the rate, as parts lay unused at the VMs that asked.

Change: a customer's tokens are divided among its holders, all VMs of a small fleet, else one for each 20 tokens and at least eight, by rendezvous hashing. A VM that lacks a token asks one holder after the other with a datagram of its own instead of a summary to all. A part grows to a higher share over one window.

The entry role ends with package accept as the node does.

--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -195,9 +195,9 @@
 	pool.Dial = r.instances.dial
 	client := &ledger.Client{Peers: r.network.From("entry"), Observer: quiet{}}
 	r.done.Go(func() { _ = client.Run(ctx) })
-	rates := rate.NewFleet(5 * time.Second)
+	rates := rate.NewFleet("v1", 5*time.Second)
 	rates.Set(r.table.Customers)
-	rates.SetVMs(1)
+	rates.SetVMs([]chestnutcleat.VMID{"v1"})
 	r.handler = &Handler{
 		Codec: platform.Codec{}, Config: func() *config.Table { return r.table }, Places: places, Pool: pool, Rates: rates,
 		Ledger: client, Turns: &TurnCache{Size: 1 << 20}, Suspects: &Suspects{}, Observer: quiet{}, Metrics: &Metrics{Set: metrics.NewSet()},
--- a/lease/fleet.go
+++ b/lease/fleet.go
@@ -110,7 +110,7 @@
 			if c.VM == m.VM || m.has(c.VM) {
 				continue
 			}
-			u, s := f.domainUse(m, c.Domain), rendezvous(string(m.VM), c.VM)
+			u, s := f.domainUse(m, c.Domain), chestnutcleat.Rendezvous(string(m.VM), c.VM)
 			if best == nil || u < used || (u == used && s > score) {
 				best, used, score = c, u, s
 			}
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -63,6 +63,8 @@
 	Describe func(*Summary)
 	// Received runs for each newer summary; nil ignores it.
 	Received func(Summary)
+	// Asked returns what another VM gets of the tokens that it asks for; nil gives nothing.
+	Asked func(rate.Tokens) rate.Tokens
 	// Granted runs for the tokens that another VM gives; nil ignores them.
 	Granted func(t rate.Tokens, asked time.Time)
 	// Heard and Silenced report that a VM is heard again or no longer; nil ignores it.
@@ -163,6 +165,9 @@
 		if m.Summary != nil && m.Summary.VM != "" && m.Summary.VM != f.Self.VM {
 			f.receive(*m.Summary)
 		}
+		if m.Question != nil {
+			f.answer(m.Question)
+		}
 		if m.Grant != nil {
 			f.receiveGrant(m.Grant)
 		}
@@ -183,13 +188,40 @@
 	}
 }
 
-// Grant sends tokens to the VM that asked for them; a lost datagram loses them.
-func (f *Fleet) Grant(to *Summary, t rate.Tokens) {
+// Ask asks a VM for tokens; a lost datagram is made up for by the next question.
+func (f *Fleet) Ask(to chestnutcleat.VMID, t rate.Tokens) {
+	if a, ok := f.address(to); ok {
+		f.write(message{Question: &Question{From: f.Self.VM, Started: f.Self.Started, Sent: time.Now().UnixMilli(), Tokens: t}}, a)
+	}
+}
+
+// answer gives tokens to the VM that asked for them; a lost datagram loses them.
+func (f *Fleet) answer(q *Question) {
+	a, ok := f.address(q.From)
+	if !ok || f.Asked == nil {
+		return
+	}
+	t := f.Asked(q.Tokens)
+	if len(t) == 0 {
+		return
+	}
 	f.mu.Lock()
 	f.grants++
-	g := Grant{From: f.Self.VM, Started: f.Self.Started, Sequence: f.grants, To: to.Started, Asked: to.Sent, Tokens: t}
+	g := Grant{From: f.Self.VM, Started: f.Self.Started, Sequence: f.grants, To: q.Started, Asked: q.Sent, Tokens: t}
 	f.mu.Unlock()
-	f.write(message{Grant: &g}, to.Address)
+	f.write(message{Grant: &g}, a)
+}
+
+// address returns where a VM gets datagrams.
+func (f *Fleet) address(id chestnutcleat.VMID) (chestnutcleat.Address, bool) {
+	f.init()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peers[id]
+	if p == nil {
+		return "", false
+	}
+	return p.Address, true
 }
 
 // write sends a datagram and reports whether it was small enough.
@@ -271,7 +303,7 @@
 	}
 	if !f.write(message{Summary: &s}, to...) {
 		// With very many customers and instances the details are left out; that the VM lives must still be heard.
-		s.Load, s.Needs, s.Breaks = nil, nil, nil
+		s.Load, s.Breaks = nil, nil
 		f.write(message{Summary: &s}, to...)
 	}
 }
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -235,7 +235,7 @@
 
 // A datagram that is not ours, or that another VM spoiled, must be passed over.
 func FuzzReceive(f *testing.F) {
-	data, err := vm.Encode(message{Summary: &Summary{Member: Member{VM: "v2"}, Needs: rate.Tokens{"c": 1}}})
+	data, err := vm.Encode(message{Summary: &Summary{Member: Member{VM: "v2"}, Load: map[chestnutcleat.InstanceID]int{"i": 1}}})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/peer/summary.go
+++ b/peer/summary.go
@@ -31,14 +31,22 @@
 	Versions map[chestnutcleat.ObjectKind]chestnutcleat.Version `json:"versions,omitempty"`
 	// Sent is the sender's own time, as Unix time in milliseconds.
 	Sent int64 `json:"sent"`
-	// Needs are the tokens of customers' rates that the VM asks the others for.
-	Needs rate.Tokens `json:"needs,omitempty"`
 	// Breaks are the requests while whose run instances broke off, by fingerprint, and how often.
 	Breaks map[uint64]int `json:"breaks,omitempty"`
 	// Load is the number of requests that the VM has at each instance.
 	Load map[chestnutcleat.InstanceID]int `json:"load,omitempty"`
 }
 
+// Question asks another VM for tokens of customers' rates.
+type Question struct {
+	From chestnutcleat.VMID `json:"from"`
+	// Started is the start of the asker's process.
+	Started int64 `json:"started"`
+	// Sent is the asker's own time, as Unix time in milliseconds.
+	Sent   int64       `json:"sent"`
+	Tokens rate.Tokens `json:"tokens"`
+}
+
 // Grant gives another VM tokens of customers' rates.
 type Grant struct {
 	From chestnutcleat.VMID `json:"from"`
@@ -47,13 +55,14 @@
 	Sequence uint64 `json:"sequence"`
 	// To is the start of the receiver's process; another process takes nothing.
 	To int64 `json:"to"`
-	// Asked is the receiver's own time of its request, as Unix time in milliseconds.
+	// Asked is the receiver's own time of its question, as Unix time in milliseconds.
 	Asked  int64       `json:"asked"`
 	Tokens rate.Tokens `json:"tokens"`
 }
 
 // message is one datagram.
 type message struct {
-	Summary *Summary `json:"summary,omitempty"`
-	Grant   *Grant   `json:"grant,omitempty"`
+	Summary  *Summary  `json:"summary,omitempty"`
+	Question *Question `json:"question,omitempty"`
+	Grant    *Grant    `json:"grant,omitempty"`
 }
--- a/rate/fleet_test.go
+++ b/rate/fleet_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,78 +18,122 @@
 )
 
 const (
-	customer  = chestnutcleat.CustomerID("c")
-	rateLimit = 180.0
-	burst     = 180.0
-	vms       = 7
+	customer = chestnutcleat.CustomerID("c")
 	// window, overage and tolerance are those of the deployments.
 	window5   = 5 * time.Second
 	overage   = 0.1
 	tolerance = 20
-	interval  = 200 * time.Millisecond
+	// way is how long a datagram takes.
+	way = 500 * time.Microsecond
 )
 
+// limit is a customer's rate and the fleet that holds it.
+type limit struct {
+	vms         int
+	rate, burst float64
+}
+
+// small and large are a customer of a small fleet, and one with few tokens for each VM of a large one.
+var (
+	small = limit{vms: 7, rate: 180, burst: 180}
+	large = limit{vms: 50, rate: 16, burst: 16}
+)
+
+// allowed is what the limit allows in a window, without the tolerances of the deployments.
+func (l limit) allowed() int { return int(l.rate*window5.Seconds() + l.burst) }
+
+func (l limit) bound() int { return int((l.rate*window5.Seconds()+l.burst)*(1+overage)) + tolerance }
+
 // rig is a fleet of limiters that ask each other for tokens.
 type rig struct {
-	list     []*Fleet
-	cut      [][]bool
-	asked    int
-	admitted []time.Time
-	refused  int
+	limit
+	list    []*Fleet
+	cut     [][]bool
+	running sync.WaitGroup
+
+	mu        sync.Mutex
+	questions int
+	admitted  []time.Time
+	refused   int
 }
 
-func newRig() *rig {
-	r := &rig{}
-	for range vms {
-		r.list = append(r.list, r.newLimiter(len(r.list)))
-		r.cut = append(r.cut, make([]bool, vms))
+func newRig(l limit) *rig {
+	r := &rig{limit: l}
+	for i := range l.vms {
+		r.list = append(r.list, r.newLimiter(i))
+		r.cut = append(r.cut, make([]bool, l.vms))
 	}
 	return r
 }
 
+func (l limit) ids() []chestnutcleat.VMID {
+	var ids []chestnutcleat.VMID
+	for i := range l.vms {
+		ids = append(ids, chestnutcleat.VMID(strconv.Itoa(i)))
+	}
+	return ids
+}
+
 func (r *rig) newLimiter(i int) *Fleet {
-	f := newLimiter()
-	f.Ask = func() { r.tell(i) }
+	f := r.limit.newLimiter(i)
+	f.Ask = func(to chestnutcleat.VMID, needs Tokens) {
+		j, err := strconv.Atoi(string(to))
+		if err != nil {
+			panic(err)
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.questions++
+		sent := time.Now()
+		if r.cut[i][j] || r.cut[j][i] {
+			return
+		}
+		time.AfterFunc(way, func() {
+			given := r.limiter(j).Give(needs)
+			time.AfterFunc(way, func() { f.Take(given, sent) })
+		})
+	}
 	return f
 }
 
-func newLimiter() *Fleet {
-	f := NewFleet(window5)
-	f.Ask = func() {}
-	f.Set([]config.Customer{{ID: customer, Rate: rateLimit, Burst: burst}})
-	f.SetVMs(vms)
+func (l limit) newLimiter(i int) *Fleet {
+	ids := l.ids()
+	f := NewFleet(ids[i], window5)
+	f.Ask = func(chestnutcleat.VMID, Tokens) {}
+	f.Set([]config.Customer{{ID: customer, Rate: l.rate, Burst: l.burst}})
+	f.SetVMs(ids)
 	return f
 }
 
-// tell passes one VM's needs to the others, and what they lend back to it.
-func (r *rig) tell(from int) {
-	needs := r.list[from].Needs()
-	r.asked++
-	for to := range vms {
-		if to != from && !r.cut[from][to] && len(needs) > 0 {
-			r.list[from].Take(r.list[to].Give(needs, (to+r.asked)%(vms-1), vms-1), time.Now())
-		}
-	}
+func (r *rig) limiter(i int) *Fleet {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.list[i]
 }
 
-// run sends requests for a while: perSecond over all VMs, as share gives them to each VM.
+func (r *rig) restart(i int) {
+	f := r.newLimiter(i)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list[i] = f
+}
+
+// run sends requests for a while, perSecond over all VMs, as pick gives them to the VMs, and waits for their ends.
 func (r *rig) run(d time.Duration, perSecond float64, pick func() int) {
 	end := time.Now().Add(d)
-	next := time.Now()
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(float64(time.Second) / perSecond))
-		r.admit(pick())
-		if time.Since(next) >= 0 {
-			next = time.Now().Add(interval)
-			for i := range vms {
-				r.tell(i)
-			}
-		}
+		i := pick()
+		r.running.Go(func() { r.admit(i) })
 	}
+	r.running.Wait()
 }
 
 func (r *rig) admit(i int) {
-	if ok, _ := r.list[i].Admit(context.Background(), customer); ok {
+	ok, _ := r.limiter(i).Admit(context.Background(), customer)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ok {
 		r.admitted = append(r.admitted, time.Now())
 	} else {
 		r.refused++
@@ -115,99 +163,115 @@
 	return n
 }
 
-// allowed is what the limit allows in a window, without the tolerances of the deployments.
-func allowed() int { return int(rateLimit*window5.Seconds() + burst) }
+// start lets the shares open.
+func (r *rig) start() { time.Sleep(2 * window5) }
 
-func bound() int { return int((rateLimit*window5.Seconds()+burst)*(1+overage)) + tolerance }
+// each cuts or joins the pairs of VMs that the function names.
+func (r *rig) each(cut func(i, j int) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.vms {
+		for j := range r.vms {
+			r.cut[i][j] = cut(i, j)
+		}
+	}
+}
 
-// start lets the VMs hear each other before traffic, as at the deployments.
-func (r *rig) start() { r.run(10*time.Second, 5, func() int { return 0 }) }
+func (r *rig) split(cut bool) {
+	r.each(func(i, j int) bool { return cut && (i < r.vms/2) != (j < r.vms/2) })
+}
 
 // A customer far above its rate must be held to it over all VMs, evenly spread, at one VM, at a split into halves, with all
-// VMs alone, and over a restart of all VMs. A limit by counts that VMs tell each other fails this when they are cut off.
+// VMs alone, over a restart of all VMs and changes of the list. A limit by counts that VMs tell each other fails this when
+// they are cut off.
 func TestRateHolds(t *testing.T) {
-	for name, during := range map[string]func(r *rig, anywhere func() int){
-		"spread": func(r *rig, anywhere func() int) { r.run(20*time.Second, 1300, anywhere) },
-		"one VM": func(r *rig, _ func() int) { r.run(20*time.Second, 1300, func() int { return 3 }) },
-		"changes": func(r *rig, anywhere func() int) {
-			for i := range 10 {
-				r.run(2*time.Second, 1300, func() int { return i % vms })
-			}
-		},
-		"halves": func(r *rig, anywhere func() int) {
-			r.run(3*time.Second, 1300, anywhere)
-			r.split(true)
-			r.run(6*time.Second, 1300, anywhere)
-			r.split(false)
-			r.run(6*time.Second, 1300, anywhere)
-		},
-		"all alone": func(r *rig, anywhere func() int) {
-			for i := range vms {
-				for j := range vms {
-					r.cut[i][j] = true
+	for _, l := range []limit{small, large} {
+		press := 7 * l.rate
+		for name, during := range map[string]func(r *rig, anywhere func() int){
+			"spread": func(r *rig, anywhere func() int) { r.run(20*time.Second, press, anywhere) },
+			"one VM": func(r *rig, _ func() int) { r.run(20*time.Second, press, func() int { return 3 }) },
+			"changes": func(r *rig, anywhere func() int) {
+				for i := range 10 {
+					r.run(2*time.Second, press, func() int { return i % r.vms })
 				}
-			}
-			r.run(10*time.Second, 1300, anywhere)
-		},
-		"all restarted": func(r *rig, anywhere func() int) {
-			r.run(5*time.Second, 1300, anywhere)
-			for i := range vms {
-				r.list[i] = r.newLimiter(i)
-			}
-			r.run(10*time.Second, 1300, anywhere)
-		},
-	} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				random := rand.New(rand.NewPCG(1, 2))
-				r := newRig()
-				r.start()
-				during(r, func() int { return random.IntN(vms) })
-				if n := r.most(); n > bound() {
-					t.Errorf("%d admitted within %v, bound %d", n, window5, bound())
-				}
-				if n := len(r.admitted); n < int(rateLimit*8) {
-					t.Errorf("only %d admitted", n)
+			},
+			"halves": func(r *rig, anywhere func() int) {
+				r.run(3*time.Second, press, anywhere)
+				r.split(true)
+				r.run(6*time.Second, press, anywhere)
+				r.split(false)
+				r.run(6*time.Second, press, anywhere)
+			},
+			"all alone": func(r *rig, anywhere func() int) {
+				r.each(func(i, j int) bool { return i != j })
+				r.run(10*time.Second, press, anywhere)
+			},
+			"all restarted": func(r *rig, anywhere func() int) {
+				r.run(5*time.Second, press, anywhere)
+				for i := range r.vms {
+					r.restart(i)
 				}
-				if last := r.since(10 * time.Second); (name == "spread" || name == "one VM") && last < int(0.95*float64(2*allowed())) {
-					t.Errorf("%d admitted in 10 s, %d allowed in each 5 s", last, allowed())
+				r.run(10*time.Second, press, anywhere)
+			},
+			"a VM removed and back": func(r *rig, anywhere func() int) {
+				ids := r.ids()
+				for _, listed := range [][]chestnutcleat.VMID{ids[:r.vms-1], ids, ids[:r.vms-1], ids} {
+					for i := range r.vms {
+						r.list[i].SetVMs(listed)
+					}
+					r.run(5*time.Second, press, anywhere)
 				}
+			},
+		} {
+			t.Run(fmt.Sprintf("%d VMs/%s", l.vms, name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					random := rand.New(rand.NewPCG(1, 2))
+					r := newRig(l)
+					r.start()
+					during(r, func() int { return random.IntN(r.vms) })
+					if n := r.most(); n > l.bound() {
+						t.Errorf("%d admitted within %v, bound %d", n, window5, l.bound())
+					}
+					if n := len(r.admitted); n < int(l.rate*8) {
+						t.Errorf("only %d admitted", n)
+					}
+					if last := r.since(10 * time.Second); (name == "spread" || name == "one VM") && last < int(0.95*float64(2*l.allowed())) {
+						t.Errorf("%d admitted in 10 s, %d allowed in each 5 s", last, l.allowed())
+					}
+				})
 			})
-		})
-	}
-}
-
-func (r *rig) split(cut bool) {
-	for i := range vms {
-		for j := range vms {
-			r.cut[i][j] = cut && (i < vms/2) != (j < vms/2)
 		}
 	}
 }
 
-// Below its rate a customer must never be refused, wherever its requests arrive; a lost VM must not change that.
+// Below its rate a customer must never be refused, wherever its requests arrive; a lost VM must not change that. On a quiet
+// day of 50 VMs a fifth of the requests of small customers was refused: no VM had a whole token to admit or to lend.
 func TestNothingRefusedBelowTheRate(t *testing.T) {
-	for name, pick := range map[string]func(n int) int{
-		"one VM":   func(int) int { return 2 },
-		"two VMs":  func(n int) int { return n % 2 },
-		"all VMs":  func(n int) int { return n % vms },
-		"six of 7": func(n int) int { return n % (vms - 1) },
-	} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				r := newRig()
-				r.start()
-				n := 0
-				next := func() int { n++; return pick(n) }
-				r.run(10*time.Second, 0.8*rateLimit, next)
-				for i := range vms {
-					r.cut[vms-1][i] = name == "six of 7"
-				}
-				r.run(10*time.Second, 0.8*rateLimit, next)
-				is.Equal(r.refused, 0)
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, l := range []limit{small, large} {
+		for name, pick := range map[string]func(n int) int{
+			"one VM":      func(int) int { return 2 },
+			"two VMs":     func(n int) int { return n % 2 },
+			"all VMs":     func(n int) int { return n % l.vms },
+			"at random":   func(int) int { return random.IntN(l.vms) },
+			"all but one": func(n int) int { return n % (l.vms - 1) },
+		} {
+			t.Run(fmt.Sprintf("%d VMs/%s", l.vms, name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					r := newRig(l)
+					r.start()
+					n := 0
+					next := func() int { n++; return pick(n) }
+					r.run(10*time.Second, 0.8*l.rate, next)
+					last := l.vms - 1
+					r.each(func(i, j int) bool { return name == "all but one" && (i == last || j == last) })
+					r.run(10*time.Second, 0.8*l.rate, next)
+					is.Equal(r.refused, 0)
+					t.Logf("%d questions for %d requests", r.questions, n)
+				})
 			})
-		})
+		}
 	}
 }
 
@@ -216,8 +280,9 @@
 func TestRateChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newLimiter()
-		f.SetVMs(1)
+		alone := small
+		alone.vms = 1
+		f := alone.newLimiter(0)
 		time.Sleep(time.Minute)
 		for range 500 {
 			time.Sleep(window5 / 500)
@@ -245,16 +310,43 @@
 func TestLateLoan(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newLimiter()
-		f.SetVMs(2)
+		pair := small
+		pair.vms = 2
+		f := pair.newLimiter(0)
+		a := f.customers[customer]
 		asked := time.Now()
 		time.Sleep(takeTime)
 		f.Take(Tokens{customer: 5}, asked)
-		is.Equal(f.customers[customer].lent(), 0.0)
+		is.Equal(a.lent(), 0.0)
 		f.Take(Tokens{customer: 5}, time.Now())
-		is.Equal(f.customers[customer].lent(), 5.0)
+		is.Equal(a.lent(), 5.0)
 		time.Sleep(takeTime)
-		f.Needs()
-		is.Equal(f.customers[customer].lent(), 0.0)
+		a.advance(time.Now())
+		is.Equal(a.lent(), 0.0)
 	})
 }
+
+// All VMs must divide a customer's tokens in the same way, the parts must be worth a request, and the list of one VM more
+// must move few of them.
+func TestHolders(t *testing.T) {
+	is := is.New(t)
+	for _, tt := range []struct {
+		vms, want int
+		whole     float64
+	}{{1, 1, 1000}, {7, 7, 5}, {50, 8, 96}, {50, 10, 200}, {50, 50, 1500}} {
+		l := limit{vms: tt.vms}
+		list := holdersOf(customer, tt.whole, l.ids())
+		is.Equal(len(list), tt.want)
+		ids := l.ids()
+		slices.Reverse(ids)
+		is.Equal(holdersOf(customer, tt.whole, ids), list)
+		more := holdersOf(customer, tt.whole, append(ids, "another"))
+		changed := 0
+		for _, id := range list {
+			if !slices.Contains(more, id) {
+				changed++
+			}
+		}
+		is.True(changed <= 1)
+	}
+}
--- a/role/entry.go
+++ b/role/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/accept"
 	"chestnutcleat.example/chestnutcleat/config"
 	"chestnutcleat.example/chestnutcleat/entry"
 	"chestnutcleat.example/chestnutcleat/event"
@@ -48,17 +48,15 @@
 	// Stop starts the graceful shutdown.
 	Stop <-chan struct{}
 
-	config   atomic.Pointer[config.Table]
-	places   *place.Table
-	rates    *rate.Fleet
-	ledger   *ledger.Client
-	handler  *entry.Handler
-	leaving  atomic.Bool
-	servers  []*http.Server
-	callers  net.Listener
-	ready    net.Listener
-	registry net.Listener
-	known    map[chestnutcleat.InstanceID]chestnutcleat.Version
+	config  atomic.Pointer[config.Table]
+	places  *place.Table
+	rates   *rate.Fleet
+	ledger  *ledger.Client
+	handler *entry.Handler
+	leaving atomic.Bool
+	// servers are those for callers, readiness and the registry.
+	servers []*accept.Server
+	known   map[chestnutcleat.InstanceID]chestnutcleat.Version
 }
 
 // Run serves until ctx is done or the shutdown has ended.
@@ -67,6 +65,9 @@
 	defer cancel()
 	e.init("")
 	e.build(ctx)
+	if err := e.base.listen(ctx); err != nil {
+		return err
+	}
 	if err := e.listen(ctx); err != nil {
 		return err
 	}
@@ -76,7 +77,9 @@
 	g.Go(func() error { return e.poll(ctx, platform.ConfigKind, platform.InstanceKind) })
 	g.Go(func() error { return e.watchFleet(ctx) })
 	g.Go(func() error { return e.forgetGone(ctx) })
-	e.serve(g)
+	for _, s := range e.servers {
+		g.Go(s.Serve)
+	}
 	g.Go(func() error {
 		defer cancel()
 		e.shutdown(ctx)
@@ -92,18 +95,19 @@
 
 func (e *Entry) build(ctx context.Context) {
 	e.places = place.NewTable()
-	e.rates = rate.NewFleet(time.Duration(e.Settings.Window * float64(time.Second)))
+	e.rates = rate.NewFleet(e.self.VM, time.Duration(e.Settings.Window*float64(time.Second)))
 	e.ledger = &ledger.Client{Peers: e.client, Observer: e.Observer, Domain: e.Settings.Domain}
 	e.known = map[chestnutcleat.InstanceID]chestnutcleat.Version{}
 	e.fleet = &peer.Fleet{
 		Self: e.self, Describe: e.describe,
 		Received: func(s peer.Summary) { e.received(ctx, &s) },
+		Asked:    e.rates.Give,
 		Granted:  e.rates.Take,
 		Heard:    func(id chestnutcleat.VMID) { e.Observer.Emit(event.PeerBack, "peer", id) },
 		Silenced: func(id chestnutcleat.VMID) { e.Observer.Emit(event.PeerLost, "peer", id) },
 	}
 	memory := int64(e.Settings.Memory) << 20
-	e.rates.Ask = e.fleet.Soon
+	e.rates.Ask = e.fleet.Ask
 	pool := exchange.NewPool(platform.Probes)
 	opened := e.Metrics.NewCounter("instance_connections_total")
 	pool.Opened = func(chestnutcleat.Address, error) { opened.Inc() }
@@ -118,90 +122,52 @@
 	e.gauges()
 }
 
+// listen opens the sockets for callers and for those who ask where to connect.
 func (e *Entry) listen(ctx context.Context) error {
-	if err := e.base.listen(ctx); err != nil {
-		return err
-	}
 	s := &e.Settings.Listen
 	l := net.ListenConfig{KeepAliveConfig: platform.Probes}
 	for _, v := range []struct {
-		into    *net.Listener
 		address chestnutcleat.Address
-	}{{&e.callers, s.Callers}, {&e.ready, s.Ready}, {&e.registry, s.Registry}} {
+		handler http.Handler
+	}{
+		{s.Callers, e.handler},
+		{s.Ready, platform.Readiness(e.isReady)},
+		{s.Registry, platform.Registry(e.addresses)},
+	} {
 		n, err := l.Listen(ctx, "tcp", string(v.address))
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", v.address, err)
 		}
-		*v.into = n
+		h := &http.Server{Handler: v.handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader}
+		e.servers = append(e.servers, accept.NewServer(n.(*net.TCPListener), h))
 	}
 	return nil
 }
 
-func (e *Entry) serve(g *errgroup.Group) {
-	for _, v := range []struct {
-		listener net.Listener
-		handler  http.Handler
-	}{
-		{e.callers, e.handler},
-		{e.ready, platform.Readiness(e.isReady)},
-		{e.registry, platform.Registry(e.addresses)},
-	} {
-		s := &http.Server{Handler: v.handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader}
-		e.servers = append(e.servers, s)
-		g.Go(func() error {
-			if err := s.Serve(v.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-				return fmt.Errorf("serve %s: %w", v.listener.Addr(), err)
-			}
-			return nil
-		})
-	}
-}
-
 func (e *Entry) isReady() bool { return e.config.Load() != nil && !e.leaving.Load() }
 
 // describe fills in this VM's summary.
 func (e *Entry) describe(s *peer.Summary) {
 	s.Leaving = e.leaving.Load()
 	s.Versions = e.versions()
-	s.Needs = e.rates.Needs()
 	s.Breaks = e.handler.Suspects.News()
 	s.Load = e.places.Own()
 }
 
-// received takes over what another VM tells, and gives it the tokens that it asks for.
+// received takes over what another VM tells.
 func (e *Entry) received(ctx context.Context, s *peer.Summary) {
 	e.handler.Suspects.Heard(s.VM, s.Breaks)
-	if len(s.Needs) > 0 {
-		place, givers := e.giver(s)
-		if given := e.rates.Give(s.Needs, place, givers); len(given) > 0 {
-			e.fleet.Grant(s, given)
-		}
-	}
 	e.catchUp(ctx, s)
 }
 
-// giver returns this VM's place among the VMs that may give another one tokens; it moves with each summary.
-func (e *Entry) giver(to *peer.Summary) (place, givers int) {
-	rank := 0
-	for _, p := range e.fleet.Peers() {
-		if p.Silent() || p.VM == to.VM {
-			continue
-		}
-		givers++
-		if p.VM < e.self.VM {
-			rank++
-		}
-	}
-	givers++
-	return int((uint64(rank) + to.Sequence) % uint64(givers)), givers
-}
-
 // watchFleet follows which VMs are heard and what they report about instances.
 func (e *Entry) watchFleet(ctx context.Context) error {
 	for chestnutcleat.Sleep(ctx, tick) == nil {
 		peers := e.fleet.Peers()
 		load := map[chestnutcleat.InstanceID]int{}
+		ids := make([]chestnutcleat.VMID, 0, len(peers)+1)
 		for i := range peers {
+			ids = append(ids, peers[i].VM)
 			if peers[i].Silent() {
 				continue
 			}
@@ -211,7 +177,7 @@
 		}
 		e.places.SetOthers(load)
 		if e.mirrors[fleetKind].Version() > 0 {
-			e.rates.SetVMs(len(peers) + 1)
+			e.rates.SetVMs(append(ids, e.self.VM))
 		}
 	}
 	return nil
--- a/role/shutdown.go
+++ b/role/shutdown.go
@@ -36,7 +36,7 @@
 	}
 	drain, cancel := context.WithDeadline(ctx, begun.Add(grace-exitTime))
 	defer cancel()
-	if err := e.servers[0].Shutdown(drain); err != nil {
+	if err := e.servers[0].Finish(drain); err != nil {
 		e.Observer.Emit(event.Cut, "requests", e.handler.Running(), "error", err)
 	}
 	e.close()
@@ -44,6 +44,8 @@
 
 func (e *Entry) close() {
 	for _, s := range e.servers {
-		s.Close()
+		if err := s.Close(); err != nil {
+			e.Observer.Emit(event.Cut, "error", err)
+		}
 	}
 }
