Remove fields that nothing reads and close idle connections

Idle connections to instances that no request took before their time kept their descriptors, as the last one used is taken first: TestIdleConnectionsArePruned had three left of three. Two readers of a whole answer become one. Limits of headers and idle time, the instances' connections and an engine's slots were decoded and never used; the listeners keep fixed limits above the configured ones.

--- a/config/config.go
+++ b/config/config.go
@@ -67,8 +67,6 @@
 
 // Service describes the instances of a service.
 type Service struct {
-	// Connections is what each instance accepts from all callers together.
-	Connections int
 	// Engine is nil for plain services.
 	Engine *Engine
 }
@@ -77,8 +75,6 @@
 type Engine struct {
 	// Chunk is the number of tokens of one event.
 	Chunk chestnutcleat.Tokens
-	// Slots is the number of requests of a batch.
-	Slots int
 }
 
 // Customer is a customer with its keys and rate.
@@ -95,10 +91,6 @@
 
 // Limits bounds what a caller may send.
 type Limits struct {
-	// Header and Body are in bytes.
-	Header, Body int64
-	// HeaderWait is how long the header may take.
-	HeaderWait time.Duration
-	// Idle is how long a connection may stay idle.
-	Idle time.Duration
+	// Body is in bytes.
+	Body int64
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -22,6 +22,14 @@
 	answered chestnutcleat.Answered
 }
 
+// maxPlain bounds the first buffer for an answer that is held until it is whole, in bytes.
+const maxPlain = 16 << 20
+
+// whole reads the body of an answer that is passed on at once.
+func (a *attempt) whole() ([]byte, error) {
+	return appendAll(make([]byte, 0, max(minBuffer, min(a.response.Length+1, maxPlain))), a.response)
+}
+
 // failure is an exchange without a usable answer.
 type failure struct {
 	// ran is set when the instance may have run the request.
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -25,6 +25,8 @@
 	busyRetry = 150 * time.Millisecond
 	// defaultBody bounds bodies when the configuration does not.
 	defaultBody = 4 << 20
+	// minBuffer is the first buffer for a body whose size is not known, in bytes.
+	minBuffer = 512
 	// defaultTimeout bounds requests of routes without a timeout.
 	defaultTimeout = time.Minute
 )
@@ -175,7 +177,7 @@
 	if size == 0 {
 		return nil
 	}
-	body := make([]byte, 0, max(size, 512))
+	body := make([]byte, 0, max(size, minBuffer))
 	body, err := appendAll(body, http.MaxBytesReader(c.w, c.r.Body, limit))
 	c.held.Add(int64(len(body)))
 	if err != nil {
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -15,9 +15,6 @@
 // answer that is lost comes never.
 const patience = 3
 
-// maxPlain bounds an answer that is held until it is whole.
-const maxPlain = 16 << 20
-
 // plain serves a request whose answer is passed on once it is whole.
 func (c *call) plain() error {
 	key := ""
@@ -57,7 +54,7 @@
 		return f
 	}
 	defer a.response.Close()
-	body, err := appendAll(make([]byte, 0, max(512, min(a.response.Length+1, maxPlain))), a.response)
+	body, err := a.whole()
 	if err != nil {
 		return c.broke(use, err)
 	}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -27,7 +27,7 @@
 	*call
 	// input is what the instance gets: the chain of kept turns and the caller's own body.
 	input []byte
-	// last is the id of the last event that was delivered, or what the caller resumes from; -1 before any.
+	// last is the id of the last event that was delivered; -1 before any.
 	last int
 	// events is the number of events delivered.
 	events int
@@ -170,7 +170,7 @@
 
 // passWhole passes an answer on that is no stream.
 func (t *turn) passWhole(a *attempt) *failure {
-	body, err := appendAll(make([]byte, 0, max(512, min(a.response.Length+1, maxPlain))), a.response)
+	body, err := a.whole()
 	if err != nil {
 		return t.broke(a.use, err)
 	}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -133,6 +133,32 @@
 	}
 }
 
+// Idle connections that no request takes again must not keep their descriptors: the last one used is taken first.
+func TestIdleConnectionsArePruned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, opened := newPool(t, serve("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok"))
+		request := func() *Response {
+			r, err := p.Do(t.Context(), "a", &Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+			is.NoErr(err)
+			_, err = io.ReadAll(r)
+			is.NoErr(err)
+			return r
+		}
+		for _, r := range []*Response{request(), request(), request()} {
+			r.Close()
+		}
+		is.Equal(*opened, 3)
+		for range 5 {
+			time.Sleep(2 * time.Second)
+			request().Close()
+		}
+		is.Equal(*opened, 3)
+		is.Equal(len(p.idle["a"]), 1)
+		p.Close()
+	})
+}
+
 // An answer without a length ends with its connection, which must not be kept.
 func TestNoLength(t *testing.T) {
 	is := is.New(t)
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,7 +22,10 @@
 	defaultIdle = 30 * time.Second
 	// idleMargin is taken off the idle time that an instance states, as it counts from its own last byte.
 	idleMargin = 500 * time.Millisecond
-	readBuffer = 4 << 10
+	// pruneInterval is the time between looks for idle connections that no request took in time: the last one used is taken
+	// first, so the others would keep their descriptors.
+	pruneInterval = 5 * time.Second
+	readBuffer    = 4 << 10
 )
 
 // Pool keeps idle connections to instances.
@@ -33,6 +37,7 @@
 
 	mu     sync.Mutex
 	idle   map[chestnutcleat.Address][]*conn
+	pruned time.Time
 	closed bool
 }
 
@@ -40,8 +45,7 @@
 	net.Conn
 	reader  *bufio.Reader
 	address chestnutcleat.Address
-	// used is set once the connection carried a request.
-	used  bool
+	// until is when the instance may close the connection.
 	until time.Time
 }
 
@@ -87,7 +91,6 @@
 }
 
 func (p *Pool) put(c *conn, h http.Header) {
-	c.used = true
 	c.until = time.Now().Add(idleTime(h))
 	if c.SetDeadline(time.Time{}) != nil {
 		c.Close()
@@ -100,6 +103,26 @@
 		return
 	}
 	p.idle[c.address] = append(p.idle[c.address], c)
+	if now := time.Now(); now.Sub(p.pruned) > pruneInterval {
+		p.pruned = now
+		p.prune(now)
+	}
+}
+
+// prune closes the idle connections that are past their time.
+func (p *Pool) prune(now time.Time) {
+	for a, list := range p.idle {
+		list = slices.DeleteFunc(list, func(c *conn) bool {
+			if now.Before(c.until) {
+				return false
+			}
+			c.Close()
+			return true
+		})
+		if p.idle[a] = list; len(list) == 0 {
+			delete(p.idle, a)
+		}
+	}
 }
 
 // Forget closes the idle connections to an address.
