Copy only to the new copy when a disk is replaced

Ruled out: a wrong quorum (no acknowledged turn was denied); platform outage.

Change: copies that stay and were whole copy nothing if a write quorum of the next disks is left anyway (Copies.Carried); the new copy lists what the others hold without inputs and outputs and asks for each record once; an attempt may take 12 s and what it copied stays. The end of an answer waits for the copies until the caller's deadline instead of failing at once.

--- a/copies.go
+++ b/copies.go
@@ -39,6 +39,23 @@
 	return enough(s.Disks, held, WriteQuorum(len(s.Disks))) && (len(s.Next) == 0 || enough(s.Next, held, WriteQuorum(len(s.Next))))
 }
 
+// Carried reports whether the copies that stay need no records of each other at a change: if each new copy has all records,
+// a write quorum of the next disks holds what one of the present disks held.
+func (s *Copies) Carried() bool {
+	lost, added := 0, 0
+	for _, c := range s.Disks {
+		if !Contains(s.Next, c.Disk) {
+			lost++
+		}
+	}
+	for _, c := range s.Next {
+		if !Contains(s.Disks, c.Disk) {
+			added++
+		}
+	}
+	return max(0, WriteQuorum(len(s.Disks))-lost)+added >= WriteQuorum(len(s.Next))
+}
+
 // Read reports whether the answers of these disks show every record that counts as written.
 func (s *Copies) Read(answered func(DiskID) bool) bool {
 	return enough(s.Disks, answered, ReadQuorum(len(s.Disks)))
--- a/copies_test.go
+++ b/copies_test.go
@@ -65,3 +65,25 @@
 	s := Copies{Disks: disks("abc"), Next: disks("bcd")}
 	is.Equal(s.All(), disks("abcd"))
 }
+
+// Copies that stay must copy from each other where a write quorum of the present disks may leave too few behind.
+func TestCarried(t *testing.T) {
+	for _, tt := range []struct {
+		present, next string
+		carried       bool
+	}{
+		{"abc", "abd", true},
+		{"abcde", "abcdf", true},
+		{"abcde", "abcfg", true},
+		{"abc", "abcde", true},
+		{"ab", "abc", true},
+		{"a", "abc", true},
+		{"abcde", "abc", false}, // a record of c, d and e would be left at c alone
+		{"abc", "ab", false},
+		{"abcd", "abe", true},
+		{"abc", "def", true}, // all are new
+	} {
+		s := Copies{Disks: disks(tt.present), Next: disks(tt.next)}
+		is.New(t).Equal(s.Carried(), tt.carried)
+	}
+}
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -100,13 +100,14 @@
 	t.Ledger.Post(t.record(ledger.Settle, used))
 }
 
-// keep writes the turn, so that later ones may continue from it.
+// keep writes the turn, so that later ones may continue from it. The caller has all but the end of its answer, so a quorum that
+// is lost for a moment is waited for.
 func (t *turn) keep() error {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(t.ctx), t.until)
 	defer cancel()
 	r := t.record(ledger.Keep, 0)
 	r.Program, r.Previous, r.Input, r.Output = "", t.Previous, t.body, t.output
-	if _, err := t.Ledger.Write(ctx, r); err != nil {
+	if _, err := t.Ledger.Persist(ctx, r); err != nil {
 		return err
 	}
 	t.Turns.Add(t.customerID(), ledger.Turn{ID: t.ID, Previous: t.Previous, Input: t.body, Output: t.output})
--- a/keeper/fleet_test.go
+++ b/keeper/fleet_test.go
@@ -100,12 +100,19 @@
 	mu      sync.Mutex
 	network *vm.Network
 	objects *memory
-	list    []*storage
-	client  *ledger.Client
+	// copies is the number of copies that the set should have.
+	copies int
+	list   []*storage
+	client *ledger.Client
 }
 
 func newFleet(ctx context.Context, t *testing.T, count int, seed uint64) *fleet {
-	f := &fleet{t: t, ctx: ctx, network: vm.NewNetwork(seed), objects: &memory{}}
+	return newFleetOf(ctx, t, count, 3, seed)
+}
+
+// newFleetOf is newFleet with another number of copies.
+func newFleetOf(ctx context.Context, t *testing.T, count, copies int, seed uint64) *fleet {
+	f := &fleet{t: t, ctx: ctx, network: vm.NewNetwork(seed), objects: &memory{}, copies: copies}
 	f.network.Delay = time.Millisecond
 	for range count {
 		f.add()
@@ -151,7 +158,7 @@
 	mux := vm.NewMux()
 	store.Register(mux)
 	k := &Keeper{
-		VM: s.id, Store: store, Objects: f.objects, Observer: silent{}, Kind: setKind, Name: setName, Count: 3,
+		VM: s.id, Store: store, Objects: f.objects, Observer: silent{}, Kind: setKind, Name: setName, Count: f.copies,
 		Candidates: f.candidates, Rank: func() int { return f.rank(s) },
 	}
 	ctx, cancel := context.WithCancel(f.ctx)
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -22,6 +22,10 @@
 	firstWait = 5 * time.Second
 	// patience is how long another VM's change may take before this one finishes it or takes it back.
 	patience = 4 * time.Second
+	// joinTime bounds one attempt to let the next copies join; what they copied stays for the next attempt.
+	joinTime = 12 * time.Second
+	// joinTries is the number of such attempts after which a change that makes no end is taken back.
+	joinTries = 3
 )
 
 // Keeper watches over the set of copies from one storage VM. All of them run one; the platform's object decides between them.
@@ -157,8 +161,12 @@
 	if err == nil {
 		return k.write(ctx, event.SetFinished, chestnutcleat.Copies{Version: set.Version + 1, Disks: set.Next, By: k.VM}, object)
 	}
+	limit := 2 * patience
+	if errors.Is(err, context.DeadlineExceeded) {
+		limit = joinTries * joinTime
+	}
 	k.mu.Lock()
-	late := k.object == object && time.Since(k.since) > 2*patience
+	late := k.object == object && time.Since(k.since) > limit
 	k.mu.Unlock()
 	if !late {
 		return err
@@ -170,7 +178,7 @@
 // joinAll lets the next copies join. A present one that does not answer may be left out if the others are a write quorum:
 // each of them then has all records.
 func (k *Keeper) joinAll(ctx context.Context, set chestnutcleat.Copies) error {
-	ctx, cancel := context.WithTimeout(ctx, patience)
+	ctx, cancel := context.WithTimeout(ctx, joinTime)
 	defer cancel()
 	failed := make([]error, len(set.Next))
 	var g sync.WaitGroup
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -12,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/ledger"
 )
@@ -95,15 +97,25 @@
 	for seed := range *seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { series(t, seed) })
+			synctest.Test(t, func(t *testing.T) { series(t, 3, 3, seed) })
 		})
 	}
 }
 
-func series(t *testing.T, seed uint64) {
+// The same must hold with five copies on eleven storage VMs.
+func TestNothingIsLostOfFiveCopies(t *testing.T) {
+	for seed := range *seeds / 3 {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { series(t, 11, 5, seed) })
+		})
+	}
+}
+
+func series(t *testing.T, vms, copies int, seed uint64) {
 	ctx, cancel := context.WithCancel(t.Context())
 	r := rand.New(rand.NewPCG(seed, 1))
-	f := newFleet(ctx, t, 3, seed)
+	f := newFleetOf(ctx, t, vms, copies, seed)
 	time.Sleep(2 * time.Second)
 	var mu sync.Mutex
 	var written []string
@@ -288,3 +300,63 @@
 		synctest.Wait()
 	})
 }
+
+// The end of an answer that waits for its turn to be kept must not be lost because the copies were away for a moment.
+func TestPersistWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, t, 3, 1)
+		time.Sleep(2 * time.Second)
+		f.setCut(f.list[0], true)
+		f.setCut(f.list[1], true)
+		_ = f.write("first", "") // learns of the loss
+		time.AfterFunc(time.Second, func() {
+			f.setCut(f.list[0], false)
+		})
+		wait, done := context.WithTimeout(ctx, 3*time.Second)
+		_, err := f.client.Persist(wait, ledger.Record{Kind: ledger.Keep, Customer: "c", Attempt: "kept", Until: time.Now().Add(time.Hour).Unix()})
+		is.NoErr(err)
+		done()
+		f.end()
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// When a disk is replaced, only the new copy may copy, and each record once: all copies used to read from all others, which
+// five small VMs with a minute of kept turns did not end in the time that they had, while writes were refused.
+func TestReplacementCopiesOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const turns, size = 400, 8 << 10
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleetOf(ctx, t, 5, 5, 1)
+		time.Sleep(2 * time.Second)
+		for i := range turns {
+			_, err := f.client.Write(ctx, ledger.Record{
+				Kind: ledger.Keep, Customer: "c", Attempt: chestnutcleat.RequestID(fmt.Sprint(i)), Input: make([]byte, size), Until: time.Now().Add(time.Hour).Unix(),
+			})
+			is.NoErr(err)
+		}
+		before := make([]int, len(f.list))
+		for i, s := range f.list {
+			before[i] = f.network.Traffic(s.address).Bytes
+		}
+		f.halt(f.list[4])
+		f.wipe(f.list[4])
+		f.start(f.list[4])
+		time.Sleep(catchUp)
+		for i, s := range f.list {
+			n := f.network.Traffic(s.address).Bytes - before[i]
+			t.Logf("%s: %d bytes for %d of records", s.id, n, turns*size)
+			is.True(n < 5*turns*size/4)
+			is.True(i < 4 == (n < turns*size*3/4) || i == 0)
+		}
+		is.Equal(len(f.client.Copies().Next), 0)
+		is.True(chestnutcleat.Contains(f.client.Copies().Disks, f.list[4].disk))
+		f.end()
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -159,16 +159,20 @@
 	})
 }
 
-// Write returns once a write quorum holds the record; a Reserve returns the other attempts of its program. While too few copies
-// answer it fails at once.
+// Write is Persist, but fails at once while too few copies answer.
 func (c *Client) Write(ctx context.Context, r Record) ([]Attempt, error) {
+	if c.Copies().Version > 0 && !c.writable() {
+		return nil, ErrUnsure
+	}
+	return c.Persist(ctx, r)
+}
+
+// Persist returns once a write quorum holds the record; a Reserve returns the other attempts of its program.
+func (c *Client) Persist(ctx context.Context, r Record) ([]Attempt, error) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(postTime)
 	}
-	if c.Copies().Version > 0 && !c.writable() {
-		return nil, ErrUnsure
-	}
 	o, err := c.start(r, deadline)
 	if err != nil {
 		return nil, err
--- a/ledger/join.go
+++ b/ledger/join.go
@@ -11,7 +11,7 @@
 	"chestnutcleat.example/chestnutcleat/event"
 )
 
-// dump answers a page of all records, as they were when the first page was asked for.
+// dump answers a page of the list of all records, as they were when the first page was asked for, or some of them.
 func (s *Store) dump(_ context.Context, q DumpRequest) (DumpReply, error) {
 	if st, ok, err := s.check(q.Target); !ok {
 		return DumpReply{Standing: st}, err
@@ -27,21 +27,44 @@
 	if d == nil || q.After > len(d.records) {
 		return DumpReply{}, fmt.Errorf("dump %d is not known", q.Dump)
 	}
+	d.expiry = time.Now().Add(dumpTime)
 	r := DumpReply{Dump: q.Dump, Whole: s.state.whole}
+	switch {
+	case q.Done:
+		delete(s.dumps, q.Dump)
+	case len(q.Want) > 0:
+		return r, d.pick(q.Want, &r)
+	default:
+		d.list(q.After, &r)
+	}
+	return r, nil
+}
+
+// list adds a page of the list.
+func (d *dump) list(after int, r *DumpReply) {
+	end := min(len(d.records), after+pageBytes/recordBytes)
+	for _, v := range d.records[after:end] {
+		v.Input, v.Output = nil, nil
+		r.Records = append(r.Records, v)
+	}
+	r.More = end < len(d.records)
+}
+
+// pick adds the first of the wanted records.
+func (d *dump) pick(want []int, r *DumpReply) error {
 	size := 0
-	for _, v := range d.records[q.After:] {
-		if size > 0 && size+len(v.Input)+len(v.Output) > pageBytes {
-			r.More = true
-			break
+	for _, i := range want {
+		if i < 0 || i >= len(d.records) {
+			return fmt.Errorf("record %d of %d is wanted", i, len(d.records))
+		}
+		v := d.records[i]
+		size += len(v.Input) + len(v.Output) + recordBytes
+		if len(r.Records) > 0 && size > pageBytes {
+			return nil
 		}
-		// Records without input are small but not free.
-		size += len(v.Input) + len(v.Output) + 128
 		r.Records = append(r.Records, v)
 	}
-	if !r.More {
-		delete(s.dumps, q.Dump)
-	}
-	return r, nil
+	return nil
 }
 
 // join copies all records of the set that q.Copies changes from, so that this copy can answer for them.
@@ -55,12 +78,12 @@
 		return chestnutcleat.Ack{}, err
 	}
 	s.mu.Lock()
-	own, joined := s.state.copies.Version, s.joined
+	own, joined, whole := s.state.copies.Version, s.joined, s.state.whole
 	s.mu.Unlock()
 	if own != q.Copies.Version {
 		return chestnutcleat.Ack{}, fmt.Errorf("join set %d: copy has set %d", q.Copies.Version, own)
 	}
-	if joined == own {
+	if joined == own || whole && q.Copies.Carried() && chestnutcleat.Contains(q.Copies.Disks, s.disk) {
 		return chestnutcleat.Ack{}, nil
 	}
 	if err := s.copyAll(ctx, &q.Copies); err != nil {
@@ -76,83 +99,138 @@
 	return chestnutcleat.Ack{}, nil
 }
 
-// copyAll copies from a read quorum of the set's present disks; each has adopted the set before it is read.
+// copyAll copies from a read quorum of the set's present disks; each has adopted the set before it is read. All are listed at
+// once, and then read one after the other, so that each record is sent once.
 func (s *Store) copyAll(ctx context.Context, set *chestnutcleat.Copies) error {
-	got := make([]bool, len(set.Disks))
+	lists := make([]*listing, len(set.Disks))
+	got := map[chestnutcleat.DiskID]bool{}
 	var g errgroup.Group
 	for i, c := range set.Disks {
+		if c.Disk == s.disk {
+			s.mu.Lock()
+			got[c.Disk] = s.state.whole
+			s.mu.Unlock()
+			continue
+		}
 		g.Go(func() error {
-			if c.Disk == s.disk {
-				s.mu.Lock()
-				got[i] = s.state.whole
-				s.mu.Unlock()
+			l, err := s.list(ctx, c, set)
+			if err != nil {
+				s.copyFailed(c, set, err)
 				return nil
 			}
-			if err := s.copyFrom(ctx, c, set); err != nil {
-				s.Observer.Emit(event.CopyFailed, "disk", c.Disk, "from", c.VM, "version", set.Version, "error", err)
-				return nil
-			}
-			got[i] = true
+			lists[i] = l
 			return nil
 		})
 	}
 	if err := g.Wait(); err != nil {
 		return err
 	}
-	answered := func(d chestnutcleat.DiskID) bool {
-		for i, c := range set.Disks {
-			if c.Disk == d {
-				return got[i]
-			}
+	for _, l := range lists {
+		if l == nil {
+			continue
+		}
+		if err := s.copyFrom(ctx, l); err != nil {
+			s.copyFailed(l.from, set, err)
+			continue
 		}
-		return false
+		got[l.from.Disk] = true
 	}
-	if !set.Read(answered) {
+	if !set.Read(func(d chestnutcleat.DiskID) bool { return got[d] }) {
 		return fmt.Errorf("join set %d: no read quorum of the present copies", set.Version)
 	}
 	return nil
 }
 
-func (s *Store) copyFrom(ctx context.Context, c chestnutcleat.Copy, set *chestnutcleat.Copies) error {
+func (s *Store) copyFailed(c chestnutcleat.Copy, set *chestnutcleat.Copies, err error) {
+	s.Observer.Emit(event.CopyFailed, "disk", c.Disk, "from", c.VM, "version", set.Version, "error", err)
+}
+
+// listing is what another copy holds, without the inputs and outputs of turns.
+type listing struct {
+	from    chestnutcleat.Copy
+	target  Target
+	dump    uint64
+	records []Record
+}
+
+func (s *Store) list(ctx context.Context, c chestnutcleat.Copy, set *chestnutcleat.Copies) (*listing, error) {
 	var adopted AdoptReply
 	if err := s.call(ctx, c.Address, methodAdopt, AdoptRequest{Disk: c.Disk, Copies: *set}, &adopted); err != nil {
-		return err
+		return nil, err
 	}
 	if adopted.Copies.Version != set.Version {
-		return fmt.Errorf("copy has set %d, expected %d", adopted.Copies.Version, set.Version)
+		return nil, fmt.Errorf("copy has set %d, expected %d", adopted.Copies.Version, set.Version)
 	}
-	q := DumpRequest{Target: Target{Disk: c.Disk, Version: set.Version}}
+	l := &listing{from: c, target: Target{Disk: c.Disk, Version: set.Version}}
 	for {
-		var r DumpReply
-		if err := s.call(ctx, c.Address, methodDump, q, &r); err != nil {
+		r, err := s.page(ctx, l, DumpRequest{After: len(l.records)})
+		if err != nil {
+			return nil, err
+		}
+		l.dump = r.Dump
+		l.records = append(l.records, r.Records...)
+		if !r.More {
+			return l, nil
+		}
+	}
+}
+
+// page makes one call of a dump.
+func (s *Store) page(ctx context.Context, l *listing, q DumpRequest) (DumpReply, error) {
+	q.Target, q.Dump = l.target, l.dump
+	var r DumpReply
+	if err := s.call(ctx, l.from.Address, methodDump, q, &r); err != nil {
+		return DumpReply{}, err
+	}
+	if r.Newer != nil || r.Behind || !r.Whole {
+		return DumpReply{}, fmt.Errorf("copy can't be read at set %d (newer %t, behind %t, whole %t)", q.Version, r.Newer != nil, r.Behind, r.Whole)
+	}
+	return r, nil
+}
+
+// copyFrom takes over the records of another copy that this one lacks.
+func (s *Store) copyFrom(ctx context.Context, l *listing) error {
+	small, want := s.lacks(l.records)
+	if len(small) > 0 {
+		if err := s.write(ctx, small); err != nil {
 			return err
 		}
-		if r.Newer != nil || r.Behind || !r.Whole {
-			return fmt.Errorf("copy can't be read at set %d (newer %t, behind %t, whole %t)", set.Version, r.Newer != nil, r.Behind, r.Whole)
+	}
+	for len(want) > 0 {
+		r, err := s.page(ctx, l, DumpRequest{Want: want[:min(len(want), maxWant)]})
+		if err != nil {
+			return err
 		}
-		if missing := s.missing(r.Records); len(missing) > 0 {
-			if err := s.write(ctx, missing); err != nil {
-				return err
-			}
+		if len(r.Records) == 0 {
+			return fmt.Errorf("copy sent none of %d records", len(want))
 		}
-		if !r.More {
-			return nil
+		if err := s.write(ctx, pointers(r.Records)); err != nil {
+			return err
 		}
-		q.Dump, q.After = r.Dump, q.After+len(r.Records)
+		want = want[len(r.Records):]
 	}
+	// A dump that is not ended is forgotten after dumpTime.
+	_, _ = s.page(ctx, l, DumpRequest{Done: true})
+	return nil
 }
 
-// missing returns the records that this copy does not hold.
-func (s *Store) missing(list []Record) []*Record {
+// maxWant bounds the records that are asked for at once.
+const maxWant = 4096
+
+// lacks returns the records of a list that this copy does not hold: those that are complete, and the places of the turns.
+func (s *Store) lacks(list []Record) (small []*Record, turns []int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []*Record
 	for i := range list {
-		if !s.state.holds(&list[i]) {
-			out = append(out, &list[i])
+		switch r := &list[i]; {
+		case s.state.holds(r):
+		case r.Kind == Keep:
+			turns = append(turns, i)
+		default:
+			small = append(small, r)
 		}
 	}
-	return out
+	return small, turns
 }
 
 func (s *Store) call(ctx context.Context, to chestnutcleat.Address, m chestnutcleat.Method, request, reply any) error {
--- a/ledger/message.go
+++ b/ledger/message.go
@@ -63,16 +63,20 @@
 	Copies chestnutcleat.Copies `json:"s"`
 }
 
-// DumpRequest asks for a page of all records.
+// DumpRequest asks for a page of the list of all records, or for some of them.
 type DumpRequest struct {
 	Target
 	// Dump is that of the first page's reply; zero asks for the first page.
 	Dump uint64 `json:"i,omitempty"`
-	// After is the number of records that the asker has.
+	// After is the number of records that the asker has listed.
 	After int `json:"a,omitempty"`
+	// Want are the places in the list of records that are wanted with their input and output.
+	Want []int `json:"w,omitempty"`
+	// Done ends the dump.
+	Done bool `json:"e,omitempty"`
 }
 
-// DumpReply is a page of all records.
+// DumpReply is a page of the list, without the inputs and outputs of turns, or the first of the records that are wanted.
 type DumpReply struct {
 	Standing
 	Dump    uint64   `json:"i"`
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -21,12 +21,13 @@
 	identityFile = "disk"
 	// expiryInterval is the time between looks for records that are past their time.
 	expiryInterval = 5 * time.Second
-	// pageBytes bounds a page of a dump.
-	pageBytes = 512 << 10
+	// pageBytes bounds a page of a dump, and recordBytes is about what a record takes without input and output.
+	pageBytes   = 512 << 10
+	recordBytes = 128
 	// dumpTime is how long a dump may go on.
 	dumpTime = 30 * time.Second
 	// joinTimeout bounds one call while a copy joins.
-	joinTimeout = 2 * time.Second
+	joinTimeout = 3 * time.Second
 )
 
 var errOtherDisk = errors.New("request is for another disk")
