Add explain and the beliefs of VMs on the users' platform

chestnutcleat explain joins the log lines of several processes about a request or a program into one timeline, with what the same VMs came to believe. Lines carry milliseconds: whole seconds did not order them. The metrics address also answers /beliefs with the configuration, objects, copies and other VMs that the process takes for true and their ages; status -role shows it.

--- a/cmd/chestnutcleat/main.go
+++ b/cmd/chestnutcleat/main.go
@@ -25,6 +25,7 @@
 	subcommands.Register(&statusCommand{}, "operators")
 	subcommands.Register(&drainCommand{}, "operators")
 	subcommands.Register(&auditCommand{}, "operators")
+	subcommands.Register(&explainCommand{}, "operators")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/cmd/chestnutcleat/status.go
+++ b/cmd/chestnutcleat/status.go
@@ -4,15 +4,26 @@
 	"context"
 	"flag"
 	"fmt"
+	"os"
 
 	"github.com/google/subcommands"
 
+	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/operator"
+	"chestnutcleat.example/chestnutcleat/role"
 )
 
 // statusCommand shows what a VM knows of the manifest and the upstreams.
 type statusCommand struct {
 	target
+	// role is the metrics address of an entry or storage VM.
+	role string
+}
+
+// SetFlags implements subcommands.Command.
+func (c *statusCommand) SetFlags(f *flag.FlagSet) {
+	c.target.SetFlags(f)
+	f.StringVar(&c.role, "role", "", "metrics address of an entry or storage VM on the users' platform; shows what it takes for true")
 }
 
 // Name implements subcommands.Command.
@@ -22,13 +33,16 @@
 func (*statusCommand) Synopsis() string { return "show the manifest's revision and the upstreams" }
 
 // Usage implements subcommands.Command.
-func (*statusCommand) Usage() string { return "status [-operators IP:PORT]\n" }
+func (*statusCommand) Usage() string { return "status [-operators IP:PORT | -role IP:PORT]\n" }
 
 // Execute implements subcommands.Command.
 func (c *statusCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if s, ok := surplus(c, f); !ok {
 		return s
 	}
+	if c.role != "" {
+		return c.beliefs(ctx)
+	}
 	return c.run(ctx, func(ctx context.Context, o *operator.Client) error {
 		m, err := o.Manifest(ctx)
 		if err != nil {
@@ -52,3 +66,31 @@
 		return w.Flush()
 	})
 }
+
+// beliefs shows what a VM on the users' platform takes for true, and since when.
+func (c *statusCommand) beliefs(ctx context.Context) subcommands.ExitStatus {
+	b, err := role.AskBeliefs(ctx, chestnutcleat.Address(c.role))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	fmt.Printf("%s: %s in failure domain %s\n", b.VM, b.Role, b.Domain)
+	if g := b.Configuration; g != nil {
+		fmt.Printf("configuration %d at version %d: %d routes, %d customers\n", g.Number, g.Version, g.Routes, g.Customers)
+	}
+	fmt.Printf("copies at version %d: %d, next %d\n", b.Copies.Version, len(b.Copies.Disks), len(b.Copies.Next))
+	w := newTable()
+	fmt.Fprintln(w, "KIND\tVERSION\tOBJECTS\tLAPSED\tPLATFORM AWAY\tAGE")
+	for _, k := range b.Kinds {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%t\t%.1fs\n", k.Kind, k.Version, k.Objects, k.Lapsed, k.Away, k.Age)
+	}
+	fmt.Fprintln(w, "\nPEER\tSILENT\tLEAVING\tPLATFORM AWAY\tAGE")
+	for _, p := range b.Peers {
+		fmt.Fprintf(w, "%s\t%t\t%t\t%t\t%.1fs\n", p.VM, p.Silent, p.Leaving, p.Away, p.Age)
+	}
+	if err := w.Flush(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- a/logs/observer.go
+++ b/logs/observer.go
@@ -14,6 +14,9 @@
 // redacted replaces the values of attributes that may hold a caller's key.
 const redacted = "[redacted]"
 
+// timeFormat orders the lines of several processes within a second.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // own lists the fields of every line; an attribute of the same name gets a prefix, as logrus does for its own fields.
 var own = map[string]bool{"event": true, "vm": true, "action": true}
 
@@ -33,9 +36,9 @@
 	l.SetLevel(v)
 	switch format {
 	case "json":
-		l.SetFormatter(&logrus.JSONFormatter{})
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	case "text":
-		l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+		l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: timeFormat})
 	default:
 		return nil, fmt.Errorf("log format %q: expected json or text", format)
 	}
--- /dev/null
+++ b/logs/timeline_test.go
@@ -0,0 +1,68 @@
+package logs
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat/event"
+)
+
+// Lines of two VMs about one program must come in order of time, with what those VMs came to believe meanwhile, and without
+// what other requests and other VMs did.
+func TestTimeline(t *testing.T) {
+	const entry1 = `{"event":801,"msg":"configuration applied","number":7,"time":"2026-12-04T10:00:00.500Z","vm":"e1"}
+{"event":851,"msg":"answered","program":"p1","request":"r1","time":"2026-12-04T10:00:01.250Z","vm":"e1"}
+{"event":851,"msg":"answered","program":"p2","request":"r9","time":"2026-12-04T10:00:01.260Z","vm":"e1"}
+not a log line
+{"event":807,"msg":"VM is no longer heard","peer":"e3","time":"2026-12-04T10:00:09.000Z","vm":"e1"}
+`
+	const entry2 = `  12.250 e2 {"event":852,"msg":"refused","program":"p1","request":"r2","time":"2026-12-04T10:00:01.100Z","vm":"e2"}
+`
+	const entry3 = `{"event":803,"msg":"platform does not answer","time":"2026-12-04T10:00:01.000Z","vm":"e3"}
+`
+	for _, tt := range []struct {
+		name, id string
+		around   time.Duration
+		want     string
+	}{
+		{"program", "p1", 0, "refused answered"},
+		{"program with beliefs", "p1", time.Second, "configuration applied, refused answered"},
+		{"request", "r2", 0, "refused"},
+		{"unknown", "r3", time.Second, ""},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			logs := []io.Reader{strings.NewReader(entry1), strings.NewReader(entry2), strings.NewReader(entry3)}
+			list, unread, err := Timeline(tt.id, tt.around, logs...)
+			is.NoErr(err)
+			is.Equal(unread, 1)
+			var texts []string
+			for _, l := range list {
+				texts = append(texts, l.Text)
+			}
+			is.Equal(strings.Join(texts, " "), strings.ReplaceAll(tt.want, ",", ""))
+		})
+	}
+}
+
+// What the observer writes must be read back, with times that order lines within a second.
+func TestTimelineOfObserver(t *testing.T) {
+	is := is.New(t)
+	var b bytes.Buffer
+	o, err := New(&b, "info", "json", "e1")
+	is.NoErr(err)
+	before := time.Now().Truncate(time.Millisecond)
+	o.Emit(event.Answered, "request", "r1", "status", 200)
+	list, unread, err := Timeline("r1", 0, &b)
+	is.NoErr(err)
+	is.Equal(unread, 0)
+	is.Equal(len(list), 1)
+	is.Equal(list[0].Event, event.Answered)
+	is.Equal(string(list[0].VM), "e1")
+	is.True(!list[0].Time.Before(before))
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -65,7 +65,9 @@
 	// version is that of the last change seen, position where the next watch goes on.
 	version, position chestnutcleat.Version
 	away              bool
-	notify            sync.Mutex
+	// told is when the platform or another VM last answered.
+	told   time.Time
+	notify sync.Mutex
 }
 
 // dropped is an object that was removed.
@@ -90,6 +92,16 @@
 	return s
 }
 
+// Age returns how long ago the platform, or another VM, last told this VM the present state; it is negative before the first time.
+func (m *Mirror) Age() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.told.IsZero() {
+		return -1
+	}
+	return time.Since(m.told)
+}
+
 // Away reports whether the last call to the platform failed.
 func (m *Mirror) Away() bool {
 	m.mu.Lock()
@@ -139,7 +151,7 @@
 	}
 	m.mu.Unlock()
 	if position > 0 && m.Watches != nil && !m.Watches() {
-		m.apply(nil, position, position)
+		m.apply(nil, position, position, false)
 		return chestnutcleat.Sleep(ctx, idleCheck)
 	}
 	if position == 0 {
@@ -160,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	m.apply(list, position, version)
+	m.apply(list, position, version, true)
 	return nil
 }
 
@@ -196,7 +208,7 @@
 
 // replace takes over a whole list from the platform.
 func (m *Mirror) replace(s Snapshot) {
-	m.update(func() (changed, regained bool) {
+	m.update(true, func() (changed, regained bool) {
 		if s.Version < m.version {
 			// An answer that is older than what is known, such as one that was delayed.
 			return false, false
@@ -261,9 +273,9 @@
 	}
 }
 
-// apply takes over the changes that a watch from one position to another brought.
-func (m *Mirror) apply(list []chestnutcleat.Stored, from, position chestnutcleat.Version) {
-	m.update(func() (changed, regained bool) {
+// apply takes over the changes that a watch from one position to another brought; told is not set without a call.
+func (m *Mirror) apply(list []chestnutcleat.Stored, from, position chestnutcleat.Version, told bool) {
+	m.update(told, func() (changed, regained bool) {
 		if m.position != from {
 			// A whole list came meanwhile; the next watch goes on from there.
 			return false, false
@@ -332,7 +344,7 @@
 
 // Offer takes over the snapshot of another VM if it is newer.
 func (m *Mirror) Offer(s Snapshot) {
-	m.update(func() (changed, regained bool) {
+	m.update(true, func() (changed, regained bool) {
 		if s.Version <= m.version {
 			return false, false
 		}
@@ -352,8 +364,8 @@
 	})
 }
 
-// update runs f under the lock and reports what it changed.
-func (m *Mirror) update(f func() (changed, regained bool)) {
+// update runs f under the lock and reports what it changed; told is set when the platform or another VM answered.
+func (m *Mirror) update(told bool, f func() (changed, regained bool)) {
 	m.notify.Lock()
 	defer m.notify.Unlock()
 	m.mu.Lock()
@@ -361,6 +373,9 @@
 		m.objects = map[string]chestnutcleat.Stored{}
 	}
 	changed, regained := f()
+	if told {
+		m.told = time.Now()
+	}
 	s := m.snapshot()
 	m.mu.Unlock()
 	if regained && m.Regained != nil {
--- a/role/base.go
+++ b/role/base.go
@@ -54,6 +54,9 @@
 	mirrors map[chestnutcleat.ObjectKind]*mirror.Mirror
 	tcp     net.Listener
 
+	// known returns what this VM takes for true.
+	known func() Beliefs
+
 	mu sync.Mutex
 	// asking holds the kinds that are being asked of another VM.
 	asking map[chestnutcleat.ObjectKind]bool
--- a/role/entry.go
+++ b/role/entry.go
@@ -56,7 +56,8 @@
 	leaving atomic.Bool
 	// servers are those for callers, readiness and the registry.
 	servers []*accept.Server
-	known   map[chestnutcleat.InstanceID]chestnutcleat.Version
+	// unread has the versions of instances' objects that could not be decoded.
+	unread map[chestnutcleat.InstanceID]chestnutcleat.Version
 }
 
 // Run serves until ctx is done or the shutdown has ended.
@@ -97,7 +98,8 @@
 	e.places = place.NewTable()
 	e.rates = rate.NewFleet(e.self.VM, time.Duration(e.Settings.Window*float64(time.Second)))
 	e.ledger = &ledger.Client{Peers: e.client, Observer: e.Observer, Domain: e.Settings.Domain}
-	e.known = map[chestnutcleat.InstanceID]chestnutcleat.Version{}
+	e.unread = map[chestnutcleat.InstanceID]chestnutcleat.Version{}
+	e.known = e.beliefs
 	e.fleet = &peer.Fleet{
 		Self: e.self, Describe: e.describe,
 		Received: func(s peer.Summary) { e.received(ctx, &s) },
@@ -146,6 +148,15 @@
 
 func (e *Entry) isReady() bool { return e.config.Load() != nil && !e.leaving.Load() }
 
+// beliefs are what this VM takes for true.
+func (e *Entry) beliefs() Beliefs {
+	b := e.base.beliefs(e.ledger.Copies())
+	if t := e.config.Load(); t != nil {
+		b.Configuration = &ConfigurationBelief{Number: t.Number, Version: t.Revision, Routes: len(t.Routes), Customers: len(t.Customers)}
+	}
+	return b
+}
+
 // describe fills in this VM's summary.
 func (e *Entry) describe(s *peer.Summary) {
 	s.Leaving = e.leaving.Load()
@@ -240,10 +251,10 @@
 	for _, o := range s.Objects {
 		i, err := platform.DecodeInstance(o)
 		if err != nil {
-			if e.known[chestnutcleat.InstanceID(o.Name)] != o.Version {
+			if e.unread[chestnutcleat.InstanceID(o.Name)] != o.Version {
 				e.Observer.Emit(event.EntryUnread, "object", o.Name, "version", o.Version, "error", err)
 			}
-			e.known[chestnutcleat.InstanceID(o.Name)] = o.Version
+			e.unread[chestnutcleat.InstanceID(o.Name)] = o.Version
 			continue
 		}
 		if i.Leaving {
--- a/role/metrics.go
+++ b/role/metrics.go
@@ -15,13 +15,14 @@
 // metricsHeaderTime bounds the reading of a request for metrics.
 const metricsHeaderTime = 5 * time.Second
 
-// serveMetrics serves the counters and histograms of this process as text until ctx is done.
+// serveMetrics serves the counters and histograms of this process as text, and its beliefs, until ctx is done.
 func (b *base) serveMetrics(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		b.Metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
+	mux.HandleFunc("GET "+pathBeliefs, func(w http.ResponseWriter, _ *http.Request) { tellBeliefs(w, b.known()) })
 	s := &http.Server{
 		Addr:    net.JoinHostPort(b.Settings.IP, strconv.Itoa(b.Settings.Metrics)),
 		Handler: mux, ReadHeaderTimeout: metricsHeaderTime,
--- a/role/store.go
+++ b/role/store.go
@@ -88,6 +88,7 @@
 		// Of 2f+1 copies a write quorum is left after f are lost.
 		Count: 2*s.Settings.Tolerance + 1, Candidates: s.candidates, Rank: s.rank,
 	}
+	s.known = func() Beliefs { return s.beliefs(s.store.Copies()) }
 	s.follow(fleetKind, false, s.fleetChanged)
 	s.follow(platform.RetirementKind, false, s.retirementsChanged)
 	s.gauges()
