--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -60,6 +60,18 @@
 	}
 }
 
+// once answers one request on each connection and closes it.
+func once(answer string) script {
+	return func(_ int, c net.Conn) {
+		q, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		_, _ = io.WriteString(c, answer)
+	}
+}
+
 const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 func get(p *Pool, body string) (string, error) {
@@ -72,15 +84,21 @@
 	return string(data), err
 }
 
+// gets sends some requests, each of which must be answered with the body.
+func gets(is *is.I, p *Pool, times int, want string) {
+	is.Helper()
+	for range times {
+		body, err := get(p, "b")
+		is.NoErr(err)
+		is.Equal(body, want)
+	}
+}
+
 // Connections cost at the instances, so whole exchanges must share one.
 func TestConnectionIsKept(t *testing.T) {
 	is := is.New(t)
 	p, opened := newPool(t, serve(whole))
-	for range 3 {
-		body, err := get(p, "b")
-		is.NoErr(err)
-		is.Equal(body, "ok")
-	}
+	gets(is, p, 3, "ok")
 	is.Equal(*opened, 1)
 }
 
@@ -88,11 +106,7 @@
 func TestExtraBytes(t *testing.T) {
 	is := is.New(t)
 	p, opened := newPool(t, serve(whole+whole))
-	for range 3 {
-		body, err := get(p, "b")
-		is.NoErr(err)
-		is.Equal(body, "ok")
-	}
+	gets(is, p, 3, "ok")
 	is.Equal(*opened, 3)
 }
 
@@ -112,14 +126,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			p, opened := newPool(t, func(_ int, c net.Conn) {
-				q, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, q.Body)
-				_, _ = io.WriteString(c, answer)
-			})
+			p, opened := newPool(t, once(answer))
 			_, err := get(p, "b")
 			is.True(err != nil)
 			var e *Error
@@ -162,19 +169,8 @@
 // An answer without a length ends with its connection, which must not be kept.
 func TestNoLength(t *testing.T) {
 	is := is.New(t)
-	p, opened := newPool(t, func(n int, c net.Conn) {
-		q, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, q.Body)
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nto the end")
-	})
-	for range 2 {
-		body, err := get(p, "b")
-		is.NoErr(err)
-		is.Equal(body, "to the end")
-	}
+	p, opened := newPool(t, once("HTTP/1.1 200 OK\r\n\r\nto the end"))
+	gets(is, p, 2, "to the end")
 	is.Equal(*opened, 2)
 }
 
@@ -182,9 +178,7 @@
 func TestInterim(t *testing.T) {
 	is := is.New(t)
 	p, _ := newPool(t, serve("HTTP/1.1 103 Early Hints\r\n\r\n"+whole))
-	body, err := get(p, "b")
-	is.NoErr(err)
-	is.Equal(body, "ok")
+	gets(is, p, 1, "ok")
 }
 
 // An instance that answers before it has read a long body must be heard, and its connection must not carry another request
@@ -208,9 +202,7 @@
 	_, err = io.ReadAll(r)
 	is.NoErr(err)
 	r.Close()
-	body, err := get(p, "b")
-	is.NoErr(err)
-	is.Equal(body, "ok")
+	gets(is, p, 1, "ok")
 	is.Equal(*opened, 2)
 }
 
--- a/keeper/fleet_test.go
+++ b/keeper/fleet_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
@@ -106,12 +107,21 @@
 	client *ledger.Client
 }
 
-func newFleet(ctx context.Context, t *testing.T, count int, seed uint64) *fleet {
-	return newFleetOf(ctx, t, count, 3, seed)
+// play runs a test with a fleet that has had the time to choose its copies, in virtual time.
+func play(t *testing.T, count, copies int, seed uint64, test func(ctx context.Context, t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, t, count, copies, seed)
+		time.Sleep(2 * time.Second)
+		test(ctx, t, f)
+		// All goroutines of the bubble must end.
+		f.end()
+		cancel()
+		synctest.Wait()
+	})
 }
 
-// newFleetOf is newFleet with another number of copies.
-func newFleetOf(ctx context.Context, t *testing.T, count, copies int, seed uint64) *fleet {
+func newFleet(ctx context.Context, t *testing.T, count, copies int, seed uint64) *fleet {
 	f := &fleet{t: t, ctx: ctx, network: vm.NewNetwork(seed), objects: &memory{}, copies: copies}
 	f.network.Delay = time.Millisecond
 	for range count {
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -9,7 +9,6 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -97,7 +96,7 @@
 	for seed := range *seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { series(t, 3, 3, seed) })
+			play(t, 3, 3, seed, func(_ context.Context, t *testing.T, f *fleet) { series(t, f, seed) })
 		})
 	}
 }
@@ -107,16 +106,13 @@
 	for seed := range *seeds / 3 {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { series(t, 11, 5, seed) })
+			play(t, 11, 5, seed, func(_ context.Context, t *testing.T, f *fleet) { series(t, f, seed) })
 		})
 	}
 }
 
-func series(t *testing.T, vms, copies int, seed uint64) {
-	ctx, cancel := context.WithCancel(t.Context())
+func series(t *testing.T, f *fleet, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 1))
-	f := newFleetOf(ctx, t, vms, copies, seed)
-	time.Sleep(2 * time.Second)
 	var mu sync.Mutex
 	var written []string
 	refused := 0
@@ -168,9 +164,6 @@
 	if refused > len(written)/10 {
 		t.Errorf("%d writes refused, %d done after %v", refused, len(written), log)
 	}
-	f.end()
-	cancel()
-	synctest.Wait()
 }
 
 // After a storage VM is emptied without another to take its place, two copies are left. The loss of one's disk must not stop
@@ -178,10 +171,7 @@
 func TestTwoCopies(t *testing.T) {
 	for _, v := range []string{"wiped", "killed for long"} {
 		t.Run(v, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				f := newFleet(ctx, t, 3, 1)
-				time.Sleep(2 * time.Second)
+			play(t, 3, 3, 1, func(ctx context.Context, t *testing.T, f *fleet) {
 				f.mu.Lock()
 				f.list[0].retiring = true
 				f.mu.Unlock()
@@ -215,9 +205,6 @@
 				if n := len(f.members()); n != 2 {
 					t.Errorf("%d copies", n)
 				}
-				f.end()
-				cancel()
-				synctest.Wait()
 			})
 		})
 	}
@@ -226,10 +213,7 @@
 // While too few copies answer, a record must be refused at once and not after the time that its request has; once they are
 // back, writes go on.
 func TestRefusedAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		f := newFleet(ctx, t, 3, 1)
-		time.Sleep(2 * time.Second)
+	play(t, 3, 3, 1, func(ctx context.Context, t *testing.T, f *fleet) {
 		f.setCut(f.list[0], true)
 		f.setCut(f.list[1], true)
 		_ = f.write("first", "") // learns of the loss
@@ -250,18 +234,12 @@
 		if err != nil || len(others) != 1 || others[0].Tokens != 5 {
 			t.Errorf("attempts %v, error %v", others, err)
 		}
-		f.end()
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // Reservations at the same moment must not pass the budget together, and one after the other must use it up.
 func TestBudgetUnderLosses(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		f := newFleet(ctx, t, 3, 7)
-		time.Sleep(2 * time.Second)
+	play(t, 3, 3, 7, func(ctx context.Context, t *testing.T, f *fleet) {
 		granted := make(chan chestnutcleat.Tokens, 1000)
 		var g sync.WaitGroup
 		for worker := range 4 {
@@ -295,19 +273,13 @@
 		if total > budget || total < budget-60 {
 			t.Errorf("granted %d of %d", total, budget)
 		}
-		f.end()
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // The end of an answer that waits for its turn to be kept must not be lost because the copies were away for a moment.
 func TestPersistWaits(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	play(t, 3, 3, 1, func(ctx context.Context, t *testing.T, f *fleet) {
 		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		f := newFleet(ctx, t, 3, 1)
-		time.Sleep(2 * time.Second)
 		f.setCut(f.list[0], true)
 		f.setCut(f.list[1], true)
 		_ = f.write("first", "") // learns of the loss
@@ -318,21 +290,15 @@
 		_, err := f.client.Persist(wait, ledger.Record{Kind: ledger.Keep, Customer: "c", Attempt: "kept", Until: time.Now().Add(time.Hour).Unix()})
 		is.NoErr(err)
 		done()
-		f.end()
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // When a disk is replaced, only the new copy may copy, and each record once: all copies used to read from all others, which
 // five small VMs with a minute of kept turns did not end in the time that they had, while writes were refused.
 func TestReplacementCopiesOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	play(t, 5, 5, 1, func(ctx context.Context, t *testing.T, f *fleet) {
 		const turns, size = 400, 8 << 10
 		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		f := newFleetOf(ctx, t, 5, 5, 1)
-		time.Sleep(2 * time.Second)
 		for i := range turns {
 			_, err := f.client.Write(ctx, ledger.Record{
 				Kind: ledger.Keep, Customer: "c", Attempt: chestnutcleat.RequestID(fmt.Sprint(i)), Input: make([]byte, size), Until: time.Now().Add(time.Hour).Unix(),
@@ -355,8 +321,5 @@
 		}
 		is.Equal(len(f.client.Copies().Next), 0)
 		is.True(chestnutcleat.Contains(f.client.Copies().Disks, f.list[4].disk))
-		f.end()
-		cancel()
-		synctest.Wait()
 	})
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -113,6 +113,11 @@
 	return list
 }
 
+// play runs a test with a platform in virtual time.
+func play(t *testing.T, test func(t *testing.T, is *is.I, p *platform)) {
+	synctest.Test(t, func(t *testing.T) { test(t, is.New(t), newPlatform()) })
+}
+
 // follow runs a mirror and returns it with the names that it last reported.
 func follow(t *testing.T, p *platform) (*Mirror, func() []string) { return followIf(t, p, nil) }
 
@@ -137,9 +142,7 @@
 
 // Changes must arrive soon, also those made while the history was dropped.
 func TestFollows(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		p := newPlatform()
+	play(t, func(t *testing.T, is *is.I, p *platform) {
 		p.set("a")
 		_, seen := follow(t, p)
 		time.Sleep(200 * time.Millisecond)
@@ -159,9 +162,7 @@
 
 // A watch that waits in vain must not hold up what a list shows, nor undo it with its late answer.
 func TestDeafWatch(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		p := newPlatform()
+	play(t, func(t *testing.T, is *is.I, p *platform) {
 		p.set("a")
 		m, seen := follow(t, p)
 		time.Sleep(time.Second)
@@ -179,9 +180,7 @@
 
 // A list that was read before a change and arrives after it must not take the change back.
 func TestLateList(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		p := newPlatform()
+	play(t, func(t *testing.T, is *is.I, p *platform) {
 		p.set("a")
 		m, seen := follow(t, p)
 		time.Sleep(time.Second)
@@ -197,9 +196,7 @@
 // Entries that vanish while the platform is away may come back within returnTime of its return; those that don't are gone.
 // An entry that goes while the platform answers is gone at once.
 func TestLapse(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		p := newPlatform()
+	play(t, func(t *testing.T, is *is.I, p *platform) {
 		for _, name := range []string{"a", "b", "c"} {
 			p.set(name)
 		}
@@ -227,9 +224,7 @@
 // come back: without that a VM knew no instance of a service for half a second (recorded day inc-a610). Single entries that go
 // are gone at once.
 func TestUnseenLapse(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		p := newPlatform()
+	play(t, func(t *testing.T, is *is.I, p *platform) {
 		all := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"}
 		for _, name := range all {
 			p.set(name)
@@ -257,9 +252,7 @@
 
 // A VM that the platform turns away must take newer objects from another VM, and never older ones.
 func TestOffer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		p := newPlatform()
+	play(t, func(t *testing.T, is *is.I, p *platform) {
 		p.set("a")
 		m, seen := follow(t, p)
 		time.Sleep(time.Second)
@@ -282,9 +275,7 @@
 		"offer": func(_ *testing.T, _ *platform, m, watching *Mirror) error { m.Offer(watching.Offered()); return nil },
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				p := newPlatform()
+			play(t, func(t *testing.T, is *is.I, p *platform) {
 				for _, name := range all {
 					p.set(name)
 				}
@@ -311,9 +302,7 @@
 
 // A VM that does not watch must cost no calls, and watch again when it should.
 func TestWatches(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		p := newPlatform()
+	play(t, func(t *testing.T, is *is.I, p *platform) {
 		p.set("a")
 		var watches atomic.Bool
 		_, seen := followIf(t, p, watches.Load)
@@ -329,9 +318,7 @@
 
 // At rest a mirror must cost one waiting call.
 func TestRest(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		p := newPlatform()
+	play(t, func(t *testing.T, is *is.I, p *platform) {
 		follow(t, p)
 		time.Sleep(10 * time.Minute)
 		p.mu.Lock()
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -35,6 +35,8 @@
 	once    sync.Once
 }
 
+func newWire() *wire { return &wire{socks: map[string]*sock{}, cut: map[string]bool{}} }
+
 func (w *wire) open(address string) *sock {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -107,9 +109,7 @@
 	for _, listed := range []bool{true, false} {
 		t.Run(fmt.Sprint("listed first ", listed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				w := &wire{socks: map[string]*sock{}, cut: map[string]bool{}}
-				list := []Member{member(1), member(2)}
+				is, w, list := is.New(t), newWire(), []Member{member(1), member(2)}
 				one, stopOne := begin(t, w, list[0], list)
 				_, stopTwo := begin(t, w, list[1], list)
 				time.Sleep(time.Minute)
@@ -134,9 +134,7 @@
 // A VM that is cut off must become silent on both sides, and be heard again afterwards.
 func TestCut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		w := &wire{socks: map[string]*sock{}, cut: map[string]bool{}}
-		list := []Member{member(1), member(2)}
+		is, w, list := is.New(t), newWire(), []Member{member(1), member(2)}
 		one, stopOne := begin(t, w, list[0], list)
 		two, stopTwo := begin(t, w, list[1], list)
 		time.Sleep(time.Second)
@@ -177,7 +175,7 @@
 func TestDatagramsOfLargeFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		w := &wire{socks: map[string]*sock{}, cut: map[string]bool{}}
+		w := newWire()
 		var list []Member
 		for i := range 200 {
 			list = append(list, member(i))
@@ -193,7 +191,7 @@
 func TestLargeFleetIsHeard(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		w := &wire{socks: map[string]*sock{}, cut: map[string]bool{}}
+		w := newWire()
 		var list []Member
 		for i := range 200 {
 			list = append(list, member(i))
@@ -212,9 +210,7 @@
 // A summary that does not fit into a datagram must not end the process or silence the VM.
 func TestLargeSummary(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		w := &wire{socks: map[string]*sock{}, cut: map[string]bool{}}
-		list := []Member{member(1), member(2)}
+		is, w, list := is.New(t), newWire(), []Member{member(1), member(2)}
 		one, stopOne := begin(t, w, list[0], list)
 		load := map[chestnutcleat.InstanceID]int{}
 		for i := range 10_000 {
@@ -233,6 +229,41 @@
 	})
 }
 
+// A VM that lacks tokens must get what the asked one gives, also none, with the time at which it asked; a VM that is not known
+// gets nothing.
+func TestAsk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, w, list := is.New(t), newWire(), []Member{member(1), member(2)}
+		one, stopOne := begin(t, w, list[0], list)
+		two, stopTwo := begin(t, w, list[1], list)
+		type grant struct {
+			tokens rate.Tokens
+			asked  time.Time
+		}
+		grants := make(chan grant, 1)
+		one.Granted = func(t rate.Tokens, asked time.Time) { grants <- grant{t, asked} }
+		left := 2.0
+		two.Asked = func(needs rate.Tokens) rate.Tokens {
+			n := min(needs["c"], left)
+			left -= n
+			return rate.Tokens{"c": n}
+		}
+		time.Sleep(time.Second)
+		for _, want := range []float64{2, 0} {
+			asked := time.Now()
+			one.Ask("v2", rate.Tokens{"c": 3})
+			g := <-grants
+			is.Equal(g.tokens, rate.Tokens{"c": want})
+			is.True(g.asked.Equal(asked))
+		}
+		one.Ask("v9", rate.Tokens{"c": 3})
+		synctest.Wait()
+		is.Equal(len(grants), 0)
+		stopOne()
+		stopTwo()
+	})
+}
+
 // A datagram that is not ours, or that another VM spoiled, must be passed over.
 func FuzzReceive(f *testing.F) {
 	data, err := vm.Encode(message{Summary: &Summary{Member: Member{VM: "v2"}, Load: map[chestnutcleat.InstanceID]int{"i": 1}}})
