Close the connection after a request whose body came in chunks

Cause: net/http accepts a request with a length and chunks and drops the length; a request behind its last chunk, which another reader takes for its body, ran at an instance.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -84,7 +84,9 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
-	if h.leaving.Load() {
+	// net/http drops a length beside chunks, so what follows may be the rest of the body to another reader: RFC 9112,
+	// section 6.3, asks to close the connection.
+	if h.leaving.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{Handler: h, w: w, r: r}
