Keep enough copies when storage VMs are emptied one after the other

A VM that announces another disk takes the place of its own old one at once, as that is lost for good: with two copies turns wait for it.

A caller that left while its turn waited for records is logged as gone and no longer as an internal error.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -44,11 +44,11 @@
 	t := &turn{call: c, input: c.body, last: -1, flusher: http.NewResponseController(c.w)}
 	if c.route.Kept && c.Previous != "" {
 		if err := t.prepend(); err != nil {
-			return err
+			return c.end(err)
 		}
 	}
 	if err := t.reserve(); err != nil {
-		return err
+		return c.end(err)
 	}
 	err := t.run()
 	t.settle()
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -135,7 +135,12 @@
 		k.wanted, k.looks = wanted, 0
 	}
 	k.looks++
-	if k.looks < steady*(1+k.Rank()) || !k.reachable(set) {
+	need := steady
+	if sameVMs(set.Disks, wanted) {
+		// A VM that announces another disk has lost the one before for good.
+		need = 1
+	}
+	if k.looks < need*(1+k.Rank()) || !k.reachable(set) {
 		return nil
 	}
 	k.looks = 0
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -210,6 +210,51 @@
 	}
 }
 
+// Two storage VMs that are emptied one after the other must not leave one copy alone: on a drawn day its disk was lost then,
+// and no turn was served to the end of the day.
+func TestRetirementLeavesEnoughCopies(t *testing.T) {
+	play(t, 3, 3, 1, func(_ context.Context, t *testing.T, f *fleet) {
+		is := is.New(t)
+		for _, s := range f.list[:2] {
+			f.mu.Lock()
+			s.retiring = true
+			f.mu.Unlock()
+			time.Sleep(catchUp)
+		}
+		is.NoErr(f.write("before", ""))
+		f.halt(f.list[2])
+		f.wipe(f.list[2])
+		f.start(f.list[2])
+		time.Sleep(catchUp)
+		is.NoErr(f.write("after", ""))
+		_, err := f.fetch("before")
+		is.NoErr(err)
+		f.add()
+		time.Sleep(catchUp)
+		is.Equal(f.members(), []chestnutcleat.VMID{"s02", "s03"}) // another VM takes the place of the second one
+		_, err = f.fetch("before")
+		is.NoErr(err)
+	})
+}
+
+// Of two copies both are written to, so turns wait for the place of a lost disk: it must be filled as soon as its VM is back.
+func TestNewDiskIsTakenAtOnce(t *testing.T) {
+	play(t, 2, 3, 1, func(_ context.Context, t *testing.T, f *fleet) {
+		is := is.New(t)
+		time.Sleep(catchUp)
+		is.NoErr(f.write("before", ""))
+		f.halt(f.list[1])
+		f.wipe(f.list[1])
+		f.start(f.list[1])
+		back := time.Now()
+		for f.write("after", "") != nil {
+			time.Sleep(50 * time.Millisecond)
+		}
+		t.Logf("written after %v", time.Since(back))
+		is.True(time.Since(back) < steady*interval)
+	})
+}
+
 // While too few copies answer, a record must be refused at once and not after the time that its request has; once they are
 // back, writes go on.
 func TestRefusedAtOnce(t *testing.T) {
--- a/keeper/wanted.go
+++ b/keeper/wanted.go
@@ -17,11 +17,13 @@
 }
 
 // Wanted returns the disks that are to hold the records: count of them if there are enough. A present disk that is lost
-// stays until another one can take its place; only a retiring one goes without a replacement.
+// stays until another one can take its place. A retiring one goes without a replacement as long as a write quorum of count
+// disks is left: of fewer copies the loss of as many as must be borne would lose records.
 func Wanted(present []chestnutcleat.Copy, candidates []Candidate, count int) []chestnutcleat.Copy {
 	list := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool {
 		return c.Retiring || (!c.Alive && !chestnutcleat.Contains(present, c.Disk))
 	})
+	list = append(list, stillNeeded(present, candidates, chestnutcleat.WriteQuorum(count))...)
 	for _, c := range present {
 		if !announced(candidates, c.Disk) && !retiring(candidates, c.VM) {
 			// The VM is not listed or has another disk by now; this one counts as lost until another one takes its place.
@@ -53,6 +55,21 @@
 	return out
 }
 
+// stillNeeded returns the retiring disks that hold records and must go on doing so to make up the least number of copies.
+func stillNeeded(present []chestnutcleat.Copy, candidates []Candidate, least int) []Candidate {
+	alive := 0
+	var held []Candidate
+	for _, c := range candidates {
+		switch {
+		case c.Alive && !c.Retiring:
+			alive++
+		case c.Alive && chestnutcleat.Contains(present, c.Disk):
+			held = append(held, c)
+		}
+	}
+	return held[:max(0, min(len(held), least-alive))]
+}
+
 // spread takes count candidates by rank and, within a rank, from failure domains that have none yet first.
 func spread(list []Candidate, count int, rank func(Candidate) int) []Candidate {
 	taken := map[chestnutcleat.FailureDomain]int{}
@@ -86,6 +103,11 @@
 	return slices.ContainsFunc(list, func(c Candidate) bool { return c.VM == id && c.Retiring })
 }
 
+// sameVMs reports whether two sets have disks of the same VMs; both are in the order of their VMs.
+func sameVMs(a, b []chestnutcleat.Copy) bool {
+	return slices.EqualFunc(a, b, func(c, d chestnutcleat.Copy) bool { return c.VM == d.VM })
+}
+
 // same reports whether two sets have the same disks.
 func same(a, b []chestnutcleat.Copy) bool {
 	return len(a) == len(b) && !slices.ContainsFunc(a, func(c chestnutcleat.Copy) bool {
