Move the client of the product's own object API out of platform

platform/ held two clients: one of the users' store, and one of the object API that the product's own interface runs on, with a watcher that has timers and state. Package object has the second one now, so that platform/ only translates the users' platform. Nothing else changed; the tests moved along.

--- a/cmd/chestnutcleat/serve.go
+++ b/cmd/chestnutcleat/serve.go
@@ -11,7 +11,7 @@
 	"github.com/google/subcommands"
 
 	"chestnutcleat.example/chestnutcleat/logs"
-	"chestnutcleat.example/chestnutcleat/platform"
+	"chestnutcleat.example/chestnutcleat/object"
 	"chestnutcleat.example/chestnutcleat/process"
 	"chestnutcleat.example/chestnutcleat/settings"
 )
@@ -63,7 +63,7 @@
 	}
 	ctx, stop, end := signals(ctx)
 	defer end()
-	p := process.Process{Settings: s, Platform: &platform.Client{URL: s.Platform, Name: string(s.VM)}, Observer: l, Stop: stop}
+	p := process.Process{Settings: s, Platform: &object.Client{URL: s.Platform, Name: string(s.VM)}, Observer: l, Stop: stop}
 	return p.Run(ctx)
 }
 
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -14,8 +14,8 @@
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/dispatch"
 	"chestnutcleat.example/chestnutcleat/manifest"
+	"chestnutcleat.example/chestnutcleat/object"
 	"chestnutcleat.example/chestnutcleat/operator"
-	"chestnutcleat.example/chestnutcleat/platform"
 	"chestnutcleat.example/chestnutcleat/process"
 	"chestnutcleat.example/chestnutcleat/settings"
 	"chestnutcleat.example/chestnutcleat/standin/engine"
@@ -160,7 +160,7 @@
 			Seeds:     append([]chestnutcleat.Address(nil), seeds...),
 			Grace:     chestnutcleat.Duration(settings.DefaultGrace),
 		},
-		Platform: &platform.Client{URL: url, Name: string(id)},
+		Platform: &object.Client{URL: url, Name: string(id)},
 		Observer: f.Observer,
 		Policy:   f.Policy,
 		Stop:     stop,
--- a/manifest/fleet_test.go
+++ b/manifest/fleet_test.go
@@ -12,7 +12,7 @@
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/control"
 	"chestnutcleat.example/chestnutcleat/manifest"
-	"chestnutcleat.example/chestnutcleat/platform"
+	"chestnutcleat.example/chestnutcleat/object"
 	standin "chestnutcleat.example/chestnutcleat/standin/platform"
 	"chestnutcleat.example/chestnutcleat/vm"
 )
@@ -113,7 +113,7 @@
 	started := make(chan struct{})
 	n.loop.Post(func() { n.store.Start(func() { close(started) }) })
 	<-started
-	w := &platform.Watcher{
+	w := &object.Watcher{
 		Platform: client, Prefixes: manifest.Prefixes, Rand: rand.New(rand.NewPCG(uint64(i), 1)),
 		Changed: func(o chestnutcleat.Object) { n.loop.Post(func() { n.store.Refresh(o) }) },
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -16,7 +16,7 @@
 	"chestnutcleat.example/chestnutcleat/limit"
 	"chestnutcleat.example/chestnutcleat/manifest"
 	"chestnutcleat.example/chestnutcleat/member"
-	"chestnutcleat.example/chestnutcleat/platform"
+	"chestnutcleat.example/chestnutcleat/object"
 	"chestnutcleat.example/chestnutcleat/program"
 	"chestnutcleat.example/chestnutcleat/vm"
 )
@@ -105,7 +105,7 @@
 
 // watch keeps the one platform watch of this VM.
 func (n *Node) watch(ctx context.Context) error {
-	w := platform.Watcher{
+	w := object.Watcher{
 		Platform: n.Platform,
 		Prefixes: append([]chestnutcleat.ObjectName{fleetName}, manifest.Prefixes...),
 		Rand:     rand.New(rand.NewPCG(uint64(n.Self.Incarnation), 1)),
--- a/platform/client_test.go
+++ b/object/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package object_test
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"chestnutcleat.example/chestnutcleat"
-	"chestnutcleat.example/chestnutcleat/platform"
+	"chestnutcleat.example/chestnutcleat/object"
 	standin "chestnutcleat.example/chestnutcleat/standin/platform"
 )
 
@@ -27,7 +27,7 @@
 	s := standin.NewStore(1)
 	server := httptest.NewServer(s.Handler())
 	defer server.Close()
-	c := &platform.Client{URL: server.URL, Name: "a"}
+	c := &object.Client{URL: server.URL, Name: "a"}
 	ctx := t.Context()
 
 	v, err := c.Put(ctx, chestnutcleat.Object{Name: "manifest/root one", Data: []byte("x")})
@@ -88,7 +88,7 @@
 		is := is.New(t)
 		s := standin.NewStore(1)
 		s.SetFaults(standin.Faults{Rate: 2, Latency: chestnutcleat.Duration(5 * time.Second)})
-		c := &platform.Client{URL: "http://platform", Name: "a", HTTP: &http.Client{Transport: handlerTransport{s.Handler()}}}
+		c := &object.Client{URL: "http://platform", Name: "a", HTTP: &http.Client{Transport: handlerTransport{s.Handler()}}}
 		start := time.Now()
 		var g errgroup.Group
 		for i := range 4 {
@@ -137,7 +137,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		var seen []string
-		w := &platform.Watcher{
+		w := &object.Watcher{
 			Platform: c,
 			Prefixes: []chestnutcleat.ObjectName{"a/", "b/"},
 			Changed:  func(o chestnutcleat.Object) { seen = append(seen, string(o.Data)) },
