Name no addresses from a VM that is cut off

Ruled out: a long hold of addresses (the refusals rose until the cut ended).

Change: a VM that hears at most half of the listed VMs and lacks a write quorum answers without addresses, which callers take as a failure and ask the next VM. While all VMs hear each other and lack the records, they name each other as before, since plain services need no records.

--- a/ledger/client.go
+++ b/ledger/client.go
@@ -149,8 +149,8 @@
 	return o, nil
 }
 
-// writable reports whether enough copies to write to answered last time.
-func (c *Client) writable() bool {
+// Writable reports whether enough copies to write to answered last time.
+func (c *Client) Writable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.copies.Written(func(d chestnutcleat.DiskID) bool {
@@ -161,7 +161,7 @@
 
 // Write is Persist, but fails at once while too few copies answer.
 func (c *Client) Write(ctx context.Context, r Record) ([]Attempt, error) {
-	if c.Copies().Version > 0 && !c.writable() {
+	if c.Copies().Version > 0 && !c.Writable() {
 		return nil, ErrUnsure
 	}
 	return c.Persist(ctx, r)
--- a/role/entry.go
+++ b/role/entry.go
@@ -195,9 +195,21 @@
 	return nil
 }
 
-// addresses are where callers of a failure domain connect: its own VMs if it has two or more.
+// isCutOff reports whether a VM is on the smaller side of a cut, without the records of programs: it can't say who else
+// serves, and most programs would fail here. While all VMs lack the records it is not, as they still serve plain services.
+func isCutOff(self chestnutcleat.VMID, peers []peer.Peer, writable bool) bool {
+	_, heard := rankHeard(self, peers, anyPeer)
+	return !writable && 2*heard <= len(peers)+1
+}
+
+// addresses are where callers of a failure domain connect: its own VMs if it has two or more. A VM that is cut off names
+// none, so that callers ask another one.
 func (e *Entry) addresses(_ chestnutcleat.Region, domain chestnutcleat.FailureDomain) ([]chestnutcleat.Address, float64) {
 	var near, all []chestnutcleat.Address
+	peers := e.fleet.Peers()
+	if isCutOff(e.self.VM, peers, e.ledger.Writable()) {
+		return nil, 0
+	}
 	add := func(m *peer.Member) {
 		all = append(all, m.Callers)
 		if m.Domain == domain {
@@ -207,8 +219,8 @@
 	if !e.leaving.Load() {
 		add(&e.self)
 	}
-	for _, p := range e.fleet.Peers() {
-		if !p.Silent() && !p.Leaving {
+	for i := range peers {
+		if p := &peers[i]; !p.Silent() && !p.Leaving {
 			add(&p.Member)
 		}
 	}
--- a/role/follow.go
+++ b/role/follow.go
@@ -51,7 +51,7 @@
 // isWatcher reports whether a VM with these peers watches the platform: in a small fleet, as one of the first VMs that are
 // heard, or in the place of those that do not reach the platform if it does itself. In an outage only the first ones go on.
 func isWatcher(self chestnutcleat.VMID, away bool, peers []peer.Peer) bool {
-	first, heard := rankHeard(self, peers, func(*peer.Peer) bool { return true })
+	first, heard := rankHeard(self, peers, anyPeer)
 	reaching, _ := rankHeard(self, peers, func(p *peer.Peer) bool { return !p.Away })
 	return heard <= allWatch || first < watchers || !away && reaching < watchers
 }
@@ -80,9 +80,12 @@
 	return rank, heard
 }
 
+// anyPeer counts all VMs that are heard.
+func anyPeer(*peer.Peer) bool { return true }
+
 // rankHeard returns this VM's place among those that are heard, and their number.
 func (b *base) rankHeard() (rank, heard int) {
-	return rankHeard(b.self.VM, b.fleet.Peers(), func(*peer.Peer) bool { return true })
+	return rankHeard(b.self.VM, b.fleet.Peers(), anyPeer)
 }
 
 // changed takes over a change and tells the other VMs at once if some of them do not watch.
