--- a/ledger/client.go
+++ b/ledger/client.go
@@ -149,10 +149,13 @@
 	return o, nil
 }
 
-// Writable reports whether enough copies to write to answered last time.
+// Writable reports whether enough copies to write to answered last time; before the copies are known nothing says otherwise.
 func (c *Client) Writable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.copies.Version == 0 {
+		return true
+	}
 	return c.copies.Written(func(d chestnutcleat.DiskID) bool {
 		s := c.senders[d]
 		return s != nil && !s.lost
@@ -161,7 +164,7 @@
 
 // Write is Persist, but fails at once while too few copies answer.
 func (c *Client) Write(ctx context.Context, r Record) ([]Attempt, error) {
-	if c.Copies().Version > 0 && !c.Writable() {
+	if !c.Writable() {
 		return nil, ErrUnsure
 	}
 	return c.Persist(ctx, r)
--- a/role/entry.go
+++ b/role/entry.go
@@ -199,7 +199,8 @@
 // serves, and most programs would fail here. While all VMs lack the records it is not, as they still serve plain services.
 func isCutOff(self chestnutcleat.VMID, peers []peer.Peer, writable bool) bool {
 	_, heard := rankHeard(self, peers, anyPeer)
-	return !writable && 2*heard <= len(peers)+1
+	listed := len(peers) + 1
+	return !writable && listed > 2 && 2*heard <= listed
 }
 
 // addresses are where callers of a failure domain connect: its own VMs if it has two or more. A VM that is cut off names
--- a/role/follow_test.go
+++ b/role/follow_test.go
@@ -69,6 +69,7 @@
 		{"half", 6, 2, false, true},
 		{"records lost for all", 7, 6, false, false},
 		{"only VM", 1, 0, false, false},
+		{"the other of two is gone", 2, 0, false, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
