Send callers to VMs that can write records

Change: a VM tells in its summary that it lacks a write quorum, and callers are not sent to such VMs while half or more of those that are heard can write. The rule for a VM that hears only the smaller side stays.

Tests: TestAddresses.

--- a/peer/summary.go
+++ b/peer/summary.go
@@ -29,6 +29,8 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Away is set while the VM does not reach the platform.
 	Away bool `json:"away,omitempty"`
+	// Unwritable is set while the VM does not reach enough copies to write programs' records.
+	Unwritable bool `json:"unwritable,omitempty"`
 	// Versions are those of the VM's copies of the platform's objects.
 	Versions map[chestnutcleat.ObjectKind]chestnutcleat.Version `json:"versions,omitempty"`
 	// Sent is the sender's own time, as Unix time in milliseconds.
--- a/role/entry.go
+++ b/role/entry.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -160,7 +159,7 @@
 // describe fills in this VM's summary.
 func (e *Entry) describe(s *peer.Summary) {
 	s.Leaving = e.leaving.Load()
-	s.Away = e.away()
+	s.Away, s.Unwritable = e.away(), !e.ledger.Writable()
 	s.Versions = e.versions()
 	s.Breaks = e.handler.Suspects.News()
 	s.Load = e.places.Own()
@@ -195,46 +194,25 @@
 	return nil
 }
 
-// isCutOff reports whether a VM is on the smaller side of a cut, without the records of programs: it can't say who else
-// serves, and most programs would fail here. While all VMs lack the records it is not, as they still serve plain services.
-func isCutOff(self chestnutcleat.VMID, peers []peer.Peer, writable bool) bool {
-	_, heard := rankHeard(self, peers, anyPeer)
-	listed := len(peers) + 1
-	return !writable && listed > 2 && 2*heard <= listed
-}
-
-// addresses are where callers of a failure domain connect: its own VMs if it has two or more. A VM that is cut off names
-// none, so that callers ask another one.
+// addresses are where callers of a failure domain connect. A VM that is cut off names none, so that callers ask another one.
 func (e *Entry) addresses(_ chestnutcleat.Region, domain chestnutcleat.FailureDomain) ([]chestnutcleat.Address, float64) {
-	var near, all []chestnutcleat.Address
 	peers := e.fleet.Peers()
-	if isCutOff(e.self.VM, peers, e.ledger.Writable()) {
+	writable := e.ledger.Writable()
+	if isCutOff(e.self.VM, peers, writable) {
 		return nil, 0
 	}
-	add := func(m *peer.Member) {
-		all = append(all, m.Callers)
-		if m.Domain == domain {
-			near = append(near, m.Callers)
-		}
-	}
+	var list []peer.Summary
 	if !e.leaving.Load() {
-		add(&e.self)
+		list = append(list, peer.Summary{Member: e.self, Unwritable: !writable})
 	}
 	for i := range peers {
 		if p := &peers[i]; !p.Silent() && !p.Leaving {
-			add(&p.Member)
+			list = append(list, p.Summary)
 		}
 	}
-	if len(near) > 1 {
-		all = near
-	}
-	slices.Sort(all)
-	return all[:min(len(all), maxAddresses)], min(holdTime, e.settings().Hold)
+	return addressesIn(domain, list), min(holdTime, e.settings().Hold)
 }
 
-// maxAddresses is how many addresses a caller takes at most.
-const maxAddresses = 64
-
 // configChanged puts a newer configuration into effect.
 func (e *Entry) configChanged(s mirror.Snapshot) {
 	for _, o := range s.Objects {
