Test the shutdown of an entry VM with whole processes

TestShutdown runs a storage VM, two entry VMs, the stand-in of the platform and two instances over real sockets, with callers that keep connections and callers that do not, and stops one VM: no request may fail, it must be out of readiness and of the addresses, and end without an error.

--- /dev/null
+++ b/role/fleet_test.go
@@ -0,0 +1,242 @@
+package role_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/role"
+	"chestnutcleat.example/chestnutcleat/settings"
+	"chestnutcleat.example/chestnutcleat/standin/store"
+)
+
+// patience bounds the waits for a state; tests end as soon as it is reached.
+const patience = 20 * time.Second
+
+type quiet struct{}
+
+func (quiet) Emit(chestnutcleat.EventID, ...any) {}
+
+// fleet is a platform, instances, one storage VM and some entry VMs as processes have them, over real sockets.
+type fleet struct {
+	t        *testing.T
+	platform *store.Store
+	entries  []*entry
+}
+
+// entry is an entry VM.
+type entry struct {
+	settings settings.Role
+	stop     chan struct{}
+	ended    chan error
+}
+
+// freeAddress returns a loopback address with a port that was free a moment ago, as VMs tell each other and callers theirs.
+func freeAddress(t *testing.T) (a chestnutcleat.Address, port int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return chestnutcleat.Address(l.Addr().String()), l.Addr().(*net.TCPAddr).Port
+}
+
+func newFleet(t *testing.T, entries int, serve http.HandlerFunc) *fleet {
+	f := &fleet{t: t, platform: store.New()}
+	platform := httptest.NewServer(f.platform.Handler())
+	t.Cleanup(platform.Close)
+	for i := range 2 {
+		s := httptest.NewServer(serve)
+		t.Cleanup(s.Close)
+		f.platform.Set("servers", fmt.Sprint("i-", i), map[string]any{
+			"service": "tool", "address": strings.TrimPrefix(s.URL, "http://"), "zone": "a", "slots": 32, "state": "ready", "born": 1,
+		})
+	}
+	f.platform.Set("config", "main", map[string]any{
+		"version": 1,
+		"routes": []any{map[string]any{
+			"name": "check", "host": "h", "path_prefix": "/check/", "type": "idempotent", "timeout_ms": 5000, "target_latency_ms": 1000,
+			"service": "tool", "max_attempts": 2,
+		}},
+		"services": []any{map[string]any{"name": "tool"}},
+		"tenants":  []any{map[string]any{"name": "c", "api_keys": []string{"key"}}},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	t.Cleanup(func() { cancel(); running.Wait() })
+	common := func(id, kind string) settings.Role {
+		_, port := freeAddress(t)
+		return settings.Role{
+			VM: chestnutcleat.VMID(id), Role: kind, Domain: "a", Region: "r", IP: "127.0.0.1", Ports: []int{port, port},
+			Platform: chestnutcleat.Address(strings.TrimPrefix(platform.URL, "http://")), Memory: 64, Grace: 4.5, Hold: 1, Window: 5,
+		}
+	}
+	s := common("s1", settings.RoleStore)
+	s.Folder = t.TempDir()
+	running.Go(func() {
+		p := role.Store{Stop: make(chan struct{})}
+		p.Settings, p.Observer = s, quiet{}
+		if err := p.Run(ctx); err != nil {
+			t.Errorf("storage VM: %v", err)
+		}
+	})
+	for i := range entries {
+		e := &entry{settings: common(fmt.Sprint("e", i), settings.RoleEntry), stop: make(chan struct{}), ended: make(chan error, 1)}
+		l := &e.settings.Listen
+		for _, a := range []*chestnutcleat.Address{&l.Callers, &l.Ready, &l.Registry} {
+			*a, _ = freeAddress(t)
+		}
+		f.entries = append(f.entries, e)
+		running.Go(func() {
+			p := role.Entry{Stop: e.stop}
+			p.Settings, p.Observer = e.settings, quiet{}
+			e.ended <- p.Run(ctx)
+		})
+	}
+	for _, e := range f.entries {
+		f.eventually("all VMs name all", func() bool { return len(e.addresses()) == entries })
+	}
+	return f
+}
+
+func (f *fleet) eventually(what string, reached func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(patience); !reached(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("%s: not within %v", what, patience)
+		}
+	}
+}
+
+// addresses asks the VM where to connect; none when it does not say.
+func (e *entry) addresses() []string {
+	a, err := http.Get("http://" + string(e.settings.Listen.Registry) + "/api/resolve?name=h&region=r&zone=a")
+	if err != nil {
+		return nil
+	}
+	defer a.Body.Close()
+	var list struct {
+		Addresses []string `json:"addresses"`
+	}
+	if a.StatusCode != http.StatusOK || json.NewDecoder(a.Body).Decode(&list) != nil {
+		return nil
+	}
+	return list.Addresses
+}
+
+func (e *entry) ready() bool {
+	a, err := http.Get("http://" + string(e.settings.Listen.Ready) + "/api/readyz")
+	if err != nil {
+		return false
+	}
+	defer a.Body.Close()
+	return a.StatusCode == http.StatusOK
+}
+
+// answer is an instance's whole and signed answer.
+func answer(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Chestnutcleat-Request-Id", r.Header.Get("Chestnutcleat-Request-Id"))
+	w.Header().Set("Chestnutcleat-Server-Seal", "seal")
+	_, _ = io.Copy(w, r.Body)
+}
+
+// caller sends requests until it is stopped, at addresses that it asks for again when they are as old as callers keep them.
+type caller struct {
+	fleet  *fleet
+	client http.Client
+	list   []string
+	asked  time.Time
+}
+
+// send sends one request; callers go on to another address when a connection is refused.
+func (c *caller) send(ctx context.Context, id string) error {
+	for ctx.Err() == nil {
+		if len(c.list) == 0 || time.Since(c.asked) > time.Second {
+			for _, e := range c.fleet.entries {
+				if list := e.addresses(); len(list) > 0 {
+					c.list, c.asked = list, time.Now()
+					break
+				}
+			}
+		}
+		q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.list[rand.IntN(len(c.list))]+"/check/x", strings.NewReader(id))
+		if err != nil {
+			return err
+		}
+		q.Host = "h"
+		q.Header.Set("Authorization", "Bearer key")
+		q.Header.Set("Chestnutcleat-Request-Id", id)
+		a, err := c.client.Do(q)
+		if isRefused(err) {
+			c.list = nil
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		body, err := io.ReadAll(a.Body)
+		a.Body.Close()
+		if err != nil || a.StatusCode != http.StatusOK || string(body) != id {
+			return fmt.Errorf("status %d, body %q, error %v", a.StatusCode, body, err)
+		}
+		return nil
+	}
+	return ctx.Err()
+}
+
+func isRefused(err error) bool {
+	return err != nil && strings.Contains(err.Error(), "connect: connection refused")
+}
+
+// A VM that shuts down must say so at once, answer every request that it accepted, and end without an error; callers that keep
+// their connections and callers that connect anew must notice nothing.
+func TestShutdown(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(5 * time.Millisecond)
+		answer(w, r)
+	})
+	var over atomic.Bool
+	var sent atomic.Int64
+	var callers sync.WaitGroup
+	for i := range 32 {
+		c := &caller{fleet: f, client: http.Client{Transport: &http.Transport{DisableKeepAlives: i%4 > 0}}}
+		callers.Go(func() {
+			for n := 0; !over.Load(); n++ {
+				if err := c.send(t.Context(), fmt.Sprintf("r%d-%d", i, n)); err != nil {
+					t.Errorf("request %d of caller %d: %v", n, i, err)
+				}
+				sent.Add(1)
+			}
+			c.client.CloseIdleConnections()
+		})
+	}
+	f.eventually("requests run", func() bool { return sent.Load() > 400 })
+	leaving, staying := f.entries[0], f.entries[1]
+	is.True(leaving.ready())
+	close(leaving.stop)
+	f.eventually("not ready", func() bool { return !leaving.ready() })
+	f.eventually("not named any more", func() bool {
+		return len(staying.addresses()) == 1 && staying.addresses()[0] == string(staying.settings.Listen.Callers)
+	})
+	is.NoErr(<-leaving.ended)
+	before := sent.Load()
+	f.eventually("requests run on", func() bool { return sent.Load() > before+400 })
+	over.Store(true)
+	callers.Wait()
+	t.Logf("%d requests", sent.Load())
+}
