--- a/config/table.go
+++ b/config/table.go
@@ -11,18 +11,16 @@
 // Table answers questions about one configuration.
 type Table struct {
 	Config
-	hosts     map[string][]*Route
-	keys      map[string]*Customer
-	customers map[chestnutcleat.CustomerID]*Customer
+	hosts map[string][]*Route
+	keys  map[string]*Customer
 }
 
 // NewTable indexes a configuration.
 func NewTable(c Config) *Table {
 	t := &Table{
-		Config:    c,
-		hosts:     map[string][]*Route{},
-		keys:      map[string]*Customer{},
-		customers: map[chestnutcleat.CustomerID]*Customer{},
+		Config: c,
+		hosts:  map[string][]*Route{},
+		keys:   map[string]*Customer{},
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -33,7 +31,6 @@
 	}
 	for i := range c.Customers {
 		u := &c.Customers[i]
-		t.customers[u.ID] = u
 		for _, k := range u.Keys {
 			t.keys[k] = u
 		}
@@ -57,12 +54,6 @@
 	return u, ok
 }
 
-// Customer returns a customer by its id.
-func (t *Table) Customer(id chestnutcleat.CustomerID) (*Customer, bool) {
-	u, ok := t.customers[id]
-	return u, ok
-}
-
 // Keyed reports whether requests need a key at all.
 func (t *Table) Keyed() bool { return len(t.Customers) > 0 }
 
--- a/ledger/join.go
+++ b/ledger/join.go
@@ -33,7 +33,9 @@
 	case q.Done:
 		delete(s.dumps, q.Dump)
 	case len(q.Want) > 0:
-		return r, d.pick(q.Want, &r)
+		if err := d.pick(q.Want, &r); err != nil {
+			return DumpReply{}, err
+		}
 	default:
 		d.list(q.After, &r)
 	}
--- a/rate/fleet.go
+++ b/rate/fleet.go
@@ -120,9 +120,11 @@
 		case <-d.given:
 		case <-again.C:
 		case <-t.C:
-			return f.giveUp(c, true), d.retry
+			f.giveUp(c, true)
+			return false, d.retry
 		case <-ctx.Done():
-			return f.giveUp(c, false), d.retry
+			f.giveUp(c, false)
+			return false, d.retry
 		}
 		d = f.try(c, time.Now(), true)
 		f.send(c, d.ask)
@@ -179,7 +181,7 @@
 }
 
 // giveUp ends the wait of a request. After one that waited in vain others need not wait for a while.
-func (f *Fleet) giveUp(c chestnutcleat.CustomerID, vain bool) bool {
+func (f *Fleet) giveUp(c chestnutcleat.CustomerID, vain bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if a := f.customers[c]; a != nil {
@@ -188,7 +190,6 @@
 			a.dry = time.Now()
 		}
 	}
-	return false
 }
 
 // Give takes off and returns what another VM asks for, as far as this one can spare it; none is an answer too.
