--- a/event/system.go
+++ b/event/system.go
@@ -17,6 +17,7 @@
 	CopyFailed     = add(813, Warning, "records could not be copied from another copy", "Check the storage VM that is named.")
 	CopyLost       = add(814, Warning, "copy does not take records", "Check the storage VM that is named.")
 	CopyRegained   = add(815, Info, "copy takes records again", "")
+	RecordsFilling = add(858, Warning, "little room is left for programs' records", "Give the storage VMs more memory or disk, or add storage VMs; reservations are refused once a bound is reached.")
 	DiskFailed     = add(816, Error, "log could not be written", "Check the disk of this VM.")
 	RecordLost     = add(817, Warning, "record could not be written", "Check the storage VMs; the reservation of the attempt stays.")
 	SetProposed    = add(818, Info, "change of the set of copies begun", "")
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -15,6 +15,8 @@
 	ErrNoCopies = errors.New("copies are not known")
 	// ErrUnsure reports that too few copies answered.
 	ErrUnsure = errors.New("too few copies answered")
+	// ErrFull reports that too many copies have no room for a reservation.
+	ErrFull = errors.New("too many copies are full")
 )
 
 const (
@@ -53,12 +55,16 @@
 
 // operation is a record on its way to the copies.
 type operation struct {
-	record   Record
-	held     map[chestnutcleat.DiskID]bool
+	record Record
+	held   map[chestnutcleat.DiskID]bool
+	// refused are the copies that have no room for it.
+	refused  map[chestnutcleat.DiskID]bool
 	attempts map[chestnutcleat.RequestID]Attempt
 	expiry   time.Time
 	done     chan struct{}
 	finished bool
+	// err is set before done is closed if the operation can't succeed.
+	err error
 }
 
 // Run keeps the senders until ctx is done.
@@ -122,19 +128,27 @@
 	}
 }
 
-// settleOperation ends an operation that a write quorum holds. It needs the lock.
+// settleOperation ends an operation that a write quorum holds, or that none can as too many copies are full. It needs the lock.
 func (c *Client) settleOperation(o *operation) {
-	if !o.finished && c.copies.Written(func(d chestnutcleat.DiskID) bool { return o.held[d] }) {
-		o.finished = true
-		close(o.done)
-		delete(c.pending, o)
+	if o.finished {
+		return
+	}
+	switch {
+	case c.copies.Written(func(d chestnutcleat.DiskID) bool { return o.held[d] }):
+	case len(o.refused) > 0 && !c.copies.Written(func(d chestnutcleat.DiskID) bool { return !o.refused[d] }):
+		o.err = ErrFull
+	default:
+		return
 	}
+	o.finished = true
+	close(o.done)
+	delete(c.pending, o)
 }
 
 // start queues a record for all copies.
 func (c *Client) start(r Record, expiry time.Time) (*operation, error) {
 	o := &operation{
-		record: r, held: map[chestnutcleat.DiskID]bool{}, attempts: map[chestnutcleat.RequestID]Attempt{},
+		record: r, held: map[chestnutcleat.DiskID]bool{}, refused: map[chestnutcleat.DiskID]bool{}, attempts: map[chestnutcleat.RequestID]Attempt{},
 		expiry: expiry, done: make(chan struct{}),
 	}
 	c.mu.Lock()
@@ -182,6 +196,9 @@
 	}
 	select {
 	case <-o.done:
+		if o.err != nil {
+			return nil, o.err
+		}
 	case <-ctx.Done():
 		c.drop(o)
 		return nil, errors.Join(ErrUnsure, ctx.Err())
@@ -340,7 +357,7 @@
 		s.putBack(batch)
 		return nil
 	}
-	s.acknowledge(batch, r.Attempts)
+	s.acknowledge(batch, &r)
 	return nil
 }
 
@@ -356,11 +373,18 @@
 	return nil
 }
 
-func (s *sender) acknowledge(batch []*operation, attempts [][]Attempt) {
+// acknowledge notes which operations of a batch the copy holds.
+func (s *sender) acknowledge(batch []*operation, r *AppendReply) {
 	c := s.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	attempts := r.Attempts
 	for _, o := range batch {
+		if o.record.Kind == Reserve && r.Full {
+			o.refused[s.copy.Disk] = true
+			c.settleOperation(o)
+			continue
+		}
 		if o.record.Kind == Reserve && len(attempts) > 0 {
 			merge(o.attempts, attempts[0])
 			attempts = attempts[1:]
--- a/ledger/message.go
+++ b/ledger/message.go
@@ -34,6 +34,8 @@
 // AppendReply has the other attempts of the program of each Reserve record, in the order of the request.
 type AppendReply struct {
 	Standing
+	// Full is set when the copy has no room and took no Reserve record.
+	Full     bool        `json:"f,omitempty"`
 	Attempts [][]Attempt `json:"a,omitempty"`
 }
 
--- a/role/store.go
+++ b/role/store.go
@@ -17,8 +17,12 @@
 	"chestnutcleat.example/chestnutcleat/platform"
 )
 
-// retireInterval is the time between looks at the orders to empty storage VMs.
-const retireInterval = 300 * time.Millisecond
+const (
+	// retireInterval is the time between looks at the orders to empty storage VMs.
+	retireInterval = 300 * time.Millisecond
+	// indexShare is the part of the process's memory for the index of the records.
+	indexShare = 3
+)
 
 // Store is the process of a storage VM.
 type Store struct {
@@ -47,6 +51,7 @@
 	s.store = store
 	s.init(store.Disk())
 	store.Peers, store.Observer = s.client, s.Observer
+	store.Memory, store.Space = int64(s.Settings.Memory)<<20/indexShare, int64(s.Settings.Space)<<20
 	store.Register(s.mux)
 	g, ctx := errgroup.WithContext(ctx)
 	s.build(ctx)
@@ -92,6 +97,20 @@
 	s.follow(fleetKind, false, s.fleetChanged)
 	s.follow(platform.RetirementKind, false, s.retirementsChanged)
 	s.gauges()
+	s.recordGauges()
+}
+
+// recordGauges registers what the records take and may take.
+func (s *Store) recordGauges() {
+	for name, value := range map[string]func() int64{
+		"records_memory_bytes": func() int64 { return s.store.Usage().Memory },
+		"records_memory_bound": func() int64 { return s.store.Memory },
+		"records_disk_bytes":   func() int64 { return s.store.Usage().Disk },
+		"records_disk_bound":   func() int64 { return s.store.Space },
+		"records_live_bytes":   func() int64 { return s.store.Usage().Live },
+	} {
+		s.Metrics.NewGauge(name, func() float64 { return float64(value()) })
+	}
 }
 
 // fleetChanged takes over the list of VMs and the set of copies.
--- a/settings/role.go
+++ b/settings/role.go
@@ -30,6 +30,8 @@
 	Platform chestnutcleat.Address `json:"platform"`
 	// Folder is the data folder of the store role.
 	Folder string `json:"folder,omitempty"`
+	// Space is what the records of the store role may take of the folder's disk, in megabytes; zero is no bound.
+	Space int `json:"space,omitempty"`
 	// Tolerance is the number of storage VMs that may be lost at once.
 	Tolerance int `json:"tolerance"`
 	// Memory is what the process may use, in megabytes.
@@ -96,6 +98,9 @@
 	if r.Role == RoleStore && !filepath.IsAbs(r.Folder) {
 		d.Add("folder", "expected the absolute path of the data folder, found %q", r.Folder)
 	}
+	if r.Space < 0 {
+		d.Add("space", "expected megabytes from 0, found %d", r.Space)
+	}
 	if r.Tolerance < 0 {
 		d.Add("tolerance", "expected a number from 0, found %d", r.Tolerance)
 	}
