Order VMs' messages by random incarnations and loans by steady time

Cause: summaries and grants were ordered by the time of day at the start of a process. A VM that starts while its clock is behind was taken for its own former process by all that had heard that one, for as long as it lived. Uses of a rate were sorted by the time of day, so a leap forward emptied the window early; loans ended by it, so a leap back made them last. Ruled out: records' times (30 s of slack against leaps of seconds), the turns of lists (a leap makes one list twice or late). Change: incarnations are drawn at random, and one that was followed by another is not heard again; windows count steady time; a loan ends by the clock that shows more, as the steady one stops in a suspension. Questions for tokens are numbered. Tests: TestSeries (fails with the order by start: the case 'started again'), TestElapsed.

--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -24,6 +26,8 @@
 	// silentIntervals is the number of missed summaries after which a VM's state is not known; a few datagrams get lost.
 	silentIntervals = 6
 	maxDatagram     = 60 << 10
+	// questionTime is how long an answer to a question is waited for; tokens are worth nothing after it.
+	questionTime = time.Second
 )
 
 // Peer is another VM and its last summary.
@@ -35,14 +39,16 @@
 	known time.Time
 	// patience is the age from which the last summary says nothing about the present.
 	patience time.Duration
-	// grantStarted and grantSequence are those of the last grant that the VM sent.
-	grantStarted  int64
-	grantSequence uint64
+	// summaries and grants order the VM's messages.
+	summaries, grants series
 }
 
 // Silent reports whether the VM's state is not known at the moment.
 func (p *Peer) Silent() bool { return p.Heard.IsZero() || time.Since(p.Heard) > p.patience }
 
+// Expected reports whether the VM was not heard yet, but may be soon.
+func (p *Peer) Expected() bool { return p.Heard.IsZero() && time.Since(p.known) < p.patience }
+
 // Quiet returns how long the VM has not been heard.
 func (p *Peer) Quiet() time.Duration {
 	if p.Heard.IsZero() {
@@ -77,13 +83,21 @@
 	listed   map[chestnutcleat.VMID]Member
 	sequence uint64
 	grants   uint64
-	now      chan struct{}
-	once     sync.Once
+	// incarnation names this process.
+	incarnation Incarnation
+	// questions has when those that have no answer yet were sent, by number, and question is the last number.
+	questions map[uint64]time.Time
+	question  uint64
+	now       chan struct{}
+	once      sync.Once
 }
 
 func (f *Fleet) init() {
 	f.once.Do(func() {
 		f.peers = map[chestnutcleat.VMID]*Peer{}
+		f.questions = map[uint64]time.Time{}
+		// Zero is that of a VM that was not heard yet.
+		f.incarnation = Incarnation(rand.Uint64() | 1)
 		f.now = make(chan struct{}, 1)
 	})
 }
@@ -99,11 +113,8 @@
 			continue
 		}
 		f.listed[m.VM] = m
-		if p := f.peers[m.VM]; p == nil {
+		if f.peers[m.VM] == nil {
 			f.peers[m.VM] = &Peer{Summary: Summary{Member: m}, known: time.Now(), patience: silentIntervals * interval}
-		} else if m.Started > p.Started {
-			// The process started again: its summaries are numbered anew.
-			p.Summary = Summary{Member: m}
 		}
 	}
 	patience := silentIntervals * intervalOf(len(f.listed))
@@ -178,21 +189,29 @@
 func (f *Fleet) receiveGrant(g *Grant) {
 	f.mu.Lock()
 	p := f.peers[g.From]
-	ok := p != nil && g.To == f.Self.Started && (g.Started > p.grantStarted || g.Started == p.grantStarted && g.Sequence > p.grantSequence)
-	if ok {
-		p.grantStarted, p.grantSequence = g.Started, g.Sequence
-	}
+	ok := p != nil && g.To == f.incarnation && p.grants.accept(g.Incarnation, g.Sequence)
+	asked, open := f.questions[g.Number]
+	delete(f.questions, g.Number)
 	f.mu.Unlock()
-	if ok && f.Granted != nil {
-		f.Granted(g.Tokens, time.UnixMilli(g.Asked))
+	if ok && open && f.Granted != nil {
+		f.Granted(g.Tokens, asked)
 	}
 }
 
 // Ask asks a VM for tokens; a lost datagram is made up for by the next question.
 func (f *Fleet) Ask(to chestnutcleat.VMID, t rate.Tokens) {
-	if a, ok := f.address(to); ok {
-		f.write(message{Question: &Question{From: f.Self.VM, Started: f.Self.Started, Sent: time.Now().UnixMilli(), Tokens: t}}, a)
+	a, ok := f.address(to)
+	if !ok {
+		return
 	}
+	f.mu.Lock()
+	now := time.Now()
+	maps.DeleteFunc(f.questions, func(_ uint64, sent time.Time) bool { return now.Sub(sent) > questionTime })
+	f.question++
+	q := Question{From: f.Self.VM, Incarnation: f.incarnation, Number: f.question, Tokens: t}
+	f.questions[q.Number] = now
+	f.mu.Unlock()
+	f.write(message{Question: &q}, a)
 }
 
 // answer gives tokens to the VM that asked for them; a lost datagram loses them.
@@ -207,7 +226,7 @@
 	}
 	f.mu.Lock()
 	f.grants++
-	g := Grant{From: f.Self.VM, Started: f.Self.Started, Sequence: f.grants, To: q.Started, Asked: q.Sent, Tokens: t}
+	g := Grant{From: f.Self.VM, Incarnation: f.incarnation, Sequence: f.grants, To: q.Incarnation, Number: q.Number, Tokens: t}
 	f.mu.Unlock()
 	f.write(message{Grant: &g}, a)
 }
@@ -248,7 +267,7 @@
 		p = &Peer{known: time.Now(), patience: silentIntervals * interval}
 		f.peers[s.VM] = p
 	}
-	if !newer(&s, p) {
+	if !p.summaries.accept(s.Incarnation, s.Sequence) {
 		f.mu.Unlock()
 		return
 	}
@@ -263,16 +282,6 @@
 	}
 }
 
-func newer(s *Summary, p *Peer) bool {
-	if p.Heard.IsZero() {
-		return true
-	}
-	if s.Started != p.Started {
-		return s.Started > p.Started
-	}
-	return s.Sequence > p.Sequence
-}
-
 func (f *Fleet) send(ctx context.Context) {
 	t := time.NewTimer(0)
 	defer t.Stop()
@@ -294,7 +303,7 @@
 func (f *Fleet) sendTo(peers []Peer) {
 	f.mu.Lock()
 	f.sequence++
-	s := Summary{Member: f.Self, Sequence: f.sequence, Sent: time.Now().UnixMilli()}
+	s := Summary{Member: f.Self, Incarnation: f.incarnation, Sequence: f.sequence}
 	f.mu.Unlock()
 	f.Describe(&s)
 	to := make([]chestnutcleat.Address, 0, len(peers))
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -76,7 +76,6 @@
 	return Member{
 		VM: chestnutcleat.VMID(fmt.Sprint("v", n)), Role: "entry",
 		Address: chestnutcleat.Address(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7).String()),
-		Started: time.Now().UnixMilli(),
 	}
 }
 
@@ -131,6 +130,31 @@
 	}
 }
 
+// VMs that were listed just now must not count as lost before they had the time to send a summary: where a whole fleet starts, each
+// VM took itself for the first one and watched the platform.
+func TestListedIsExpected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, w, list := is.New(t), newWire(), []Member{member(1), member(2), member(3)}
+		one, stopOne := begin(t, w, list[0], list)
+		_, stopTwo := begin(t, w, list[1], list)
+		expected := func() (n int) {
+			for _, p := range one.Peers() {
+				if p.Expected() {
+					n++
+				}
+			}
+			return n
+		}
+		is.Equal(expected(), 2)
+		time.Sleep(2 * interval)
+		is.Equal(expected(), 1) // one is heard
+		time.Sleep(silentIntervals * interval)
+		is.Equal(expected(), 0)
+		stopOne()
+		stopTwo()
+	})
+}
+
 // A VM that is cut off must become silent on both sides, and be heard again afterwards.
 func TestCut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -155,22 +179,53 @@
 func TestGrants(t *testing.T) {
 	is := is.New(t)
 	got := 0.0
-	f := &Fleet{Self: Member{VM: "v1", Started: 5}, Granted: func(t rate.Tokens, _ time.Time) { got += t["c"] }}
+	f := &Fleet{Self: Member{VM: "v1"}, Granted: func(t rate.Tokens, _ time.Time) { got += t["c"] }}
 	f.SetMembers([]Member{{VM: "v2"}})
-	grant := func(started int64, sequence uint64, to int64) {
-		f.receiveGrant(&Grant{From: "v2", Started: started, Sequence: sequence, To: to, Tokens: rate.Tokens{"c": 1}})
+	self, number := f.incarnation, uint64(0)
+	grant := func(giver Incarnation, sequence uint64, to Incarnation) {
+		number++
+		f.questions[number] = time.Now()
+		f.receiveGrant(&Grant{From: "v2", Incarnation: giver, Sequence: sequence, To: to, Number: number, Tokens: rate.Tokens{"c": 1}})
 	}
-	grant(1, 1, 5)
-	grant(1, 1, 5) // repeated
-	grant(1, 3, 5)
-	grant(1, 2, 5) // overtaken
-	grant(1, 4, 4) // for the process before
-	grant(2, 1, 5) // giver started again
-	grant(1, 9, 5) // giver's process before
-	f.receiveGrant(&Grant{From: "other", Started: 1, Sequence: 1, To: 5, Tokens: rate.Tokens{"c": 1}})
+	grant(9, 1, self)
+	grant(9, 1, self) // repeated
+	grant(9, 3, self)
+	grant(9, 2, self)                                                                                                      // overtaken
+	grant(9, 4, self+1)                                                                                                    // for another process
+	grant(2, 1, self)                                                                                                      // giver started again
+	grant(9, 9, self)                                                                                                      // giver's process before
+	f.receiveGrant(&Grant{From: "v2", Incarnation: 2, Sequence: 2, To: self, Number: number, Tokens: rate.Tokens{"c": 1}}) // answered
+	f.questions[0] = time.Now()
+	f.receiveGrant(&Grant{From: "other", Incarnation: 1, Sequence: 1, To: self, Tokens: rate.Tokens{"c": 1}})
 	is.Equal(got, 3.0)
 }
 
+// A process that starts while its clock is behind must be heard at once, and late datagrams of the one before must not bring
+// the former state back: ordered by the time of their start, all of its messages were taken as old ones.
+func TestSeries(t *testing.T) {
+	type message struct {
+		incarnation Incarnation
+		sequence    uint64
+		want        bool
+	}
+	for name, list := range map[string][]message{
+		"in order":               {{5, 1, true}, {5, 2, true}, {5, 9, true}},
+		"repeated":               {{5, 2, true}, {5, 2, false}, {5, 1, false}},
+		"started again":          {{5, 7, true}, {3, 1, true}, {3, 2, true}},
+		"late of the one before": {{5, 7, true}, {3, 1, true}, {5, 8, false}, {3, 2, true}},
+		"twice":                  {{5, 7, true}, {3, 1, true}, {8, 1, true}, {5, 9, false}, {3, 9, false}, {8, 2, true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s series
+			for i, m := range list {
+				if got := s.accept(m.incarnation, m.sequence); got != m.want {
+					t.Errorf("message %d: accepted %t", i, got)
+				}
+			}
+		})
+	}
+}
+
 // The datagrams of a VM must stay level as the fleet grows: each costs a system call here and a wake-up there.
 func TestDatagramsOfLargeFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/peer/summary.go
+++ b/peer/summary.go
@@ -16,15 +16,14 @@
 	Callers chestnutcleat.Address `json:"callers,omitempty"`
 	// Disk is the VM's data folder; empty for none.
 	Disk chestnutcleat.DiskID `json:"disk,omitempty"`
-	// Started is the Unix time of the process's start in milliseconds.
-	Started int64 `json:"started"`
 }
 
 // Summary is what a VM tells all others.
 type Summary struct {
 	Member
-	// Sequence orders the summaries of one process.
-	Sequence uint64 `json:"sequence"`
+	// Incarnation names the process, and Sequence orders its summaries.
+	Incarnation Incarnation `json:"incarnation"`
+	Sequence    uint64      `json:"sequence"`
 	// Leaving is set while the VM shuts down.
 	Leaving bool `json:"leaving,omitempty"`
 	// Away is set while the VM does not reach the platform.
@@ -33,8 +32,6 @@
 	Unwritable bool `json:"unwritable,omitempty"`
 	// Versions are those of the VM's copies of the platform's objects.
 	Versions map[chestnutcleat.ObjectKind]chestnutcleat.Version `json:"versions,omitempty"`
-	// Sent is the sender's own time, as Unix time in milliseconds.
-	Sent int64 `json:"sent"`
 	// Breaks are the requests while whose run instances broke off, by fingerprint, and how often.
 	Breaks map[uint64]int `json:"breaks,omitempty"`
 	// Load is the number of requests that the VM has at each instance.
@@ -44,23 +41,21 @@
 // Question asks another VM for tokens of customers' rates.
 type Question struct {
 	From chestnutcleat.VMID `json:"from"`
-	// Started is the start of the asker's process.
-	Started int64 `json:"started"`
-	// Sent is the asker's own time, as Unix time in milliseconds.
-	Sent   int64       `json:"sent"`
-	Tokens rate.Tokens `json:"tokens"`
+	// Incarnation is the asker's process, and Number tells its questions apart.
+	Incarnation Incarnation `json:"incarnation"`
+	Number      uint64      `json:"number"`
+	Tokens      rate.Tokens `json:"tokens"`
 }
 
 // Grant gives another VM tokens of customers' rates.
 type Grant struct {
 	From chestnutcleat.VMID `json:"from"`
-	// Started is the start of the giver's process, Sequence orders its grants.
-	Started  int64  `json:"started"`
-	Sequence uint64 `json:"sequence"`
-	// To is the start of the receiver's process; another process takes nothing.
-	To int64 `json:"to"`
-	// Asked is the receiver's own time of its question, as Unix time in milliseconds.
-	Asked  int64       `json:"asked"`
+	// Incarnation is the giver's process, and Sequence orders its grants.
+	Incarnation Incarnation `json:"incarnation"`
+	Sequence    uint64      `json:"sequence"`
+	// To is the receiver's process, another one takes nothing, and Number that of its question.
+	To     Incarnation `json:"to"`
+	Number uint64      `json:"number"`
 	Tokens rate.Tokens `json:"tokens"`
 }
 
--- a/rate/account.go
+++ b/rate/account.go
@@ -46,12 +46,21 @@
 	tokens float64
 }
 
-// loan is tokens of another VM that are used until a time.
+// loan is tokens of another VM, asked for at a time.
 type loan struct {
 	tokens float64
-	until  time.Time
+	asked  time.Time
 }
 
+// usable reports whether the lender still counts the tokens as not used yet.
+func (l loan) usable(now time.Time) bool {
+	return elapsed(now.Sub(l.asked), now.Round(0).Sub(l.asked.Round(0))) < takeTime
+}
+
+// elapsed is the time that passed by the clock that shows more: the steady one does not count the time in which a VM is
+// suspended, and the time of day may leap either way.
+func elapsed(steady, day time.Duration) time.Duration { return max(steady, day.Abs()) }
+
 // holdersOf returns the VMs that a customer's tokens are divided among. All VMs of a small fleet are; the parts that very many
 // VMs would have were too small to admit a request.
 func holdersOf(c chestnutcleat.CustomerID, whole float64, vms []chestnutcleat.VMID) []chestnutcleat.VMID {
@@ -95,7 +104,7 @@
 	a.demand *= math.Exp(-passed.Seconds() / demandTime.Seconds())
 	a.used.forget(now)
 	n := 0
-	for n < len(a.borrowed) && !now.Before(a.borrowed[n].until) {
+	for n < len(a.borrowed) && !a.borrowed[n].usable(now) {
 		n++
 	}
 	a.borrowed = a.borrowed[n:]
@@ -159,11 +168,11 @@
 }
 
 // answered notes the answer to a question. A holder that has tokens is asked again.
-func (a *account) answered(tokens float64, until time.Time) {
+func (a *account) answered(l loan) {
 	a.open = false
-	if tokens <= 0 {
+	if l.tokens <= 0 {
 		a.next++
 		return
 	}
-	a.borrowed = append(a.borrowed, loan{tokens: tokens, until: until})
+	a.borrowed = append(a.borrowed, l)
 }
--- a/rate/fleet.go
+++ b/rate/fleet.go
@@ -87,7 +87,7 @@
 		a := f.customers[c.ID]
 		fresh := a == nil
 		if fresh {
-			a = &account{at: now, used: window{length: f.Window}, next: int(chestnutcleat.Rendezvous(string(c.ID), f.Self) >> 32)}
+			a = &account{at: now, used: window{length: f.Window, begun: now}, next: int(chestnutcleat.Rendezvous(string(c.ID), f.Self) >> 32)}
 		} else {
 			a.advance(now)
 			a.scale(whole / a.whole)
@@ -216,16 +216,13 @@
 func (f *Fleet) Take(given Tokens, asked time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	until := asked.Add(takeTime)
-	if asked.After(time.Now()) || !time.Now().Before(until) {
+	if !(loan{asked: asked}).usable(time.Now()) {
 		return
 	}
 	for c, n := range given {
-		a := f.customers[c]
-		if a == nil {
-			continue
+		if a := f.customers[c]; a != nil {
+			a.answered(loan{tokens: n, asked: asked})
 		}
-		a.answered(n, until)
 	}
 	close(f.given)
 	f.given = make(chan struct{})
--- a/rate/fleet_test.go
+++ b/rate/fleet_test.go
@@ -326,6 +326,33 @@
 	})
 }
 
+// A loan must end by the clock that shows more: after a suspension the steady clock is behind, and the time of day may have leapt
+// back, so a borrower that trusts one of them uses tokens that the lender admits again.
+func TestElapsed(t *testing.T) {
+	is := is.New(t)
+	for _, tt := range []struct{ steady, day, want time.Duration }{
+		{time.Second, time.Second, time.Second},
+		{time.Millisecond, 5 * time.Second, 5 * time.Second}, // suspended
+		{time.Second, -2 * time.Second, 2 * time.Second},     // leapt back
+		{time.Second, time.Millisecond, time.Second},         // leapt back by as much
+	} {
+		is.Equal(elapsed(tt.steady, tt.day), tt.want)
+	}
+}
+
+// A use must count for the whole window and no slot longer.
+func TestWindowSlots(t *testing.T) {
+	is := is.New(t)
+	begun := time.Now()
+	w := window{length: window5, begun: begun}
+	w.add(begun.Add(time.Second), 3)
+	w.forget(begun.Add(time.Second + window5 - slotTime))
+	is.Equal(w.total, 3.0)
+	w.forget(begun.Add(time.Second + window5 + 2*slotTime))
+	is.Equal(w.total, 0.0)
+	is.Equal(w.slotOf(begun.Add(-time.Millisecond)), int64(0)) // no slot before the first
+}
+
 // All VMs must divide a customer's tokens in the same way, the parts must be worth a request, and the list of one VM more
 // must move few of them.
 func TestHolders(t *testing.T) {
--- a/rate/window.go
+++ b/rate/window.go
@@ -13,8 +13,10 @@
 // window counts uses within a sliding window. A use is forgotten when its whole slot has left the window.
 type window struct {
 	length time.Duration
-	slots  []slot
-	total  float64
+	// begun is the start of the first slot; slots are told apart by the steady clock, as the time of day may leap.
+	begun time.Time
+	slots []slot
+	total float64
 }
 
 // slot has the uses of one slotTime.
@@ -23,11 +25,13 @@
 	used   float64
 }
 
-func slotOf(t time.Time) int64 { return t.UnixNano() / int64(slotTime) }
+func (w *window) slotOf(t time.Time) int64 {
+	return int64(t.Sub(w.begun).Truncate(slotTime) / slotTime)
+}
 
 // forget drops the slots that have left the window.
 func (w *window) forget(now time.Time) {
-	first := slotOf(now.Add(-w.length))
+	first := w.slotOf(now.Add(-w.length))
 	n := 0
 	for n < len(w.slots) && w.slots[n].number < first {
 		w.total -= w.slots[n].used
@@ -43,7 +47,7 @@
 // add counts uses at a time, which may lie ahead.
 func (w *window) add(at time.Time, n float64) {
 	w.total += n
-	number := slotOf(at)
+	number := w.slotOf(at)
 	i := len(w.slots)
 	for i > 0 && w.slots[i-1].number > number {
 		i--
