Start a fleet with few calls to the platform

Printed by kind: 57 + 56 + 33 + 20 whole lists, of which one each VM and kind at the start and the rest turns of lists that every VM took for itself before it heard others; some 150 watches, as each VM watches until it hears eight others, and every object that is written ends all of them.

--- a/keeper/fleet_test.go
+++ b/keeper/fleet_test.go
@@ -60,7 +60,7 @@
 	return o.Version, nil
 }
 
-func (*memory) List(context.Context, chestnutcleat.ObjectKind) ([]chestnutcleat.Stored, chestnutcleat.Version, error) {
+func (*memory) List(context.Context, chestnutcleat.ObjectKind, chestnutcleat.Freshness) ([]chestnutcleat.Stored, chestnutcleat.Version, error) {
 	return nil, 0, errAway
 }
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -6,7 +6,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,12 +21,16 @@
 	minRetry = 100 * time.Millisecond
 	maxRetry = 500 * time.Millisecond
 	// spacing lets changes that come together share one call.
-	spacing = 50 * time.Millisecond
+	spacing = 200 * time.Millisecond
+	// relistTime is the time between two lists of a VM that has just started.
+	relistTime = 500 * time.Millisecond
 )
 
-// Snapshot is all objects of a kind at one version.
+// Snapshot is all objects of a kind at one version, or the changes since another one.
 type Snapshot struct {
-	Version chestnutcleat.Version  `json:"version"`
+	Version chestnutcleat.Version `json:"version"`
+	// Since is the version that the objects are the changes since; zero for all objects.
+	Since   chestnutcleat.Version  `json:"since,omitempty"`
 	Objects []chestnutcleat.Stored `json:"objects"`
 	// Lapsed names those of the objects that the platform lost and that may come back.
 	Lapsed []string `json:"lapsed,omitempty"`
@@ -48,6 +51,8 @@
 	// Watches reports whether this VM watches the platform; one that does not takes over what others offer, and nil means
 	// that it does.
 	Watches func() bool
+	// Relists reports whether this VM, which does not watch, lists the kind meanwhile; nil means that it does not.
+	Relists func() bool
 	// ProbePause is the time between looks whether the platform is back, of a VM that does not watch and did not reach it.
 	ProbePause func() time.Duration
 
@@ -57,6 +62,9 @@
 	lapsed map[string]time.Time
 	// dropped has the objects that went within massTime.
 	dropped []dropped
+	// removed has the versions at which objects were removed, complete since the version first.
+	removed map[string]chestnutcleat.Version
+	first   chestnutcleat.Version
 	// version is that of the last change seen, position where the next watch goes on.
 	version, position chestnutcleat.Version
 	away              bool
@@ -74,15 +82,6 @@
 	return m.version
 }
 
-// Offered returns what another VM may take over.
-func (m *Mirror) Offered() Snapshot {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	s := m.snapshot()
-	s.Lapsed = slices.Sorted(maps.Keys(m.lapsed))
-	return s
-}
-
 // Age returns how long ago the platform, or another VM, last told this VM the present state; it is negative before the first time.
 func (m *Mirror) Age() time.Duration {
 	m.mu.Lock()
@@ -100,15 +99,6 @@
 	return m.away
 }
 
-func (m *Mirror) snapshot() Snapshot {
-	s := Snapshot{Version: m.version, Objects: make([]chestnutcleat.Stored, 0, len(m.objects))}
-	for _, o := range m.objects {
-		s.Objects = append(s.Objects, o)
-	}
-	slices.SortFunc(s.Objects, func(a, b chestnutcleat.Stored) int { return strings.Compare(a.Name, b.Name) })
-	return s
-}
-
 // Run follows the platform until ctx is done.
 func (m *Mirror) Run(ctx context.Context) error {
 	retry := minRetry
@@ -142,16 +132,10 @@
 	}
 	m.mu.Unlock()
 	if position > 0 && m.Watches != nil && !m.Watches() && !m.probes() {
-		m.apply(nil, position, position, false)
-		return chestnutcleat.Sleep(ctx, idleCheck)
+		return m.rest(ctx, position)
 	}
 	if position == 0 {
-		list, version, err := m.Store.List(ctx, m.Kind)
-		if err != nil {
-			return err
-		}
-		m.replace(Snapshot{Version: version, Objects: list})
-		return nil
+		return m.list(ctx, m.freshness())
 	}
 	list, version, err := m.Store.Watch(ctx, m.Kind, position, wait)
 	if errors.Is(err, chestnutcleat.ErrCompacted) {
@@ -167,6 +151,27 @@
 	return nil
 }
 
+// rest passes the time of a VM that does not watch.
+func (m *Mirror) rest(ctx context.Context, position chestnutcleat.Version) error {
+	m.apply(nil, position, position, false)
+	if m.Relists == nil || !m.Relists() {
+		return chestnutcleat.Sleep(ctx, idleCheck)
+	}
+	if err := chestnutcleat.Sleep(ctx, relistTime); err != nil {
+		return err
+	}
+	return m.list(ctx, chestnutcleat.Stale)
+}
+
+// freshness is that of the list to begin with. What a stale one lacks, the watch or another VM brings, but a watch that lost its
+// history can't go on from before what is known.
+func (m *Mirror) freshness() chestnutcleat.Freshness {
+	if m.Version() == 0 {
+		return chestnutcleat.Stale
+	}
+	return chestnutcleat.Fresh
+}
+
 // probes reports whether it is time to look whether the platform is back.
 func (m *Mirror) probes() bool {
 	m.mu.Lock()
@@ -175,8 +180,10 @@
 }
 
 // Refresh takes over the platform's list, for the case that a watch waits in vain.
-func (m *Mirror) Refresh(ctx context.Context) error {
-	list, version, err := m.Store.List(ctx, m.Kind)
+func (m *Mirror) Refresh(ctx context.Context) error { return m.list(ctx, chestnutcleat.Fresh) }
+
+func (m *Mirror) list(ctx context.Context, f chestnutcleat.Freshness) error {
+	list, version, err := m.Store.List(ctx, m.Kind, f)
 	if err != nil {
 		return err
 	}
@@ -211,18 +218,29 @@
 				next[o.Name] = o
 			}
 		}
-		missing := m.replaceObjects(next, nil)
+		m.position = s.Version
+		if m.version > 0 && len(m.lapsed) == 0 && m.holds(next) {
+			// Other kinds changed; a new version of this one would make all VMs ask for it.
+			return false, regained
+		}
+		missing := m.replaceObjects(next, nil, s.Version)
 		m.keepLapsed(missing, regained || isMass(len(missing), len(next)))
-		m.version, m.position = s.Version, s.Version
+		m.version = s.Version
 		return true, regained
 	})
 }
 
+// holds reports whether the objects are the known ones.
+func (m *Mirror) holds(next map[string]chestnutcleat.Stored) bool {
+	return maps.EqualFunc(m.objects, next, func(a, b chestnutcleat.Stored) bool { return a.Version == b.Version })
+}
+
 // replaceObjects takes over a whole list, of which some may have lapsed, and returns the objects that it lacks.
-func (m *Mirror) replaceObjects(next map[string]chestnutcleat.Stored, lapsed []string) (missing []chestnutcleat.Stored) {
+func (m *Mirror) replaceObjects(next map[string]chestnutcleat.Stored, lapsed []string, v chestnutcleat.Version) (missing []chestnutcleat.Stored) {
 	for name, o := range m.objects {
 		if _, ok := next[name]; !ok {
 			missing = append(missing, o)
+			m.note(name, v)
 		}
 	}
 	for name := range next {
@@ -253,6 +271,7 @@
 				m.lapse(o.Name)
 			} else if o.Deleted {
 				m.remove(o.Name)
+				m.note(o.Name, position)
 			} else {
 				m.objects[o.Name] = o
 				delete(m.lapsed, o.Name)
@@ -269,29 +288,6 @@
 	})
 }
 
-// Offer takes over the snapshot of another VM if it is newer.
-func (m *Mirror) Offer(s Snapshot) {
-	m.update(true, func() (changed, regained bool) {
-		if s.Version <= m.version {
-			return false, false
-		}
-		next := make(map[string]chestnutcleat.Stored, len(s.Objects))
-		for _, o := range s.Objects {
-			next[o.Name] = o
-		}
-		missing := m.replaceObjects(next, s.Lapsed)
-		m.keepLapsed(missing, isMass(len(missing), len(next)))
-		if m.Lapses {
-			for _, name := range s.Lapsed {
-				m.lapse(name)
-			}
-		}
-		m.version = s.Version
-		m.position = max(m.position, s.Version)
-		return true, false
-	})
-}
-
 // update runs f under the lock and reports what it changed; told is set when the platform or another VM answered.
 func (m *Mirror) update(told bool, f func() (changed, regained bool)) {
 	m.notify.Lock()
@@ -301,6 +297,12 @@
 		m.objects = map[string]chestnutcleat.Stored{}
 	}
 	changed, regained := f()
+	if m.first == 0 {
+		m.first = m.version
+	}
+	if len(m.removed) > maxRemoved {
+		m.removed, m.first = nil, m.version
+	}
 	if told {
 		m.told = time.Now()
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -35,6 +35,8 @@
 	slow       time.Duration
 	lists      int
 	watches    int
+	// asked are the freshnesses of the lists.
+	asked []chestnutcleat.Freshness
 }
 
 func newPlatform() *platform {
@@ -64,9 +66,10 @@
 	f(p)
 }
 
-func (p *platform) List(context.Context, chestnutcleat.ObjectKind) ([]chestnutcleat.Stored, chestnutcleat.Version, error) {
+func (p *platform) List(_ context.Context, _ chestnutcleat.ObjectKind, f chestnutcleat.Freshness) ([]chestnutcleat.Stored, chestnutcleat.Version, error) {
 	p.mu.Lock()
 	p.lists++
+	p.asked = append(p.asked, f)
 	var list []chestnutcleat.Stored
 	for _, o := range p.objects {
 		list = append(list, o)
@@ -264,7 +267,7 @@
 		is.Equal(seen(), []string{"a", "b"})
 		m.Offer(Snapshot{Version: v + 2, Objects: []chestnutcleat.Stored{{Name: "z", Version: v + 2}}})
 		is.Equal(seen(), []string{"a", "b"})
-		is.Equal(names(m.Offered()), []string{"a", "b"})
+		is.Equal(names(m.Offered(0)), []string{"a", "b"})
 	})
 }
 
@@ -273,8 +276,11 @@
 func TestLapseWithoutWatch(t *testing.T) {
 	all := []string{"a", "b", "c", "d"}
 	for name, learn := range map[string]func(t *testing.T, p *platform, m, watching *Mirror) error{
-		"list":  func(t *testing.T, _ *platform, m, _ *Mirror) error { return m.Refresh(t.Context()) },
-		"offer": func(_ *testing.T, _ *platform, m, watching *Mirror) error { m.Offer(watching.Offered()); return nil },
+		"list": func(t *testing.T, _ *platform, m, _ *Mirror) error { return m.Refresh(t.Context()) },
+		"offer": func(_ *testing.T, _ *platform, m, watching *Mirror) error {
+			m.Offer(watching.Offered(m.Version()))
+			return nil
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			play(t, func(t *testing.T, is *is.I, p *platform) {
--- a/objects.go
+++ b/objects.go
@@ -22,10 +22,20 @@
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
+// Freshness tells how old a list may be.
+type Freshness int
+
+const (
+	// Fresh lists show all that was acknowledged before the call.
+	Fresh Freshness = iota
+	// Stale lists may be seconds old; they cost the platform a tenth.
+	Stale
+)
+
 // ObjectStore is the platform's store of objects by kind and name.
 type ObjectStore interface {
 	// List returns all objects of a kind and the version of the list.
-	List(ctx context.Context, k ObjectKind) ([]Stored, Version, error)
+	List(ctx context.Context, k ObjectKind, f Freshness) ([]Stored, Version, error)
 	// Watch waits up to wait for changes after a version and returns them with the version to go on from.
 	Watch(ctx context.Context, k ObjectKind, after Version, wait time.Duration) ([]Stored, Version, error)
 	// Write creates or replaces an object if its version is still o.Version, else it returns ErrConflict.
--- a/role/base.go
+++ b/role/base.go
@@ -53,6 +53,8 @@
 	// mirrors has the kinds that this VM follows.
 	mirrors map[chestnutcleat.ObjectKind]*mirror.Mirror
 	tcp     net.Listener
+	// started is when the process started.
+	started time.Time
 
 	// known returns what this VM takes for true.
 	known func() Beliefs
@@ -95,8 +97,8 @@
 	}
 	b.self = peer.Member{
 		VM: s.VM, Role: s.Role, Domain: s.Domain, Address: s.Internal(), Callers: s.Listen.Callers, Disk: disk,
-		Started: time.Now().UnixMilli(),
 	}
+	b.started = time.Now()
 	b.objects = platform.NewObjects(s.Platform)
 	calls := b.Metrics.NewCounter("platform_calls_total")
 	b.objects.Called = func(int, error) { calls.Inc() }
--- a/role/beliefs.go
+++ b/role/beliefs.go
@@ -72,7 +72,7 @@
 func kindBeliefs(mirrors map[chestnutcleat.ObjectKind]*mirror.Mirror) []KindBelief {
 	list := make([]KindBelief, 0, len(mirrors))
 	for k, m := range mirrors {
-		s := m.Offered()
+		s := m.Offered(0)
 		age := m.Age().Seconds()
 		if age < 0 {
 			age = -1
--- a/role/fleet_test.go
+++ b/role/fleet_test.go
@@ -82,7 +82,7 @@
 		_, port := freeAddress(t)
 		return settings.Role{
 			VM: chestnutcleat.VMID(id), Role: kind, Domain: "a", Region: "r", IP: "127.0.0.1", Ports: []int{port, port},
-			Platform: chestnutcleat.Address(strings.TrimPrefix(platform.URL, "http://")), Memory: 64, Grace: 4.5, Hold: 1, Window: 5,
+			Platform: chestnutcleat.Address(strings.TrimPrefix(platform.URL, "http://")), Memory: 64, Grace: 4.5, Hold: 1, Apply: 2000, Drain: 2000, Window: 5,
 		}
 	}
 	s := common("s1", settings.RoleStore)
--- a/role/follow.go
+++ b/role/follow.go
@@ -17,36 +17,53 @@
 	// follow those: calls to the platform must not grow with the fleet.
 	allWatch = 8
 	watchers = 4
+	// settleTime bounds the time after its start in which a VM does not watch, as its lists may be old.
+	settleTime = 4 * time.Second
 	// probeSpacing is the time between the looks of all VMs that do not watch and did not reach the platform.
 	probeSpacing = 500 * time.Millisecond
 	// aheadWait gives this VM's own watch the time to bring what another VM already has.
 	aheadWait     = 150 * time.Millisecond
 	methodObjects = chestnutcleat.Method("mirror/objects")
 	objectsTime   = time.Second
-	// pollSlot is the time between two lists that the VMs take in turn: a watch that waits in vain, as the platform does not
-	// tell it of a change, must not hold up a configuration or the leaving of an instance.
-	pollSlot = 350 * time.Millisecond
+	// pollShare is the part of the time for following a change that lies between two lists that the VMs take in turn: a watch that
+	// waits in vain, as the platform does not tell it of a change, must not hold up a configuration or the leaving of an instance.
+	pollShare = 6
 )
 
-// objectsRequest asks another VM for its copy of a kind.
+// objectsRequest asks another VM for its copy of a kind, or the changes since a version.
 type objectsRequest struct {
-	Kind chestnutcleat.ObjectKind `json:"kind"`
+	Kind  chestnutcleat.ObjectKind `json:"kind"`
+	Since chestnutcleat.Version    `json:"since,omitempty"`
 }
 
 // follow adds a kind to those that this VM mirrors.
 func (b *base) follow(k chestnutcleat.ObjectKind, lapses bool, changed func(mirror.Snapshot)) {
 	seed := uint64(time.Now().UnixNano())
+	var relists func() bool
+	if k == fleetKind {
+		relists = func() bool { return !b.settled() }
+	}
 	b.mirrors[k] = &mirror.Mirror{
 		Store: b.objects, Kind: k, Lapses: lapses, Changed: b.changed(changed),
 		Lost:     func(err error) { b.Observer.Emit(event.PlatformLost, "kind", k, "error", err) },
 		Regained: func() { b.Observer.Emit(event.PlatformBack, "kind", k) },
 		Rand:     rand.New(rand.NewPCG(seed, seed)),
-		Watches:  b.watches, ProbePause: b.probePause,
+		Watches:  b.watches, Relists: relists, ProbePause: b.probePause,
 	}
 }
 
 // watches reports whether this VM watches the platform itself.
-func (b *base) watches() bool { return isWatcher(b.self.VM, b.away(), b.fleet.Peers()) }
+func (b *base) watches() bool {
+	return b.settled() && isWatcher(b.self.VM, b.away(), b.fleet.Peers())
+}
+
+// settled reports whether the VM knows the fleet: if all VMs start at once none hears of the others before their objects are
+// listed, and each would watch for itself.
+func (b *base) settled() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.listed[b.self.VM] > 0 || time.Since(b.started) > settleTime
+}
 
 // isWatcher reports whether a VM with these peers watches the platform: in a small fleet, as one of the first VMs that are
 // heard, or in the place of those that do not reach the platform if it does itself. In an outage only the first ones go on.
@@ -63,13 +80,13 @@
 	return pause/2 + rand.N(pause)
 }
 
-// rankHeard returns a VM's place among its peers that are heard and counted, and the number of all that are heard, itself
-// included.
+// rankHeard returns a VM's place among its peers that are heard, or not missed yet, and counted, and the number of all of
+// these, itself included.
 func rankHeard(self chestnutcleat.VMID, peers []peer.Peer, counted func(*peer.Peer) bool) (rank, heard int) {
 	heard = 1
 	for i := range peers {
 		p := &peers[i]
-		if p.Silent() {
+		if p.Silent() && !p.Expected() {
 			continue
 		}
 		heard++
@@ -119,14 +136,16 @@
 
 // poll lists the given kinds in turn with the other VMs that are heard, so that the calls do not grow with the fleet.
 func (b *base) poll(ctx context.Context, kinds ...chestnutcleat.ObjectKind) error {
+	length := time.Duration(min(b.Settings.Apply, b.Settings.Drain)) * time.Millisecond / pollShare
 	for {
+		// The time of day only spreads the turns: where it leaps a list is made twice or late.
 		now := time.Now()
-		if chestnutcleat.Sleep(ctx, now.Truncate(pollSlot).Add(pollSlot).Sub(now)) != nil {
+		if chestnutcleat.Sleep(ctx, now.Truncate(length).Add(length).Sub(now)) != nil {
 			return nil
 		}
-		slot := int(time.Now().UnixMilli() / pollSlot.Milliseconds())
+		slot := int(time.Now().UnixNano() / int64(length))
 		rank, heard := b.rankHeard()
-		if slot/len(kinds)%heard != rank {
+		if !b.settled() || slot/len(kinds)%heard != rank {
 			continue
 		}
 		m := b.mirrors[kinds[slot%len(kinds)]]
@@ -148,7 +167,7 @@
 	if m == nil {
 		return mirror.Snapshot{}, fmt.Errorf("kind %q is not followed here", q.Kind)
 	}
-	return m.Offered(), nil
+	return m.Offered(q.Since), nil
 }
 
 // catchUp asks another VM for the kinds of which it has newer objects.
@@ -181,7 +200,7 @@
 	defer cancel()
 	var s mirror.Snapshot
 	// A VM that does not answer is asked again after its next summary.
-	if err := b.client.Call(ctx, a, methodObjects, objectsRequest{Kind: m.Kind}, &s); err != nil {
+	if err := b.client.Call(ctx, a, methodObjects, objectsRequest{Kind: m.Kind, Since: m.Version()}, &s); err != nil {
 		return
 	}
 	b.Observer.Emit(event.PeerAhead, "kind", m.Kind, "version", s.Version, "before", m.Version(), "from", id)
--- a/settings/role.go
+++ b/settings/role.go
@@ -41,6 +41,10 @@
 	// Hold is the longest time that callers keep a list of addresses, in seconds.
 	Hold float64 `json:"hold"`
 	Log  Log     `json:"log,omitempty"`
+	// Apply is the time in which a configuration must be in effect on all VMs, and Drain that in which a leaving instance must get no
+	// more work, in milliseconds.
+	Apply int `json:"apply"`
+	Drain int `json:"drain"`
 	// Window is the span over which customers' rates hold, in seconds.
 	Window float64 `json:"window"`
 	// Metrics is the port of the metrics address; zero for none.
@@ -110,6 +114,12 @@
 	if r.Grace <= 0 {
 		d.Add("grace", "expected seconds above 0, found %v", r.Grace)
 	}
+	if r.Apply <= 0 {
+		d.Add("apply", "expected milliseconds above 0, found %d", r.Apply)
+	}
+	if r.Drain <= 0 {
+		d.Add("drain", "expected milliseconds above 0, found %d", r.Drain)
+	}
 	if r.Window <= 0 {
 		d.Add("window", "expected seconds above 0, found %v", r.Window)
 	}
