Survive messages that panic; count comments of streams as nothing

Cause 1: outside net/http a panic in the handling of a datagram, of a call of another VM or of a change at the platform ended the process, and the same message reaches all VMs. Cause 2: a comment of an event stream counted as an event: it put the limit on silence off, so a stalled stream that drips comments went on until its deadline, and it used up the program's budget and changed the next turn's input. Ruled out: bytes of an event that drip (the limit counts whole events), slow streams that may not move (TestSlowStreamLasts passes before and after). Change: package guard; a datagram, call or change that panics is given up with a log line and its stack, and datagrams that can't be read are counted; comments are passed on and nothing else. Tests, which fail before: peer.TestBadDatagramCostsItselfOnly, vm.TestPanicOfHandler (both end the test process), entry.TestDrippingStreamMoves/comments, entry.TestCommentsAreNoOutput.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -124,7 +124,10 @@
 		if err != nil {
 			return t.broke(use, errors.Join(context.Cause(ctx), err))
 		}
-		watch.Reset(t.stallTime())
+		if e.Data != nil {
+			// Comments say nothing about the run, so they don't put its end off.
+			watch.Reset(t.stallTime())
+		}
 		if err := t.deliver(a, e); err != nil {
 			use.End(place.Unclear)
 			return &failure{ran: true, err: err}
@@ -158,6 +161,14 @@
 	if _, err := t.w.Write(e.Raw); err != nil {
 		return err
 	}
+	if e.Data != nil {
+		t.count(e)
+	}
+	return t.flusher.Flush()
+}
+
+// count notes an event that the caller has got.
+func (t *turn) count(e sse.Event) {
 	t.events++
 	if e.ID >= 0 {
 		t.last = e.ID
@@ -165,7 +176,6 @@
 	if t.route.Kept {
 		t.output = append(append(t.output, e.Data...), '\n')
 	}
-	return t.flusher.Flush()
 }
 
 // passWhole passes an answer on that is no stream.
--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -118,3 +119,81 @@
 		is.Equal(len(r.instances.all()), 2)
 	})
 }
+
+// drips keeps sending a piece until the connection is closed.
+func drips(r *ran, w io.Writer, piece string) bool {
+	for {
+		time.Sleep(200 * time.Millisecond)
+		if _, err := fmt.Fprintf(w, "%x\r\n%s\r\n", len(piece), piece); err != nil {
+			r.left.Store(true)
+			return false
+		}
+	}
+}
+
+// An instance that sends comments, or a byte of an event, now and then makes no progress: its stream must move like a silent
+// one's. Each comment put the end off, so that such streams went on until their deadline.
+func TestDrippingStreamMoves(t *testing.T) {
+	for name, piece := range map[string]string{"comments": ": wait\n\n", "bytes": "x"} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(r *ran, q *http.Request, w io.Writer) bool {
+				if r.n == 1 {
+					events(q, w, 1, 2, false)
+					return drips(r, w, piece)
+				}
+				events(q, w, 3, 4, true)
+				return true
+			}, func(is *is.I, r *rig) {
+				begun := time.Now()
+				a, body, err := r.do(r.t.Context(), "/plan/", "b")
+				is.NoErr(err)
+				is.Equal(a.StatusCode, 200)
+				is.Equal(strings.ReplaceAll(body, ": wait\n\n", ""), whole(4))
+				is.True(time.Since(begun) < 2*time.Second)
+				time.Sleep(time.Second) // its next piece finds the connection closed
+				is.True(r.instances.all()[0].left.Load())
+			})
+		})
+	}
+}
+
+// A stream that is slow but sound must not be cut: one that may not move lasts as long as its time allows.
+func TestSlowStreamLasts(t *testing.T) {
+	inBubble(t, func(_ *ran, q *http.Request, w io.Writer) bool {
+		events(q, w, 1, 1, false)
+		for i := 2; i <= 4; i++ {
+			time.Sleep(900 * time.Millisecond)
+			events(q, w, i, i, i == 4)
+		}
+		return true
+	}, func(is *is.I, r *rig) {
+		_, body, err := r.do(r.t.Context(), "/kept/", "b")
+		is.NoErr(err)
+		is.Equal(body, whole(4))
+		is.Equal(len(r.instances.all()), 1)
+	})
+}
+
+// Comments are no output: counted as events they used up a program's budget and changed the input of its next turn.
+func TestCommentsAreNoOutput(t *testing.T) {
+	const comment = ": wait\n\n"
+	inBubble(t, func(_ *ran, q *http.Request, w io.Writer) bool {
+		events(q, w, 1, 1, false)
+		for range 20 {
+			fmt.Fprintf(w, "%x\r\n%s\r\n", len(comment), comment)
+		}
+		events(q, w, 2, 2, true)
+		return true
+	}, func(is *is.I, r *rig) {
+		turn := func(id, previous string) int {
+			a, _, err := r.do(r.t.Context(), "/kept/", id, "Chestnutcleat-Request-Id", id, "Chestnutcleat-Previous-Turn", previous,
+				"Chestnutcleat-Program-Id", "p", "Chestnutcleat-Token-Budget", "100", "Chestnutcleat-Token-Count", "9,50")
+			is.NoErr(err)
+			time.Sleep(100 * time.Millisecond)
+			return a.StatusCode
+		}
+		is.Equal(turn("t1", ""), 200)
+		is.Equal(turn("t2", "t1"), 200) // 20 of 100 used
+		is.Equal(r.instances.all()[1].body, "t1piece 1\npiece 2\nt2")
+	})
+}
--- a/event/system.go
+++ b/event/system.go
@@ -37,5 +37,7 @@
 	Abandoned      = add(854, Info, "caller left before the answer", "")
 	Resumed        = add(855, Info, "stream goes on at another instance", "")
 	Retried        = add(856, Info, "request sent to another instance", "")
+	Panicked       = add(859, Error, "message or change given up after a panic", "Report the stack; the process goes on with what it knew before.")
+	DatagramUnread = add(860, Warning, "datagrams that cannot be read arrive", "Find out who sends to this port; see the metric datagrams_unread_total.")
 	LinesDropped   = add(857, Warning, "log lines dropped", "Lines came faster than they could be written; see the metrics.")
 )
--- /dev/null
+++ b/guard/doc.go
@@ -0,0 +1,2 @@
+// Package guard keeps one message or callback that panics from ending the process.
+package guard
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/guard"
 )
 
 const (
@@ -42,6 +43,8 @@
 	Kind  chestnutcleat.ObjectKind
 	// Changed runs after each change, one call at a time; nil ignores changes.
 	Changed func(Snapshot)
+	// Panicked receives what Changed panicked with; nil ignores it.
+	Panicked func(error)
 	// Lapses keeps objects that vanished while the platform was away until returnTime after its return.
 	Lapses bool
 	// Lost and Regained report the connection to the platform; nil ignores it.
@@ -311,7 +314,10 @@
 	if regained && m.Regained != nil {
 		m.Regained()
 	}
-	if changed && m.Changed != nil {
-		m.Changed(s)
+	if !changed || m.Changed == nil {
+		return
+	}
+	if err := guard.Call(func() { m.Changed(s) }); err != nil && m.Panicked != nil {
+		m.Panicked(err)
 	}
 }
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/guard"
 	"chestnutcleat.example/chestnutcleat/rate"
 	"chestnutcleat.example/chestnutcleat/vm"
 )
@@ -75,6 +76,8 @@
 	Granted func(t rate.Tokens, asked time.Time)
 	// Heard and Silenced report that a VM is heard again or no longer; nil ignores it.
 	Heard, Silenced func(chestnutcleat.VMID)
+	// Unread receives why a datagram could not be taken; nil ignores it.
+	Unread func(error)
 	// Conn is the socket for datagrams.
 	Conn net.PacketConn
 
@@ -168,23 +171,35 @@
 			// An ICMP error of an earlier datagram; the socket goes on.
 			continue
 		}
-		m, err := vm.Decode[message](buffer[:n])
-		if err != nil {
-			// A datagram of something else; the next summary is not far.
-			continue
-		}
-		if m.Summary != nil && m.Summary.VM != "" && m.Summary.VM != f.Self.VM {
-			f.receive(*m.Summary)
+		// What one datagram breaks must not keep the others from being heard.
+		var unread error
+		if err := guard.Call(func() { unread = f.take(buffer[:n]) }); err != nil {
+			unread = err
 		}
-		if m.Question != nil {
-			f.answer(m.Question)
-		}
-		if m.Grant != nil {
-			f.receiveGrant(m.Grant)
+		if unread != nil && f.Unread != nil {
+			f.Unread(unread)
 		}
 	}
 }
 
+// take passes the parts of a datagram on.
+func (f *Fleet) take(data []byte) error {
+	m, err := vm.Decode[message](data)
+	if err != nil {
+		return fmt.Errorf("datagram of %d bytes: %w", len(data), err)
+	}
+	if m.Summary != nil && m.Summary.VM != "" && m.Summary.VM != f.Self.VM {
+		f.receive(*m.Summary)
+	}
+	if m.Question != nil {
+		f.answer(m.Question)
+	}
+	if m.Grant != nil {
+		f.receiveGrant(m.Grant)
+	}
+	return nil
+}
+
 // receiveGrant takes tokens once: a repeated or overtaken datagram gives nothing.
 func (f *Fleet) receiveGrant(g *Grant) {
 	f.mu.Lock()
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -334,3 +335,33 @@
 		}
 	})
 }
+
+// One datagram that breaks its handler, or is none of ours, must cost that datagram only: a panic ended the process, and with it
+// all VMs that got the same one.
+func TestBadDatagramCostsItselfOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, w, list := is.New(t), newWire(), []Member{member(1), member(2)}
+		one, stopOne := begin(t, w, list[0], list)
+		var unread atomic.Int32
+		one.Unread = func(error) { unread.Add(1) }
+		one.Received = func(s Summary) {
+			if s.Leaving {
+				panic("summary of a leaving VM")
+			}
+		}
+		other := w.open("10.0.0.9:7")
+		to := net.UDPAddrFromAddrPort(netip.MustParseAddrPort(string(list[0].Address)))
+		spoiled, err := vm.Encode(message{Summary: &Summary{Member: Member{VM: "v9"}, Incarnation: 1, Sequence: 1, Leaving: true}})
+		is.NoErr(err)
+		for _, data := range [][]byte{{0xff, 0}, {}, spoiled} {
+			_, err := other.WriteTo(data, to)
+			is.NoErr(err)
+		}
+		_, stopTwo := begin(t, w, list[1], list)
+		time.Sleep(time.Second)
+		is.Equal(int(unread.Load()), 3)
+		is.Equal(silent(one)["v2"], false)
+		stopOne()
+		stopTwo()
+	})
+}
--- a/role/base.go
+++ b/role/base.go
@@ -16,6 +16,7 @@
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/event"
+	"chestnutcleat.example/chestnutcleat/guard"
 	"chestnutcleat.example/chestnutcleat/mirror"
 	"chestnutcleat.example/chestnutcleat/peer"
 	"chestnutcleat.example/chestnutcleat/platform"
@@ -35,6 +36,8 @@
 	goneAfter = 30 * time.Second
 	// goneInterval is the time between looks for VMs that are gone.
 	goneInterval = 5 * time.Second
+	// unreadInterval is the least time between two reports of datagrams that could not be taken.
+	unreadInterval = 10 * time.Second
 )
 
 // base is what both roles have.
@@ -65,6 +68,8 @@
 	own    chestnutcleat.Stored
 	// listed has the versions of the VMs' objects.
 	listed map[chestnutcleat.VMID]chestnutcleat.Version
+	// unreadAt is when a datagram that could not be taken was last reported.
+	unreadAt time.Time
 	// latest has the settings after the last reload.
 	latest atomic.Pointer[settings.Role]
 }
@@ -104,6 +109,7 @@
 	b.objects.Called = func(int, error) { calls.Inc() }
 	b.client = vm.NewClient()
 	b.mux = vm.NewMux()
+	b.mux.Panicked = func(m chestnutcleat.Method, err error) { b.panicked(string(m), err) }
 	b.mirrors = map[chestnutcleat.ObjectKind]*mirror.Mirror{}
 	b.asking = map[chestnutcleat.ObjectKind]bool{}
 	vm.Handle(b.mux, methodObjects, b.offer)
@@ -121,10 +127,33 @@
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen on %s: %w", a, err), tcp.Close())
 	}
-	b.tcp, b.fleet.Conn = tcp, udp
+	b.tcp, b.fleet.Conn, b.fleet.Unread = tcp, udp, b.unread
 	return nil
 }
 
+// panicked reports a message or change that was given up, with the place in the code.
+func (b *base) panicked(what string, err error) {
+	var p *guard.Panic
+	if errors.As(err, &p) {
+		b.Observer.Emit(event.Panicked, "at", what, "error", err, "stack", string(p.Stack))
+	}
+}
+
+// unread counts a datagram that could not be taken and reports at most one in unreadInterval.
+func (b *base) unread(err error) {
+	b.Metrics.GetOrCreateCounter("datagrams_unread_total").Inc()
+	b.panicked("datagram", err)
+	b.mu.Lock()
+	soon := time.Since(b.unreadAt) < unreadInterval
+	if !soon {
+		b.unreadAt = time.Now()
+	}
+	b.mu.Unlock()
+	if !soon {
+		b.Observer.Emit(event.DatagramUnread, "error", err)
+	}
+}
+
 // start runs what both roles have.
 func (b *base) start(ctx context.Context, g *errgroup.Group) {
 	g.Go(func() error { return vm.Serve(ctx, b.tcp, b.mux) })
--- a/role/follow.go
+++ b/role/follow.go
@@ -16,7 +16,7 @@
 	// allWatch is the largest fleet in which each VM watches the platform. In a larger one watchers of them do, and the others
 	// follow those: calls to the platform must not grow with the fleet.
 	allWatch = 8
-	watchers = 4
+	watchers = 3
 	// settleTime bounds the time after its start in which a VM does not watch, as its lists may be old.
 	settleTime = 4 * time.Second
 	// probeSpacing is the time between the looks of all VMs that do not watch and did not reach the platform.
@@ -47,6 +47,7 @@
 		Store: b.objects, Kind: k, Lapses: lapses, Changed: b.changed(changed),
 		Lost:     func(err error) { b.Observer.Emit(event.PlatformLost, "kind", k, "error", err) },
 		Regained: func() { b.Observer.Emit(event.PlatformBack, "kind", k) },
+		Panicked: func(err error) { b.panicked(string(k), err) },
 		Rand:     rand.New(rand.NewPCG(seed, seed)),
 		Watches:  b.watches, Relists: relists, ProbePause: b.probePause,
 	}
--- a/role/follow_test.go
+++ b/role/follow_test.go
@@ -23,10 +23,10 @@
 		want  map[int]bool
 	}{
 		{"small fleet", allWatch, func(int) string { return "" }, map[int]bool{0: true, 4: true, 7: true}},
-		{"large fleet", 50, func(int) string { return "" }, map[int]bool{0: true, 3: true, 4: false, 49: false}},
-		{"the first are silent", 50, func(i int) string { return map[bool]string{i < 10: "silent"}[true] }, map[int]bool{10: true, 13: true, 14: false}},
-		{"the first are cut off the platform", 50, func(i int) string { return map[bool]string{i < 10: "away"}[true] }, map[int]bool{3: true, 10: true, 13: true, 14: false}},
-		{"the platform is down", 50, func(int) string { return "away" }, map[int]bool{3: true, 4: false, 49: false}},
+		{"large fleet", 50, func(int) string { return "" }, map[int]bool{0: true, watchers - 1: true, watchers: false, 49: false}},
+		{"the first are silent", 50, func(i int) string { return map[bool]string{i < 10: "silent"}[true] }, map[int]bool{10: true, 10 + watchers - 1: true, 10 + watchers: false}},
+		{"the first are cut off the platform", 50, func(i int) string { return map[bool]string{i < 10: "away"}[true] }, map[int]bool{watchers - 1: true, 10: true, 10 + watchers - 1: true, 10 + watchers: false}},
+		{"the platform is down", 50, func(int) string { return "away" }, map[int]bool{watchers - 1: true, watchers: false, 49: false}},
 		{"nobody is heard", 50, func(int) string { return "silent" }, map[int]bool{49: true}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/sse/reader.go
+++ b/sse/reader.go
@@ -20,7 +20,7 @@
 	Raw []byte
 	// ID is the number of the event, or -1 when it has none.
 	ID int
-	// Data is the event's data without the field names; lines are joined by a line feed.
+	// Data is the event's data without the field names; lines are joined by a line feed. It is nil for a comment.
 	Data []byte
 }
 
--- a/vm/mux.go
+++ b/vm/mux.go
@@ -7,10 +7,14 @@
 	"storj.io/drpc"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/guard"
 )
 
 // Mux passes requests to their handlers.
 type Mux struct {
+	// Panicked receives what a handler panicked with, before its caller gets an error; nil ignores it.
+	Panicked func(chestnutcleat.Method, error)
+
 	handlers map[chestnutcleat.Method]func(context.Context, []byte) ([]byte, error)
 }
 
@@ -40,7 +44,14 @@
 	if !ok {
 		return replyOf(nil, fmt.Errorf("method %q is not known", method))
 	}
-	body, err := f(ctx, data)
+	var body []byte
+	var err error
+	if p := guard.Call(func() { body, err = f(ctx, data) }); p != nil {
+		if m.Panicked != nil {
+			m.Panicked(method, p)
+		}
+		return replyOf(nil, fmt.Errorf("method %q: %w", method, p))
+	}
 	return replyOf(body, err)
 }
 
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -124,3 +124,21 @@
 	is.NoErr(l.Close())
 	is.NoErr(<-done)
 }
+
+// A handler that panics must cost its caller an error and nothing else: it ended the process.
+func TestPanicOfHandler(t *testing.T) {
+	is := is.New(t)
+	m := vm.NewMux()
+	var at []chestnutcleat.Method
+	m.Panicked = func(method chestnutcleat.Method, _ error) { at = append(at, method) }
+	vm.Handle(m, "spoiled", func(context.Context, int) (int, error) { var list []int; return list[1], nil })
+	vm.Handle(m, "sound", func(_ context.Context, n int) (int, error) { return n, nil })
+	network := vm.NewNetwork(1)
+	network.Attach("b", m)
+	p := network.From("a")
+	var n int
+	is.True(p.Call(t.Context(), "b", "spoiled", 7, &n) != nil)
+	is.Equal(at, []chestnutcleat.Method{"spoiled"})
+	is.NoErr(p.Call(t.Context(), "b", "sound", 7, &n))
+	is.Equal(n, 7)
+}
