Judge instances by what they answer

Cause: nothing was learnt from answers but failed connections. A grey instance, which fails half of its requests and is sound otherwise, kept its share of work, and the programs that stay with it fail three turns in a row and are lost. With hundreds of VMs none sees enough answers of one instance alone. Ruled out: probes (priced, and a grey instance's health answer is good), error rates of one VM alone. Change: each VM tells in its summary how much it had answered by service and failed by instance in 3 s; instances that failed three tenths of the mean, for all VMs or for those of one failure domain, get no work for 3 s, doubling to 12 s, then an eighth of it on trial; at most a quarter of a service, and none when most fail.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -30,6 +30,19 @@
 	return appendAll(make([]byte, 0, max(minBuffer, min(a.response.Length+1, maxPlain))), a.response)
 }
 
+// verdict is what the status of a whole answer says about its instance.
+func (a *attempt) verdict() place.Verdict {
+	if a.response.Status >= http.StatusInternalServerError {
+		return place.Erred
+	}
+	return place.Sound
+}
+
+// again reports whether an instance's own error is better answered by another instance than passed on.
+func (c *call) again(a *attempt) bool {
+	return a.verdict() == place.Erred && c.route.Repeatable() && c.runs+1 < c.route.Attempts && len(c.tried) < maxOffers
+}
+
 // failure is an exchange without a usable answer.
 type failure struct {
 	// ran is set when the instance may have run the request.
@@ -44,6 +57,7 @@
 	errNotRun   = errors.New("instance did not run the request")
 	errCrossed  = errors.New("answer belongs to another request")
 	errUnsigned = errors.New("answer is not signed")
+	errInstance = errors.New("instance answered with an error of its own")
 )
 
 // pick chooses an instance that the request was not offered to yet.
@@ -119,9 +133,12 @@
 }
 
 func (c *call) reject(a *attempt, ran bool, err error) *failure {
-	verdict := place.Unclear
-	if a.answered.Moved {
+	verdict := place.Erred
+	switch {
+	case a.answered.Moved:
 		verdict = place.Failed
+	case a.answered.NotRun:
+		verdict = place.Unclear
 	}
 	a.use.End(verdict)
 	c.failed(a.use, ran, err)
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -58,8 +58,12 @@
 	if err != nil {
 		return c.broke(use, err)
 	}
-	use.End(place.Sound)
+	use.End(a.verdict())
 	a.response.Close()
+	if c.again(a) {
+		c.failed(use, true, errInstance)
+		return &failure{ran: true, err: errInstance}
+	}
 	h := c.header(a)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	c.w.WriteHeader(a.response.Status)
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -184,9 +184,10 @@
 	if err != nil {
 		return t.broke(a.use, err)
 	}
-	a.use.End(place.Sound)
-	if t.begun {
-		return &failure{ran: true, err: errUnsigned}
+	a.use.End(a.verdict())
+	if t.begun || t.again(a) {
+		t.failed(a.use, true, errInstance)
+		return &failure{ran: true, err: errInstance}
 	}
 	t.header(a).Del("Content-Length")
 	t.w.WriteHeader(a.response.Status)
--- a/event/system.go
+++ b/event/system.go
@@ -39,5 +39,6 @@
 	Retried        = add(856, Info, "request sent to another instance", "")
 	Panicked       = add(859, Error, "message or change given up after a panic", "Report the stack; the process goes on with what it knew before.")
 	DatagramUnread = add(860, Warning, "datagrams that cannot be read arrive", "Find out who sends to this port; see the metric datagrams_unread_total.")
+	Ejected        = add(861, Warning, "instance gets no work as it fails much of it", "Check the instance; it is tried again after the rest.")
 	LinesDropped   = add(857, Warning, "log lines dropped", "Lines came faster than they could be written; see the metrics.")
 )
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -15,6 +15,7 @@
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/guard"
+	"chestnutcleat.example/chestnutcleat/place"
 	"chestnutcleat.example/chestnutcleat/rate"
 	"chestnutcleat.example/chestnutcleat/vm"
 )
@@ -327,7 +328,7 @@
 	}
 	if !f.write(message{Summary: &s}, to...) {
 		// With very many customers and instances the details are left out; that the VM lives must still be heard.
-		s.Load, s.Breaks = nil, nil
+		s.Load, s.Breaks, s.Tally = nil, nil, place.Tally{}
 		f.write(message{Summary: &s}, to...)
 	}
 }
--- a/peer/summary.go
+++ b/peer/summary.go
@@ -2,6 +2,7 @@
 
 import (
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/place"
 	"chestnutcleat.example/chestnutcleat/rate"
 )
 
@@ -36,6 +37,8 @@
 	Breaks map[uint64]int `json:"breaks,omitempty"`
 	// Load is the number of requests that the VM has at each instance.
 	Load map[chestnutcleat.InstanceID]int `json:"load,omitempty"`
+	// Tally counts what the VM's requests met at the instances.
+	Tally place.Tally `json:"tally,omitzero"`
 }
 
 // Question asks another VM for tokens of customers' rates.
--- a/place/table.go
+++ b/place/table.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -44,6 +45,7 @@
 	mu       sync.Mutex
 	services map[chestnutcleat.ServiceName][]*state
 	byID     map[chestnutcleat.InstanceID]*state
+	tallies  tallies
 }
 
 type state struct {
@@ -53,11 +55,17 @@
 	failures    int
 	rest        time.Time
 	hash        uint64
+	// ejected is until when the instance is out of use as it failed much of its work, ejections how often that was in a row.
+	ejected   time.Time
+	ejections int
 }
 
 // NewTable returns a table without instances.
 func NewTable() *Table {
-	return &Table{services: map[chestnutcleat.ServiceName][]*state{}, byID: map[chestnutcleat.InstanceID]*state{}}
+	return &Table{
+		services: map[chestnutcleat.ServiceName][]*state{}, byID: map[chestnutcleat.InstanceID]*state{},
+		tallies: tallies{begun: time.Now()},
+	}
 }
 
 // Set replaces the list of instances; what is known about those that stay is kept.
@@ -121,11 +129,12 @@
 // candidates returns the instances that may get the request: rested ones if there are any.
 func (t *Table) candidates(w Want) []*state {
 	now := time.Now()
+	trial := isTrial(trialHash(w.Key))
 	var rested, resting []*state
 	for _, s := range t.services[w.Service] {
 		switch {
 		case s.Leaving || slices.Contains(w.Avoid, s.ID):
-		case now.Before(s.rest):
+		case now.Before(s.rest), now.Before(s.ejected), s.onTrial(now) && !trial:
 			resting = append(resting, s)
 		default:
 			rested = append(rested, s)
@@ -137,6 +146,14 @@
 	return rested
 }
 
+// trialHash is that of a key, or a random one for requests without.
+func trialHash(key string) uint64 {
+	if key == "" {
+		return rand.Uint64()
+	}
+	return xxhash.Sum64String(key)
+}
+
 func (s *state) load() int { return s.own + s.others }
 
 // bounded returns the first instance by rendezvous hashing whose load is within the bound.
@@ -198,6 +215,8 @@
 	Sound Verdict = iota
 	// Unclear means that the exchange ended for a reason of its own.
 	Unclear
+	// Erred means that it answered with an error of its own, or with what can't be passed on.
+	Erred
 	// Failed means that it could not be reached or broke off.
 	Failed
 )
@@ -216,6 +235,9 @@
 		return
 	}
 	s.own--
+	if v != Unclear {
+		t.tallies.count(s.Service, s.ID, v != Sound)
+	}
 	switch v {
 	case Sound:
 		s.failures = 0
--- a/role/entry.go
+++ b/role/entry.go
@@ -162,7 +162,7 @@
 	s.Away, s.Unwritable = e.away(), !e.ledger.Writable()
 	s.Versions = e.versions()
 	s.Breaks = e.handler.Suspects.News()
-	s.Load = e.places.Own()
+	s.Load, s.Tally = e.places.Own(), e.places.Tally()
 }
 
 // received takes over what another VM tells.
@@ -175,18 +175,11 @@
 func (e *Entry) watchFleet(ctx context.Context) error {
 	for chestnutcleat.Sleep(ctx, tick) == nil {
 		peers := e.fleet.Peers()
-		load := map[chestnutcleat.InstanceID]int{}
 		ids := make([]chestnutcleat.VMID, 0, len(peers)+1)
 		for i := range peers {
 			ids = append(ids, peers[i].VM)
-			if peers[i].Silent() {
-				continue
-			}
-			for id, n := range peers[i].Load {
-				load[id] += n
-			}
 		}
-		e.places.SetOthers(load)
+		e.followInstances(peers)
 		if e.mirrors[fleetKind].Version() > 0 {
 			e.rates.SetVMs(append(ids, e.self.VM))
 		}
@@ -194,6 +187,29 @@
 	return nil
 }
 
+// followInstances takes over what the VMs that are heard report about instances.
+func (e *Entry) followInstances(peers []peer.Peer) {
+	load := map[chestnutcleat.InstanceID]int{}
+	var all, near place.Tally
+	for i := range peers {
+		p := &peers[i]
+		if p.Silent() {
+			continue
+		}
+		for id, n := range p.Load {
+			load[id] += n
+		}
+		all.Add(p.Tally)
+		if p.Domain == e.self.Domain {
+			near.Add(p.Tally)
+		}
+	}
+	e.places.SetOthers(load)
+	for _, v := range e.places.Judge(all, near) {
+		e.Observer.Emit(event.Ejected, "instance", v.Instance, "share", v.Share, "rest", v.Rest.Seconds())
+	}
+}
+
 // addresses are where callers of a failure domain connect. A VM that is cut off names none, so that callers ask another one.
 func (e *Entry) addresses(_ chestnutcleat.Region, domain chestnutcleat.FailureDomain) ([]chestnutcleat.Address, float64) {
 	peers := e.fleet.Peers()
