Tell the state of large fleets through relays

Cause: each VM sent its whole summary to every other one, 150 datagrams a second at most, so that with 259 VMs load and versions were up to 1.7 s old and a lost VM was named to callers for 10 s. Weighed: the same with more datagrams (each costs a system call and a wake-up), epidemic exchange with a few peers (several rounds, and sums need each VM's own state), relays. Change: a fleet of up to 30 VMs is one group as before; a larger one has groups of about 14 within its failure domains. VMs send summaries to their group each 0.2 s; the two first VMs of a group that are heard add it up and exchange the sums with the relays of other groups of the same rank, and tell their own group by turns. Changes of flags and versions pass at once, and a VM asks its relay, not the one that watches, for changes.

--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -40,7 +40,7 @@
 type Suspects struct {
 	mu     sync.Mutex
 	own    map[Fingerprint]breaks
-	others map[chestnutcleat.VMID]map[Fingerprint]breaks
+	others map[string]map[Fingerprint]breaks
 }
 
 type breaks struct {
@@ -97,20 +97,20 @@
 	return out
 }
 
-// Heard takes over another VM's counts.
-func (s *Suspects) Heard(id chestnutcleat.VMID, news map[uint64]int) {
+// Heard takes over the counts of another VM, or the sums of a group of them, by its name.
+func (s *Suspects) Heard(name string, news map[uint64]int) {
 	if len(news) == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.others == nil {
-		s.others = map[chestnutcleat.VMID]map[Fingerprint]breaks{}
+		s.others = map[string]map[Fingerprint]breaks{}
 	}
-	m := s.others[id]
+	m := s.others[name]
 	if m == nil || len(m) >= maxSuspects {
 		m = map[Fingerprint]breaks{}
-		s.others[id] = m
+		s.others[name] = m
 	}
 	for k, n := range news {
 		f := Fingerprint(k)
--- /dev/null
+++ b/peer/digest.go
@@ -0,0 +1,255 @@
+package peer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/place"
+)
+
+const (
+	// viewTime is the age up to which a digest counts.
+	viewTime = 2 * time.Second
+	// farPerSecond bounds the digests that a relay sends to other groups.
+	farPerSecond = 60
+	// ageBits is the place of a VM's age in its packed state, and maxAge the largest age that fits, in milliseconds.
+	ageBits = 8
+	maxAge  = 1 << 16
+)
+
+// Digest adds up what a relay knows of its group, for other groups, or of all other groups, for its own.
+type Digest struct {
+	From        chestnutcleat.VMID `json:"from"`
+	Incarnation Incarnation        `json:"incarnation"`
+	Sequence    uint64             `json:"sequence"`
+	// Group is the one that is added up; empty for all other groups.
+	Group Group `json:"group,omitempty"`
+	// States has the VMs that are heard, by short name, each with its flags and, above them, the milliseconds since it was heard.
+	States map[uint32]uint32 `json:"states"`
+	// Load is the number of requests at each instance, by short name.
+	Load map[uint32]int `json:"load,omitempty"`
+	// Tally counts what requests met at the instances, Near what those of the failure domain of the digest's receivers met.
+	Tally place.Tally `json:"tally,omitzero"`
+	Near  place.Tally `json:"near,omitzero"`
+	// Breaks are the requests while whose run instances broke off, by fingerprint, and how often.
+	Breaks map[uint64]int `json:"breaks,omitempty"`
+	// Versions are those of the relay's copies of the platform's objects.
+	Versions map[chestnutcleat.ObjectKind]chestnutcleat.Version `json:"versions,omitempty"`
+}
+
+// received is a digest and when it came.
+type received struct {
+	Digest
+	at time.Time
+}
+
+func (r *received) isFresh() bool { return time.Since(r.at) < viewTime }
+
+// newDigest returns a digest without content. It needs the lock.
+func (f *Fleet) newDigest(g Group, versions map[chestnutcleat.ObjectKind]chestnutcleat.Version) *Digest {
+	f.sequence++
+	return &Digest{
+		From: f.Self.VM, Incarnation: f.incarnation, Sequence: f.sequence, Group: g, Versions: versions,
+		States: map[uint32]uint32{}, Load: map[uint32]int{}, Breaks: map[uint64]int{},
+	}
+}
+
+// see notes a VM that was heard some time ago.
+func (d *Digest) see(id chestnutcleat.VMID, age time.Duration, flags uint8) {
+	d.States[shortName(string(id))] = uint32(min(age.Milliseconds(), maxAge-1))<<ageBits | uint32(flags)
+}
+
+// addSummary adds a VM's own word.
+func (d *Digest) addSummary(s *Summary, age time.Duration) {
+	d.see(s.VM, age, s.flags())
+	for id, n := range s.Load {
+		d.Load[shortName(string(id))] += n
+	}
+	for k, n := range s.Breaks {
+		d.Breaks[k] += n
+	}
+	d.Tally.Add(s.Tally)
+}
+
+// addDigest adds another group.
+func (d *Digest) addDigest(o *Digest, near bool) {
+	for id, n := range o.Load {
+		d.Load[id] += n
+	}
+	for k, n := range o.Breaks {
+		d.Breaks[k] += n
+	}
+	d.Tally.Add(o.Tally)
+	if near {
+		d.Near.Add(o.Tally)
+	}
+}
+
+// isRelay reports whether this VM is one of the first of its group that are heard. It needs the lock.
+func (f *Fleet) isRelay() bool {
+	return len(f.groups.members) > 1 && slices.Contains(f.relaysOf(f.groups.own), f.Self.VM)
+}
+
+// relaysOf returns the first VMs of a group that are heard, and a random one if none is. It needs the lock.
+func (f *Fleet) relaysOf(g Group) []chestnutcleat.VMID {
+	var list []chestnutcleat.VMID
+	members := f.groups.members[g]
+	for _, id := range members {
+		p := f.peers[id]
+		if id != f.Self.VM && (p == nil || p.Silent()) {
+			continue
+		}
+		if list = append(list, id); len(list) == relays {
+			return list
+		}
+	}
+	if len(list) == 0 && len(members) > 0 {
+		list = append(list, members[rand.IntN(len(members))])
+	}
+	return list
+}
+
+// tellOthers sends the digest of this VM's group to the relays of the other groups, those of the same rank, as often as their
+// number allows, and at once if that is urgent.
+func (f *Fleet) tellOthers(own *Summary, urgent bool) {
+	f.mu.Lock()
+	list := f.relaysOf(f.groups.own)
+	rank := slices.Index(list, f.Self.VM)
+	pace := time.Duration(len(f.groups.members)) * time.Second / farPerSecond
+	if !urgent && time.Since(f.toldOthers) < pace-interval/2 {
+		f.mu.Unlock()
+		return
+	}
+	f.toldOthers = time.Now()
+	var to []chestnutcleat.Address
+	for g := range f.groups.members {
+		if g != f.groups.own {
+			list := f.relaysOf(g)
+			to = f.addAddress(to, list[min(rank, len(list)-1)])
+		}
+	}
+	f.mu.Unlock()
+	f.write(message{Digest: f.digestGroup(own)}, to...)
+}
+
+// addAddress adds where a VM gets datagrams. It needs the lock.
+func (f *Fleet) addAddress(list []chestnutcleat.Address, id chestnutcleat.VMID) []chestnutcleat.Address {
+	if p := f.peers[id]; p != nil {
+		return append(list, p.Address)
+	}
+	return list
+}
+
+// digestGroup adds up this VM's group.
+func (f *Fleet) digestGroup(own *Summary) *Digest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := f.newDigest(f.groups.own, own.Versions)
+	d.addSummary(own, 0)
+	for _, id := range f.groups.members[f.groups.own] {
+		if p := f.peers[id]; p != nil && !p.Silent() {
+			d.addSummary(&p.Summary, time.Since(p.Heard))
+		}
+	}
+	return d
+}
+
+// digestOthers adds up all other groups; this VM's own view is the same. The relays of a group take turns unless it is urgent.
+func (f *Fleet) digestOthers(versions map[chestnutcleat.ObjectKind]chestnutcleat.Version, urgent bool) *Digest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !urgent && time.Since(f.toldGroup) < relays*interval-interval/2 {
+		return nil
+	}
+	f.toldGroup = time.Now()
+	d := f.newDigest("", versions)
+	for id, p := range f.peers {
+		if f.groups.isFar(id) && !p.Silent() {
+			d.see(id, time.Since(p.Heard), p.flags())
+		}
+	}
+	for g, r := range f.told {
+		if r.isFresh() && g != f.groups.own {
+			d.addDigest(&r.Digest, f.groups.domains[g] == f.Self.Domain)
+		}
+	}
+	f.views[f.Self.VM] = &received{Digest: *d, at: time.Now()}
+	return d
+}
+
+// receiveDigest takes over what a relay tells.
+func (f *Fleet) receiveDigest(d *Digest) {
+	f.mu.Lock()
+	p := f.peers[d.From]
+	if p == nil || d.From == f.Self.VM || !p.digests.accept(d.Incarnation, d.Sequence) {
+		f.mu.Unlock()
+		return
+	}
+	var pass []chestnutcleat.Address
+	r := &received{Digest: *d, at: time.Now()}
+	if d.Group == "" {
+		f.views[d.From] = r
+	} else if d.Group != f.groups.own {
+		f.told[d.Group] = r
+		pass = f.relaysInstead()
+	}
+	heard, changed := f.takeStates(d)
+	relays := f.isRelay()
+	f.mu.Unlock()
+	for _, id := range heard {
+		if f.Heard != nil {
+			f.Heard(id)
+		}
+	}
+	if f.Digested != nil {
+		f.Digested(*d)
+	}
+	f.write(message{Digest: d}, pass...)
+	if changed && relays {
+		f.Soon()
+	}
+}
+
+// relaysInstead returns the relays that should have got a digest of another group, if this VM is none: who sent it does not
+// hear them yet. It needs the lock.
+func (f *Fleet) relaysInstead() []chestnutcleat.Address {
+	if f.isRelay() {
+		return nil
+	}
+	var list []chestnutcleat.Address
+	for _, id := range f.relaysOf(f.groups.own) {
+		if id != f.Self.VM {
+			list = f.addAddress(list, id)
+		}
+	}
+	return list
+}
+
+// takeStates takes over the states of VMs of other groups, as far as they are newer than what is known, and returns those that
+// were silent and whether a flag changed. It needs the lock.
+func (f *Fleet) takeStates(d *Digest) (heard []chestnutcleat.VMID, changed bool) {
+	now := time.Now()
+	for short, v := range d.States {
+		id := f.groups.names[short]
+		p := f.peers[id]
+		if p == nil || !f.groups.isFar(id) {
+			continue
+		}
+		at := now.Add(-time.Duration(v>>ageBits) * time.Millisecond)
+		if !at.After(p.Heard) {
+			continue
+		}
+		if p.Silent() && now.Sub(at) <= p.patience {
+			heard = append(heard, id)
+			changed = true
+		}
+		p.Heard = at
+		if flags := uint8(v); flags != p.flags() {
+			p.setFlags(flags)
+			changed = true
+		}
+	}
+	return heard, changed
+}
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -21,15 +21,15 @@
 )
 
 const (
-	// interval is the time between summaries of a small fleet.
+	// interval is the time between the summaries of a VM, and between the digests of a relay.
 	interval = 200 * time.Millisecond
-	// perSecond bounds the datagrams that a VM of a large fleet sends.
-	perSecond = 150
+	// soonSpacing is the least time between summaries that are sent early.
+	soonSpacing = 20 * time.Millisecond
 	// silentIntervals is the number of missed summaries after which a VM's state is not known; a few datagrams get lost.
 	silentIntervals = 6
-	maxDatagram     = 60 << 10
-	// questionTime is how long an answer to a question is waited for; tokens are worth nothing after it.
-	questionTime = time.Second
+	// relayIntervals is added for VMs that are heard of through relays.
+	relayIntervals = 6
+	maxDatagram    = 60 << 10
 )
 
 // Peer is another VM and its last summary.
@@ -41,8 +41,8 @@
 	known time.Time
 	// patience is the age from which the last summary says nothing about the present.
 	patience time.Duration
-	// summaries and grants order the VM's messages.
-	summaries, grants series
+	// summaries, grants and digests order the VM's messages.
+	summaries, grants, digests series
 }
 
 // Silent reports whether the VM's state is not known at the moment.
@@ -59,18 +59,15 @@
 	return time.Since(p.Heard)
 }
 
-// intervalOf is the time between the summaries of a VM that has n peers.
-func intervalOf(n int) time.Duration {
-	return max(interval, time.Duration(n)*time.Second/perSecond)
-}
-
-// Fleet sends this VM's summary and keeps those of others.
+// Fleet sends this VM's summary and keeps the state of others.
 type Fleet struct {
 	Self Member
 	// Describe fills in the changing part of this VM's summary.
 	Describe func(*Summary)
 	// Received runs for each newer summary; nil ignores it.
 	Received func(Summary)
+	// Digested runs for each newer digest; nil ignores it.
+	Digested func(Digest)
 	// Asked returns what another VM gets of the tokens that it asks for; nil gives nothing.
 	Asked func(rate.Tokens) rate.Tokens
 	// Granted runs for the tokens that another VM gives; nil ignores them.
@@ -82,11 +79,19 @@
 	// Conn is the socket for datagrams.
 	Conn net.PacketConn
 
-	mu       sync.Mutex
-	peers    map[chestnutcleat.VMID]*Peer
-	listed   map[chestnutcleat.VMID]Member
+	mu     sync.Mutex
+	peers  map[chestnutcleat.VMID]*Peer
+	listed map[chestnutcleat.VMID]Member
+	groups *groups
+	// told has the last digest of each other group, and views the sums over the other groups that relays of this one sent.
+	told     map[Group]*received
+	views    map[chestnutcleat.VMID]*received
 	sequence uint64
-	grants   uint64
+	// toldOthers and toldGroup are when this VM, as a relay, last told the other groups of its own and its own of them.
+	toldOthers, toldGroup time.Time
+	// urgent is set while a change waits to be told.
+	urgent bool
+	grants uint64
 	// incarnation names this process.
 	incarnation Incarnation
 	// questions has when those that have no answer yet were sent, by number, and question is the last number.
@@ -100,6 +105,8 @@
 	f.once.Do(func() {
 		f.peers = map[chestnutcleat.VMID]*Peer{}
 		f.questions = map[uint64]time.Time{}
+		f.groups = newGroups(f.Self, nil)
+		f.told, f.views = map[Group]*received{}, map[chestnutcleat.VMID]*received{}
 		// Zero is that of a VM that was not heard yet.
 		f.incarnation = Incarnation(rand.Uint64() | 1)
 		f.now = make(chan struct{}, 1)
@@ -121,9 +128,9 @@
 			f.peers[m.VM] = &Peer{Summary: Summary{Member: m}, known: time.Now(), patience: silentIntervals * interval}
 		}
 	}
-	patience := silentIntervals * intervalOf(len(f.listed))
+	f.groups = newGroups(f.Self, slices.Collect(maps.Values(f.listed)))
 	for id, p := range f.peers {
-		p.patience = patience
+		p.patience = f.groups.patience(id)
 		if _, ok := f.listed[id]; !ok && p.Silent() {
 			delete(f.peers, id)
 		}
@@ -146,6 +153,9 @@
 // Soon sends a summary at once instead of at the next interval.
 func (f *Fleet) Soon() {
 	f.init()
+	f.mu.Lock()
+	f.urgent = true
+	f.mu.Unlock()
 	select {
 	case f.now <- struct{}{}:
 	default:
@@ -192,6 +202,9 @@
 	if m.Summary != nil && m.Summary.VM != "" && m.Summary.VM != f.Self.VM {
 		f.receive(*m.Summary)
 	}
+	if m.Digest != nil {
+		f.receiveDigest(m.Digest)
+	}
 	if m.Question != nil {
 		f.answer(m.Question)
 	}
@@ -201,54 +214,16 @@
 	return nil
 }
 
-// receiveGrant takes tokens once: a repeated or overtaken datagram gives nothing.
-func (f *Fleet) receiveGrant(g *Grant) {
-	f.mu.Lock()
-	p := f.peers[g.From]
-	ok := p != nil && g.To == f.incarnation && p.grants.accept(g.Incarnation, g.Sequence)
-	asked, open := f.questions[g.Number]
-	delete(f.questions, g.Number)
-	f.mu.Unlock()
-	if ok && open && f.Granted != nil {
-		f.Granted(g.Tokens, asked)
-	}
-}
-
-// Ask asks a VM for tokens; a lost datagram is made up for by the next question.
-func (f *Fleet) Ask(to chestnutcleat.VMID, t rate.Tokens) {
-	a, ok := f.address(to)
-	if !ok {
-		return
-	}
-	f.mu.Lock()
-	now := time.Now()
-	maps.DeleteFunc(f.questions, func(_ uint64, sent time.Time) bool { return now.Sub(sent) > questionTime })
-	f.question++
-	q := Question{From: f.Self.VM, Incarnation: f.incarnation, Number: f.question, Tokens: t}
-	f.questions[q.Number] = now
-	f.mu.Unlock()
-	f.write(message{Question: &q}, a)
-}
-
-// answer gives tokens to the VM that asked for them; a lost datagram loses them.
-func (f *Fleet) answer(q *Question) {
-	a, ok := f.address(q.From)
-	if !ok || f.Asked == nil {
-		return
-	}
-	t := f.Asked(q.Tokens)
-	if len(t) == 0 {
-		return
-	}
+// Relays reports whether this VM tells its group of others.
+func (f *Fleet) Relays() bool {
+	f.init()
 	f.mu.Lock()
-	f.grants++
-	g := Grant{From: f.Self.VM, Incarnation: f.incarnation, Sequence: f.grants, To: q.Incarnation, Number: q.Number, Tokens: t}
-	f.mu.Unlock()
-	f.write(message{Grant: &g}, a)
+	defer f.mu.Unlock()
+	return f.isRelay()
 }
 
-// address returns where a VM gets datagrams.
-func (f *Fleet) address(id chestnutcleat.VMID) (chestnutcleat.Address, bool) {
+// Address returns where a VM gets datagrams and calls.
+func (f *Fleet) Address(id chestnutcleat.VMID) (chestnutcleat.Address, bool) {
 	f.init()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -280,15 +255,16 @@
 	f.mu.Lock()
 	p := f.peers[s.VM]
 	if p == nil {
-		p = &Peer{known: time.Now(), patience: silentIntervals * interval}
+		p = &Peer{known: time.Now(), patience: f.groups.patience(s.VM)}
 		f.peers[s.VM] = p
 	}
 	if !p.summaries.accept(s.Incarnation, s.Sequence) {
 		f.mu.Unlock()
 		return
 	}
-	silent := p.Silent()
+	silent, changed := p.Silent(), p.flags() != s.flags()
 	p.Summary, p.Heard = s, time.Now()
+	relays := f.isRelay()
 	f.mu.Unlock()
 	if silent && f.Heard != nil {
 		f.Heard(s.VM)
@@ -296,40 +272,70 @@
 	if f.Received != nil {
 		f.Received(s)
 	}
+	if relays && (silent || changed) {
+		f.Soon()
+	}
 }
 
 func (f *Fleet) send(ctx context.Context) {
 	t := time.NewTimer(0)
 	defer t.Stop()
 	silent := map[chestnutcleat.VMID]bool{}
+	var last time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		case <-f.now:
+			if early := soonSpacing - time.Since(last); early > 0 {
+				t.Reset(early)
+				continue
+			}
 		}
+		last = time.Now()
 		peers := f.Peers()
-		f.sendTo(peers)
+		f.sendOnce(peers)
 		f.reportSilent(peers, silent)
-		t.Reset(intervalOf(len(peers)))
+		t.Reset(interval)
 	}
 }
 
-func (f *Fleet) sendTo(peers []Peer) {
+// sendOnce tells this VM's group of it and, if this VM is a relay, of the others, and these of its group.
+func (f *Fleet) sendOnce(peers []Peer) {
+	var s Summary
+	f.Describe(&s)
 	f.mu.Lock()
 	f.sequence++
-	s := Summary{Member: f.Self, Incarnation: f.incarnation, Sequence: f.sequence}
+	s.Member, s.Incarnation, s.Sequence = f.Self, f.incarnation, f.sequence
+	relays, urgent := f.isRelay(), f.urgent
+	f.urgent = false
 	f.mu.Unlock()
-	f.Describe(&s)
+	m := message{Summary: &s}
+	if relays {
+		m.Digest = f.digestOthers(s.Versions, urgent)
+		f.tellOthers(&s, urgent)
+	}
+	f.sendTo(m, f.near(peers))
+}
+
+// near returns the peers that get this VM's summaries: those of its group, and those that the platform does not list yet.
+func (f *Fleet) near(peers []Peer) []Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return f.groups.isFar(p.VM) })
+}
+
+func (f *Fleet) sendTo(m message, peers []Peer) {
 	to := make([]chestnutcleat.Address, 0, len(peers))
 	for i := range peers {
 		to = append(to, peers[i].Address)
 	}
-	if !f.write(message{Summary: &s}, to...) {
+	if !f.write(m, to...) {
 		// With very many customers and instances the details are left out; that the VM lives must still be heard.
-		s.Load, s.Breaks, s.Tally = nil, nil, place.Tally{}
-		f.write(message{Summary: &s}, to...)
+		short := *m.Summary
+		short.Load, short.Breaks, short.Tally = nil, nil, place.Tally{}
+		f.write(message{Summary: &short}, to...)
 	}
 }
 
--- a/peer/summary.go
+++ b/peer/summary.go
@@ -41,6 +41,28 @@
 	Tally place.Tally `json:"tally,omitzero"`
 }
 
+// Bits of a VM's flags in digests.
+const (
+	flagLeaving = 1 << iota
+	flagAway
+	flagUnwritable
+)
+
+// flags packs what is true or false of a VM.
+func (s *Summary) flags() uint8 {
+	var f uint8
+	for bit, set := range map[uint8]bool{flagLeaving: s.Leaving, flagAway: s.Away, flagUnwritable: s.Unwritable} {
+		if set {
+			f |= bit
+		}
+	}
+	return f
+}
+
+func (s *Summary) setFlags(f uint8) {
+	s.Leaving, s.Away, s.Unwritable = f&flagLeaving != 0, f&flagAway != 0, f&flagUnwritable != 0
+}
+
 // Question asks another VM for tokens of customers' rates.
 type Question struct {
 	From chestnutcleat.VMID `json:"from"`
@@ -65,6 +87,7 @@
 // message is one datagram.
 type message struct {
 	Summary  *Summary  `json:"summary,omitempty"`
+	Digest   *Digest   `json:"digest,omitempty"`
 	Question *Question `json:"question,omitempty"`
 	Grant    *Grant    `json:"grant,omitempty"`
 }
--- a/role/entry.go
+++ b/role/entry.go
@@ -102,6 +102,7 @@
 	e.fleet = &peer.Fleet{
 		Self: e.self, Describe: e.describe,
 		Received: func(s peer.Summary) { e.received(ctx, &s) },
+		Digested: func(d peer.Digest) { e.digested(ctx, &d) },
 		Asked:    e.rates.Give,
 		Granted:  e.rates.Take,
 		Heard:    func(id chestnutcleat.VMID) { e.Observer.Emit(event.PeerBack, "peer", id) },
@@ -167,8 +168,14 @@
 
 // received takes over what another VM tells.
 func (e *Entry) received(ctx context.Context, s *peer.Summary) {
-	e.handler.Suspects.Heard(s.VM, s.Breaks)
-	e.catchUp(ctx, s)
+	e.handler.Suspects.Heard(string(s.VM), s.Breaks)
+	e.catchUp(ctx, s.VM, s.Versions)
+}
+
+// digested takes over what a relay tells of other VMs.
+func (e *Entry) digested(ctx context.Context, d *peer.Digest) {
+	e.handler.Suspects.Heard("group "+string(d.Group), d.Breaks)
+	e.catchUp(ctx, d.From, d.Versions)
 }
 
 // watchFleet follows which VMs are heard and what they report about instances.
@@ -179,7 +186,7 @@
 		for i := range peers {
 			ids = append(ids, peers[i].VM)
 		}
-		e.followInstances(peers)
+		e.followInstances()
 		if e.mirrors[fleetKind].Version() > 0 {
 			e.rates.SetVMs(append(ids, e.self.VM))
 		}
@@ -188,24 +195,10 @@
 }
 
 // followInstances takes over what the VMs that are heard report about instances.
-func (e *Entry) followInstances(peers []peer.Peer) {
-	load := map[chestnutcleat.InstanceID]int{}
-	var all, near place.Tally
-	for i := range peers {
-		p := &peers[i]
-		if p.Silent() {
-			continue
-		}
-		for id, n := range p.Load {
-			load[id] += n
-		}
-		all.Add(p.Tally)
-		if p.Domain == e.self.Domain {
-			near.Add(p.Tally)
-		}
-	}
-	e.places.SetOthers(load)
-	for _, v := range e.places.Judge(all, near) {
+func (e *Entry) followInstances() {
+	t := e.fleet.Totals()
+	e.places.SetOthers(t.Load)
+	for _, v := range e.places.Judge(t.Tally, t.Near) {
 		e.Observer.Emit(event.Ejected, "instance", v.Instance, "share", v.Share, "rest", v.Rest.Seconds())
 	}
 }
--- a/role/follow.go
+++ b/role/follow.go
@@ -106,11 +106,11 @@
 	return rankHeard(b.self.VM, b.fleet.Peers(), anyPeer)
 }
 
-// changed takes over a change and tells the other VMs at once if some of them do not watch.
+// changed takes over a change and tells the other VMs at once, if some of them do not watch and this one watches or relays.
 func (b *base) changed(take func(mirror.Snapshot)) func(mirror.Snapshot) {
 	return func(s mirror.Snapshot) {
 		take(s)
-		if len(b.fleet.Peers()) >= allWatch && b.watches() {
+		if len(b.fleet.Peers()) >= allWatch && (b.watches() || b.fleet.Relays()) {
 			b.fleet.Soon()
 		}
 	}
@@ -172,8 +172,8 @@
 }
 
 // catchUp asks another VM for the kinds of which it has newer objects.
-func (b *base) catchUp(ctx context.Context, s *peer.Summary) {
-	for k, v := range s.Versions {
+func (b *base) catchUp(ctx context.Context, id chestnutcleat.VMID, versions map[chestnutcleat.ObjectKind]chestnutcleat.Version) {
+	for k, v := range versions {
 		m := b.mirrors[k]
 		if m == nil || m.Version() >= v {
 			continue
@@ -183,12 +183,12 @@
 		b.asking[k] = true
 		b.mu.Unlock()
 		if !busy {
-			go b.ask(ctx, m, s.VM, s.Address, v)
+			go b.ask(ctx, m, id, v)
 		}
 	}
 }
 
-func (b *base) ask(ctx context.Context, m *mirror.Mirror, id chestnutcleat.VMID, a chestnutcleat.Address, v chestnutcleat.Version) {
+func (b *base) ask(ctx context.Context, m *mirror.Mirror, id chestnutcleat.VMID, v chestnutcleat.Version) {
 	defer func() {
 		b.mu.Lock()
 		b.asking[m.Kind] = false
@@ -197,6 +197,10 @@
 	if b.watches() && chestnutcleat.Sleep(ctx, aheadWait) != nil || m.Version() >= v {
 		return
 	}
+	a, ok := b.fleet.Address(id)
+	if !ok {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, objectsTime)
 	defer cancel()
 	var s mirror.Snapshot
--- a/role/store.go
+++ b/role/store.go
@@ -84,7 +84,8 @@
 	s.fleet = &peer.Fleet{
 		Self:     s.self,
 		Describe: func(m *peer.Summary) { m.Versions, m.Away = s.versions(), s.away() },
-		Received: func(m peer.Summary) { s.catchUp(ctx, &m) },
+		Received: func(m peer.Summary) { s.catchUp(ctx, m.VM, m.Versions) },
+		Digested: func(d peer.Digest) { s.catchUp(ctx, d.From, d.Versions) },
 		Heard:    func(id chestnutcleat.VMID) { s.Observer.Emit(event.PeerBack, "peer", id) },
 		Silenced: func(id chestnutcleat.VMID) { s.Observer.Emit(event.PeerLost, "peer", id) },
 	}
