Keep a VM that is a relay no more from telling others

Cause: whether a VM is a relay was looked up twice; if another one was heard in between, the second look had no rank and the index panicked, in a goroutine that nothing guarded. Found by go test -race (TestLargeFleet). Change: the rank is looked up once, and a panic while a summary is made costs that one only.

--- a/peer/digest.go
+++ b/peer/digest.go
@@ -118,7 +118,8 @@
 	list := f.relaysOf(f.groups.own)
 	rank := slices.Index(list, f.Self.VM)
 	pace := time.Duration(len(f.groups.members)) * time.Second / farPerSecond
-	if !urgent && time.Since(f.toldOthers) < pace-interval/2 {
+	// Another VM may have taken this one's place since the caller looked.
+	if rank < 0 || !urgent && time.Since(f.toldOthers) < pace-interval/2 {
 		f.mu.Unlock()
 		return
 	}
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -74,7 +74,7 @@
 	Granted func(t rate.Tokens, asked time.Time)
 	// Heard and Silenced report that a VM is heard again or no longer; nil ignores it.
 	Heard, Silenced func(chestnutcleat.VMID)
-	// Unread receives why a datagram could not be taken; nil ignores it.
+	// Unread receives why a datagram could not be taken, or made; nil ignores it.
 	Unread func(error)
 	// Conn is the socket for datagrams.
 	Conn net.PacketConn
@@ -295,7 +295,9 @@
 		}
 		last = time.Now()
 		peers := f.Peers()
-		f.sendOnce(peers)
+		if err := guard.Call(func() { f.sendOnce(peers) }); err != nil && f.Unread != nil {
+			f.Unread(err)
+		}
 		f.reportSilent(peers, silent)
 		t.Reset(interval)
 	}
--- /dev/null
+++ b/peer/race_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package peer
+
+// fleetSizes are smaller with the race detector, which takes ten times as long.
+var fleetSizes = []int{7, 30, 100}
