Soak the real programs under faults

Adds chestnutcleat soak: four entry VMs and three storage VMs as processes, stand-ins of instances and of callers of the users' platform (standin/instance, standin/program), faults from outside by a seeded plan that can be printed, edited and played, and checks of what callers and instances see.

--- a/cmd/chestnutcleat/main.go
+++ b/cmd/chestnutcleat/main.go
@@ -19,6 +19,7 @@
 	subcommands.Register(&roleCommand{name: settings.RoleEntry, synopsis: "run the process of an entry VM on the users' platform"}, "processes")
 	subcommands.Register(&roleCommand{name: settings.RoleStore, synopsis: "run the process of a storage VM on the users' platform"}, "processes")
 	subcommands.Register(&standinCommand{}, "processes")
+	subcommands.Register(&soakCommand{}, "processes")
 	subcommands.Register(&applyCommand{}, "operators")
 	subcommands.Register(&keyCommand{}, "operators")
 	subcommands.Register(&vmsCommand{}, "operators")
--- /dev/null
+++ b/cmd/chestnutcleat/soak.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"chestnutcleat.example/chestnutcleat/soak"
+)
+
+// soakCommand runs the real programs of a small fleet under faults.
+type soakCommand struct {
+	seed   uint64
+	runs   int
+	length time.Duration
+	kinds  string
+	plan   string
+	print  bool
+}
+
+// Name implements subcommands.Command.
+func (*soakCommand) Name() string { return "soak" }
+
+// Synopsis implements subcommands.Command.
+func (*soakCommand) Synopsis() string {
+	return "run entry and storage VMs as processes under random faults and check what callers see"
+}
+
+// Usage implements subcommands.Command.
+func (*soakCommand) Usage() string {
+	return "soak [-seed N] [-runs N] [-for DURATION] [-kinds LIST] [-plan FILE] [-print]\n" +
+		"\tA broken promise is printed with its request; the logs of all processes are kept then, and the exit status is 1.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *soakCommand) SetFlags(f *flag.FlagSet) {
+	f.Uint64Var(&c.seed, "seed", 1, "seed of the first run's faults and callers")
+	f.IntVar(&c.runs, "runs", 1, "number of runs, each with the next seed")
+	f.DurationVar(&c.length, "for", time.Minute, "length of a run; 8 s at its start and end are without faults")
+	f.StringVar(&c.kinds, "kinds", "", "kinds of faults, separated by commas; empty for all")
+	f.StringVar(&c.plan, "plan", "", "file with a plan, as -print writes it")
+	f.BoolVar(&c.print, "print", false, "print the plan and don't run it")
+}
+
+// Execute implements subcommands.Command.
+func (c *soakCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if s, ok := surplus(c, f); !ok {
+		return s
+	}
+	if c.runs < 1 || c.length < soak.MinLength {
+		return misuse(c, "expected -runs from 1 and -for from %v, found %d and %v", soak.MinLength, c.runs, c.length)
+	}
+	for i := range c.runs {
+		if err := c.run(ctx, c.seed+uint64(i)); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return subcommands.ExitFailure
+		}
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *soakCommand) run(ctx context.Context, seed uint64) error {
+	plan, err := c.planOf(seed)
+	if err != nil {
+		return err
+	}
+	if c.print {
+		e := json.NewEncoder(os.Stdout)
+		e.SetIndent("", "  ")
+		return e.Encode(plan)
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("find this program: %w", err)
+	}
+	folder, err := os.MkdirTemp("", "soak-")
+	if err != nil {
+		return fmt.Errorf("make folder: %w", err)
+	}
+	s := soak.Soak{Program: program, Plan: plan, Folder: folder, Out: os.Stdout}
+	return s.Run(ctx)
+}
+
+func (c *soakCommand) planOf(seed uint64) (soak.Plan, error) {
+	if c.plan != "" {
+		return soak.ReadPlan(c.plan)
+	}
+	var kinds []soak.Kind
+	for k := range strings.SplitSeq(c.kinds, ",") {
+		if k != "" {
+			kinds = append(kinds, soak.Kind(k))
+		}
+	}
+	return soak.NewPlan(seed, c.length, kinds...)
+}
