--- a/role/fleet_test.go
+++ b/role/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -20,6 +19,7 @@
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/role"
 	"chestnutcleat.example/chestnutcleat/settings"
+	"chestnutcleat.example/chestnutcleat/standin/program"
 	"chestnutcleat.example/chestnutcleat/standin/store"
 )
 
@@ -124,18 +124,7 @@
 
 // addresses asks the VM where to connect; none when it does not say.
 func (e *entry) addresses() []string {
-	a, err := http.Get("http://" + string(e.settings.Listen.Registry) + "/api/resolve?name=h&region=r&zone=a")
-	if err != nil {
-		return nil
-	}
-	defer a.Body.Close()
-	var list struct {
-		Addresses []string `json:"addresses"`
-	}
-	if a.StatusCode != http.StatusOK || json.NewDecoder(a.Body).Decode(&list) != nil {
-		return nil
-	}
-	return list.Addresses
+	return program.Resolve(context.Background(), http.DefaultClient, string(e.settings.Listen.Registry), "h", "r", "a")
 }
 
 func (e *entry) ready() bool {
--- a/standin/program/client.go
+++ b/standin/program/client.go
@@ -71,7 +71,7 @@
 		return c.list
 	}
 	for _, i := range rand.Perm(len(c.Registries)) {
-		if list := c.resolve(ctx, c.Registries[i]); len(list) > 0 {
+		if list := Resolve(ctx, c.HTTP, c.Registries[i], c.Host, c.Region, c.Domain); len(list) > 0 {
 			c.list, c.asked = list, time.Now()
 			break
 		}
@@ -79,15 +79,16 @@
 	return c.list
 }
 
-func (c *Client) resolve(ctx context.Context, registry string) []string {
+// Resolve asks a VM where callers of a region and failure domain connect for a host; it returns nothing when the VM does not say.
+func Resolve(ctx context.Context, client *http.Client, registry, host, region, domain string) []string {
 	ctx, cancel := context.WithTimeout(ctx, resolveTime)
 	defer cancel()
-	query := url.Values{"name": {c.Host}, "region": {c.Region}, "zone": {c.Domain}}
+	query := url.Values{"name": {host}, "region": {region}, "zone": {domain}}
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+registry+"/api/resolve?"+query.Encode(), nil)
 	if err != nil {
 		return nil
 	}
-	a, err := c.HTTP.Do(q)
+	a, err := client.Do(q)
 	if err != nil {
 		return nil
 	}
