Let a role finish its planned stop however often it is told to stop

The platform bounds a stop by its grace, so a repeated signal says nothing new. SIGHUP within the first moments of a process ended it, as it was not asked for yet. Ruled out: the listener (accept), which had not closed yet. Change: roles pass over further SIGTERMs, and SIGINT ends them at once; SIGHUP is asked for first. The product's own serve keeps its second SIGTERM (e2e.TestSecondSignal). Test: e2e.TestSoakPlans, 'two stops': broken before, none after.

--- a/cmd/chestnutcleat/role.go
+++ b/cmd/chestnutcleat/role.go
@@ -42,7 +42,7 @@
 func (c *roleCommand) Synopsis() string { return c.synopsis }
 
 func (c *roleCommand) Usage() string {
-	return c.name + " -settings FILE\n\tSIGTERM starts a graceful shutdown, a second one ends the process at once.\n"
+	return c.name + " -settings FILE\n\tSIGTERM starts a graceful shutdown, which the grace bounds; SIGINT after it ends the process at once.\n"
 }
 
 func (c *roleCommand) SetFlags(f *flag.FlagSet) {
@@ -64,6 +64,10 @@
 }
 
 func (c *roleCommand) run(ctx context.Context) error {
+	// Before it is asked for, SIGHUP ends a process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	s, err := settings.LoadRole(c.settings)
 	if err != nil {
 		return err
@@ -78,9 +82,9 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop, end := signals(ctx)
+	ctx, stop, end := signalsOf(ctx, func(s os.Signal) bool { return s == os.Interrupt })
 	defer end()
-	reload := c.watch(ctx, l)
+	reload := c.watch(ctx, l, hangups)
 	go reportDropped(ctx, w, l)
 	if s.Role == settings.RoleStore {
 		p := &role.Store{Stop: stop}
@@ -93,16 +97,13 @@
 }
 
 // watch reads the settings again at SIGHUP and when the file changes without a signal.
-func (c *roleCommand) watch(ctx context.Context, l chestnutcleat.Observer) <-chan settings.Role {
+func (c *roleCommand) watch(ctx context.Context, l chestnutcleat.Observer, hangups <-chan os.Signal) <-chan settings.Role {
 	out := make(chan settings.Role)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
 	known, err := os.ReadFile(c.settings)
 	if err != nil {
 		l.Emit(event.SettingsBad, "file", c.settings, "error", err)
 	}
 	go func() {
-		defer signal.Stop(signals)
 		t := time.NewTicker(settingsInterval)
 		defer t.Stop()
 		for {
@@ -110,7 +111,7 @@
 			select {
 			case <-ctx.Done():
 				return
-			case <-signals:
+			case <-hangups:
 				asked = true
 			case <-t.C:
 			}
--- a/cmd/chestnutcleat/serve.go
+++ b/cmd/chestnutcleat/serve.go
@@ -69,22 +69,32 @@
 
 // signals returns a channel that the first SIGTERM or SIGINT closes, and a context that the second one ends.
 func signals(parent context.Context) (ctx context.Context, stop <-chan struct{}, end func()) {
+	return signalsOf(parent, func(os.Signal) bool { return true })
+}
+
+// signalsOf is signals with the choice which signals end the context after the first one.
+func signalsOf(parent context.Context, ends func(os.Signal) bool) (ctx context.Context, stop <-chan struct{}, end func()) {
 	ctx, cancel := context.WithCancel(parent)
 	first := make(chan struct{})
 	c := make(chan os.Signal, 2)
 	signal.Notify(c, syscall.SIGTERM, os.Interrupt)
 	go func() {
-		for n := 0; n < 2; n++ {
+		defer cancel()
+		begun := false
+		for {
 			select {
 			case <-ctx.Done():
 				return
-			case <-c:
+			case s := <-c:
+				if begun && ends(s) {
+					return
+				}
 			}
-			if n == 0 {
+			if !begun {
 				close(first)
 			}
+			begun = true
 		}
-		cancel()
 	}()
 	return ctx, first, func() { signal.Stop(c); cancel() }
 }
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"os"
 	"os/exec"
+	"path/filepath"
 	"testing"
 )
 
@@ -15,6 +17,13 @@
 	{101, "stop,reload,platform-down,platform-lost,platform-deaf,compact"},
 }
 
+// soakPlans are faults that once broke a promise, each with its cause.
+var soakPlans = map[string]string{
+	// Seed 104 of planned work: a second SIGTERM within the grace ended the process at once and cut its requests.
+	"two stops": `{"seed": 104, "length": "24s", "faults": [
+		{"at": "8s", "kind": "stop", "on": "entry-4"}, {"at": "8.1s", "kind": "stop", "on": "entry-4"}, {"at": "12s", "kind": "stop", "on": "entry-4"}]}`,
+}
+
 // Real processes under faults from outside must keep what callers and instances can see of their promises; `chestnutcleat soak`
 // plays more and longer runs.
 func TestSoak(t *testing.T) {
@@ -28,3 +37,20 @@
 		})
 	}
 }
+
+// Faults that broke a promise before must not do so again.
+func TestSoakPlans(t *testing.T) {
+	for name, plan := range soakPlans {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			file := filepath.Join(t.TempDir(), "plan.json")
+			if err := os.WriteFile(file, []byte(plan), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			out, err := exec.Command(command, "soak", "-plan", file).CombinedOutput()
+			if err != nil {
+				t.Errorf("%v\n%s", err, out)
+			}
+		})
+	}
+}
