Release locks by defer where a panic is caught

Cause: a guarded call that panics while it holds a lock would leave it held, and the VM would hang where before its process ended and came back. Found by reading; the index of the former relay panicked under such a lock. Change: what handlers of datagrams and calls lock is released by defer, in functions of their own.

--- a/ledger/join.go
+++ b/ledger/join.go
@@ -84,17 +84,11 @@
 		return v, 0, nil
 	}
 	for {
-		s.mu.Lock()
-		t := s.state.turns[turnKey{v.Customer, v.Attempt}]
-		var at place
-		if t != nil {
-			at = t.at
-		}
-		s.mu.Unlock()
-		if t == nil {
+		chain, _ := s.places(v.Customer, v.Attempt)
+		if len(chain) == 0 {
 			return Record{}, 0, nil
 		}
-		kept, err := s.log.read(at)
+		kept, err := s.log.read(chain[0])
 		if errors.Is(err, errRemoved) {
 			// The record was moved meanwhile.
 			continue
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -245,10 +245,8 @@
 	if st, ok, err := s.check(q.Target); !ok {
 		return FetchReply{Standing: st}, err
 	}
-	s.mu.Lock()
-	chain := s.state.chain(q.Customer, q.Turn)
-	r := FetchReply{Whole: s.state.whole}
-	s.mu.Unlock()
+	chain, whole := s.places(q.Customer, q.Turn)
+	r := FetchReply{Whole: whole}
 	size := 0
 	for _, at := range chain {
 		if size += at.bytes; size > pageBytes && len(r.Turns) > 0 {
@@ -266,3 +264,10 @@
 	}
 	return r, nil
 }
+
+// places returns where a turn and those before it lie, and whether the copy lacks no record of earlier sets.
+func (s *Store) places(c chestnutcleat.CustomerID, id chestnutcleat.RequestID) (chain []place, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.chain(c, id), s.state.whole
+}
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -111,17 +111,23 @@
 	return list
 }
 
-// tellOthers sends the digest of this VM's group to the relays of the other groups, those of the same rank, as often as their
-// number allows, and at once if that is urgent.
+// tellOthers sends the digest of this VM's group to the relays of the other groups, as often as their number allows, and at once if
+// that is urgent.
 func (f *Fleet) tellOthers(own *Summary, urgent bool) {
+	if to := f.farRelays(urgent); len(to) > 0 {
+		f.write(message{Digest: f.digestGroup(own)}, to...)
+	}
+}
+
+// farRelays returns the relays of the other groups that have this VM's rank, and none if it is too soon to tell them or another
+// VM has taken this one's place meanwhile.
+func (f *Fleet) farRelays(urgent bool) []chestnutcleat.Address {
 	f.mu.Lock()
-	list := f.relaysOf(f.groups.own)
-	rank := slices.Index(list, f.Self.VM)
+	defer f.mu.Unlock()
+	rank := slices.Index(f.relaysOf(f.groups.own), f.Self.VM)
 	pace := time.Duration(len(f.groups.members)) * time.Second / farPerSecond
-	// Another VM may have taken this one's place since the caller looked.
 	if rank < 0 || !urgent && time.Since(f.toldOthers) < pace-interval/2 {
-		f.mu.Unlock()
-		return
+		return nil
 	}
 	f.toldOthers = time.Now()
 	var to []chestnutcleat.Address
@@ -131,8 +137,7 @@
 			to = f.addAddress(to, list[min(rank, len(list)-1)])
 		}
 	}
-	f.mu.Unlock()
-	f.write(message{Digest: f.digestGroup(own)}, to...)
+	return to
 }
 
 // addAddress adds where a VM gets datagrams. It needs the lock.
@@ -182,24 +187,11 @@
 
 // receiveDigest takes over what a relay tells.
 func (f *Fleet) receiveDigest(d *Digest) {
-	f.mu.Lock()
-	p := f.peers[d.From]
-	if p == nil || d.From == f.Self.VM || !p.digests.accept(d.Incarnation, d.Sequence) {
-		f.mu.Unlock()
+	n := f.noteDigest(d)
+	if n.old {
 		return
 	}
-	var pass []chestnutcleat.Address
-	r := &received{Digest: *d, at: time.Now()}
-	if d.Group == "" {
-		f.views[d.From] = r
-	} else if d.Group != f.groups.own {
-		f.told[d.Group] = r
-		pass = f.relaysInstead()
-	}
-	heard, changed := f.takeStates(d)
-	relays := f.isRelay()
-	f.mu.Unlock()
-	for _, id := range heard {
+	for _, id := range n.heard {
 		if f.Heard != nil {
 			f.Heard(id)
 		}
@@ -207,12 +199,40 @@
 	if f.Digested != nil {
 		f.Digested(*d)
 	}
-	f.write(message{Digest: d}, pass...)
-	if changed && relays {
+	f.write(message{Digest: d}, n.pass...)
+	if n.changed && n.relays {
 		f.Soon()
 	}
 }
 
+// notedDigest tells what a digest changed.
+type notedDigest struct {
+	noted
+	// heard are the VMs that had not been heard before, pass the relays that should have got the digest.
+	heard []chestnutcleat.VMID
+	pass  []chestnutcleat.Address
+}
+
+// noteDigest takes over a digest.
+func (f *Fleet) noteDigest(d *Digest) notedDigest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peers[d.From]
+	if p == nil || d.From == f.Self.VM || !p.digests.accept(d.Incarnation, d.Sequence) {
+		return notedDigest{noted: noted{old: true}}
+	}
+	n := notedDigest{noted: noted{relays: f.isRelay()}}
+	r := &received{Digest: *d, at: time.Now()}
+	if d.Group == "" {
+		f.views[d.From] = r
+	} else if d.Group != f.groups.own {
+		f.told[d.Group] = r
+		n.pass = f.relaysInstead()
+	}
+	n.heard, n.changed = f.takeStates(d)
+	return n
+}
+
 // relaysInstead returns the relays that should have got a digest of another group, if this VM is none: who sent it does not
 // hear them yet. It needs the lock.
 func (f *Fleet) relaysInstead() []chestnutcleat.Address {
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -252,31 +252,46 @@
 }
 
 func (f *Fleet) receive(s Summary) {
-	f.mu.Lock()
-	p := f.peers[s.VM]
-	if p == nil {
-		p = &Peer{known: time.Now(), patience: f.groups.patience(s.VM)}
-		f.peers[s.VM] = p
-	}
-	if !p.summaries.accept(s.Incarnation, s.Sequence) {
-		f.mu.Unlock()
+	n := f.note(&s)
+	if n.old {
 		return
 	}
-	silent, changed := p.Silent(), p.flags() != s.flags()
-	p.Summary, p.Heard = s, time.Now()
-	relays := f.isRelay()
-	f.mu.Unlock()
-	if silent && f.Heard != nil {
+	if n.silent && f.Heard != nil {
 		f.Heard(s.VM)
 	}
 	if f.Received != nil {
 		f.Received(s)
 	}
-	if relays && (silent || changed) {
+	if n.relays && (n.silent || n.changed) {
 		f.Soon()
 	}
 }
 
+// noted tells what a summary changed.
+type noted struct {
+	// old is set for a summary that is not newer than what is known, silent if the VM had not been heard before.
+	old, silent bool
+	// changed is set if a flag of the VM changed, relays if this VM is a relay.
+	changed, relays bool
+}
+
+// note takes over a summary.
+func (f *Fleet) note(s *Summary) noted {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peers[s.VM]
+	if p == nil {
+		p = &Peer{known: time.Now(), patience: f.groups.patience(s.VM)}
+		f.peers[s.VM] = p
+	}
+	if !p.summaries.accept(s.Incarnation, s.Sequence) {
+		return noted{old: true}
+	}
+	n := noted{silent: p.Silent(), changed: p.flags() != s.flags(), relays: f.isRelay()}
+	p.Summary, p.Heard = *s, time.Now()
+	return n
+}
+
 func (f *Fleet) send(ctx context.Context) {
 	t := time.NewTimer(0)
 	defer t.Stop()
@@ -307,12 +322,7 @@
 func (f *Fleet) sendOnce(peers []Peer) {
 	var s Summary
 	f.Describe(&s)
-	f.mu.Lock()
-	f.sequence++
-	s.Member, s.Incarnation, s.Sequence = f.Self, f.incarnation, f.sequence
-	relays, urgent := f.isRelay(), f.urgent
-	f.urgent = false
-	f.mu.Unlock()
+	relays, urgent := f.sign(&s)
 	m := message{Summary: &s}
 	if relays {
 		m.Digest = f.digestOthers(s.Versions, urgent)
@@ -321,6 +331,16 @@
 	f.sendTo(m, f.near(peers))
 }
 
+// sign completes a summary, and reports whether this VM is a relay and whether a change waits to be told.
+func (f *Fleet) sign(s *Summary) (relays, urgent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sequence++
+	s.Member, s.Incarnation, s.Sequence = f.Self, f.incarnation, f.sequence
+	urgent, f.urgent = f.urgent, false
+	return f.isRelay(), urgent
+}
+
 // near returns the peers that get this VM's summaries: those of its group, and those that the platform does not list yet.
 func (f *Fleet) near(peers []Peer) []Peer {
 	f.mu.Lock()
--- a/peer/tokens.go
+++ b/peer/tokens.go
@@ -13,15 +13,19 @@
 
 // receiveGrant takes tokens once: a repeated or overtaken datagram gives nothing.
 func (f *Fleet) receiveGrant(g *Grant) {
+	if asked, ok := f.asked(g); ok && f.Granted != nil {
+		f.Granted(g.Tokens, asked)
+	}
+}
+
+// asked returns when this VM asked for a grant; it reports false for one that is not to be taken.
+func (f *Fleet) asked(g *Grant) (time.Time, bool) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	p := f.peers[g.From]
-	ok := p != nil && g.To == f.incarnation && p.grants.accept(g.Incarnation, g.Sequence)
 	asked, open := f.questions[g.Number]
 	delete(f.questions, g.Number)
-	f.mu.Unlock()
-	if ok && open && f.Granted != nil {
-		f.Granted(g.Tokens, asked)
-	}
+	return asked, open && p != nil && g.To == f.incarnation && p.grants.accept(g.Incarnation, g.Sequence)
 }
 
 // Ask asks a VM for tokens; a lost datagram is made up for by the next question.
