--- a/cmd/chestnutcleat/status.go
+++ b/cmd/chestnutcleat/status.go
@@ -18,11 +18,14 @@
 	target
 	// role is the metrics address of an entry or storage VM.
 	role string
+	// fleet is the metrics address of one of the VMs that are compared.
+	fleet string
 }
 
 // SetFlags implements subcommands.Command.
 func (c *statusCommand) SetFlags(f *flag.FlagSet) {
 	c.target.SetFlags(f)
+	f.StringVar(&c.fleet, "fleet", "", "metrics address of one VM on the users' platform; asks all VMs of its role and shows where they differ")
 	f.StringVar(&c.role, "role", "", "metrics address of an entry or storage VM on the users' platform; shows what it takes for true")
 }
 
@@ -33,7 +36,9 @@
 func (*statusCommand) Synopsis() string { return "show the manifest's revision and the upstreams" }
 
 // Usage implements subcommands.Command.
-func (*statusCommand) Usage() string { return "status [-operators IP:PORT | -role IP:PORT]\n" }
+func (*statusCommand) Usage() string {
+	return "status [-operators IP:PORT | -role IP:PORT | -fleet IP:PORT]\n"
+}
 
 // Execute implements subcommands.Command.
 func (c *statusCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -43,6 +48,9 @@
 	if c.role != "" {
 		return c.beliefs(ctx)
 	}
+	if c.fleet != "" {
+		return c.survey(ctx)
+	}
 	return c.run(ctx, func(ctx context.Context, o *operator.Client) error {
 		m, err := o.Manifest(ctx)
 		if err != nil {
@@ -94,3 +102,18 @@
 	}
 	return subcommands.ExitSuccess
 }
+
+// survey shows the VMs that believe other than most.
+func (c *statusCommand) survey(ctx context.Context) subcommands.ExitStatus {
+	answers, err := role.Survey(ctx, chestnutcleat.Address(c.fleet))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	outliers := role.Outliers(answers)
+	fmt.Printf("%d VMs asked, %d differences\n", len(answers), len(outliers))
+	for _, o := range outliers {
+		fmt.Printf("%s: %s\n", o.VM, o.What)
+	}
+	return subcommands.ExitSuccess
+}
--- a/role/beliefs.go
+++ b/role/beliefs.go
@@ -53,10 +53,12 @@
 
 // PeerBelief is what the VM knows of another one.
 type PeerBelief struct {
-	VM      chestnutcleat.VMID `json:"vm"`
-	Silent  bool               `json:"silent"`
-	Leaving bool               `json:"leaving"`
-	Away    bool               `json:"away"`
+	VM chestnutcleat.VMID `json:"vm"`
+	// Address is where other VMs reach it.
+	Address chestnutcleat.Address `json:"address"`
+	Silent  bool                  `json:"silent"`
+	Leaving bool                  `json:"leaving"`
+	Away    bool                  `json:"away"`
 	// Age is the time since its last summary.
 	Age float64 `json:"age"`
 }
@@ -87,7 +89,7 @@
 	list := make([]PeerBelief, 0, len(peers))
 	for i := range peers {
 		p := &peers[i]
-		list = append(list, PeerBelief{VM: p.VM, Silent: p.Silent(), Leaving: p.Leaving, Away: p.Away, Age: p.Quiet().Seconds()})
+		list = append(list, PeerBelief{VM: p.VM, Address: p.Address, Silent: p.Silent(), Leaving: p.Leaving, Away: p.Away, Age: p.Quiet().Seconds()})
 	}
 	return list
 }
