--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/role"
 	"chestnutcleat.example/chestnutcleat/settings"
 	"chestnutcleat.example/chestnutcleat/standin/instance"
 	"chestnutcleat.example/chestnutcleat/standin/store"
@@ -21,7 +22,7 @@
 const (
 	entryCount, storeCount, toolCount, modelCount = 4, 3, 3, 4
 
-	internalPort, callersPort, readyPort, registryPort = 7780, 8368, 8369, 8360
+	internalPort, callersPort, readyPort, registryPort, metricsPort = 7780, 8368, 8369, 8360, 9464
 	// memory is that of each process, in megabytes, and grace the time that a planned stop has, in seconds.
 	memory = 128
 	grace  = 6
@@ -82,11 +83,11 @@
 	}
 	f.platform.Set("config", "main", instance.SampleConfiguration(1))
 	for i, id := range append(n.entries, n.stores...) {
-		role := settings.RoleEntry
+		kind := settings.RoleEntry
 		if i >= entryCount {
-			role = settings.RoleStore
+			kind = settings.RoleStore
 		}
-		if err := f.addProcess(program, folder, vmSettings(id, role, i, platform.Addr().String(), folder)); err != nil {
+		if err := f.addProcess(program, folder, vmSettings(id, kind, i, platform.Addr().String(), folder)); err != nil {
 			return nil, err
 		}
 	}
@@ -120,17 +121,17 @@
 }
 
 // vmSettings are those of a VM; each has a loopback address of its own, so that ports are the same on all.
-func vmSettings(id, role string, i int, platform, folder string) settings.Role {
+func vmSettings(id, kind string, i int, platform, folder string) settings.Role {
 	ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()/250%64, 1+os.Getpid()%250, i+1)
 	at := func(port int) chestnutcleat.Address {
 		return chestnutcleat.Address(net.JoinHostPort(ip, fmt.Sprint(port)))
 	}
 	s := settings.Role{
-		VM: chestnutcleat.VMID(id), Role: role, Domain: chestnutcleat.FailureDomain(domain(i)), Region: "region",
+		VM: chestnutcleat.VMID(id), Role: kind, Domain: chestnutcleat.FailureDomain(domain(i)), Region: "region",
 		IP: ip, Ports: []int{internalPort, internalPort}, Platform: chestnutcleat.Address(platform), Tolerance: 1,
-		Memory: memory, Grace: grace, Hold: 1, Apply: 2000, Drain: 2000, Window: 5, Overage: 0.1,
+		Memory: memory, Grace: grace, Hold: 1, Apply: 2000, Drain: 2000, Window: 5, Overage: 0.1, Metrics: metricsPort,
 	}
-	if role == settings.RoleEntry {
+	if kind == settings.RoleEntry {
 		s.Listen = settings.Listen{Callers: at(callersPort), Ready: at(readyPort), Registry: at(registryPort)}
 	} else {
 		s.Folder = filepath.Join(folder, id+".disk")
@@ -161,6 +162,23 @@
 	return nil
 }
 
+// differences returns the VMs that believe other than most of their role once the faults are over.
+func (f *fleet) differences(ctx context.Context) []string {
+	var out []string
+	n := fleetNames()
+	for _, id := range []string{n.entries[0], n.stores[0]} {
+		a := net.JoinHostPort(f.processes[id].settings.IP, fmt.Sprint(metricsPort))
+		answers, err := role.Survey(ctx, chestnutcleat.Address(a))
+		if err != nil {
+			out = append(out, fmt.Sprintf("%s does not say what it knows: %v", id, err))
+		}
+		for _, o := range role.Outliers(answers) {
+			out = append(out, fmt.Sprintf("%s: %s", o.VM, o.What))
+		}
+	}
+	return out
+}
+
 // end ends all processes and stand-ins.
 func (f *fleet) end() []error {
 	for _, p := range f.processes {
--- a/soak/record.go
+++ b/soak/record.go
@@ -20,6 +20,9 @@
 
 // String implements fmt.Stringer.
 func (v Violation) String() string {
+	if v.Request == "" {
+		return fmt.Sprintf("%.3f s: %s", v.At.Seconds(), v.What)
+	}
 	return fmt.Sprintf("%.3f s: request %s: %s", v.At.Seconds(), v.Request, v.What)
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -53,6 +53,9 @@
 		running.Go(func() { f.inject(ctx, v) })
 	}
 	running.Wait()
+	for _, d := range f.differences(context.WithoutCancel(ctx)) {
+		r.broken = append(r.broken, Violation{At: time.Since(r.begun), What: "after the faults " + d})
+	}
 	failed := f.end()
 	return s.report(f, r, failed)
 }
