Tell VMs that ask for changes of objects that did not come back

Cause: an object that vanished in an outage stays for 2.5 s and is then dropped without a note of its removal. A VM that was behind for longer asked for the changes and kept the object: an instance that is gone, until its own turn of the lists. Ruled out: objects removed by a watch, by a list or with many others at once, which are noted. Change: a dropped object is noted as removed. Test: mirror.TestLapsedIsOfferedAsGone, which fails before.

--- a/mirror/lapse.go
+++ b/mirror/lapse.go
@@ -90,6 +90,7 @@
 		if !now.Before(t) {
 			delete(m.objects, name)
 			delete(m.lapsed, name)
+			m.note(name, m.version)
 			dropped = true
 		}
 	}
--- a/mirror/offer_test.go
+++ b/mirror/offer_test.go
@@ -111,3 +111,27 @@
 		p.do(func(p *platform) { is.Equal(p.asked[len(p.asked)-1], chestnutcleat.Fresh) })
 	})
 }
+
+// An object that vanished in an outage and did not come back must be gone for VMs that ask for the changes later: without a
+// word of its end they went on using an instance that is not there.
+func TestLapsedIsOfferedAsGone(t *testing.T) {
+	play(t, func(t *testing.T, is *is.I, p *platform) {
+		for _, name := range []string{"a", "b", "c", "d", "e"} {
+			p.set(name)
+		}
+		m, seen := follow(t, p)
+		time.Sleep(time.Second)
+		behind := &Mirror{}
+		behind.Offer(m.Offered(0))
+		p.do(func(p *platform) { p.away = true })
+		time.Sleep(watchWait)
+		p.delete("c")
+		p.do(func(p *platform) { p.away = false })
+		time.Sleep(time.Second)
+		is.Equal(len(seen()), 5) // it may come back
+		time.Sleep(returnTime + time.Second)
+		is.Equal(len(seen()), 4)
+		behind.Offer(m.Offered(behind.Version()))
+		is.Equal(names(behind.Offered(0)), []string{"a", "b", "d", "e"})
+	})
+}
