--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -128,13 +128,19 @@
 
 // followIf is follow with a function that tells whether the mirror watches.
 func followIf(t *testing.T, p *platform, watches func() bool) (*Mirror, func() []string) {
+	return followAs(t, p, func(m *Mirror) { m.Watches = watches })
+}
+
+// followAs is follow with fields that differ.
+func followAs(t *testing.T, p *platform, set func(m *Mirror)) (*Mirror, func() []string) {
 	var mu sync.Mutex
 	var last []string
-	m := &Mirror{Store: p, Kind: "k", Lapses: true, Watches: watches, Rand: rand.New(rand.NewPCG(1, 1)), Changed: func(s Snapshot) {
+	m := &Mirror{Store: p, Kind: "k", Lapses: true, Rand: rand.New(rand.NewPCG(1, 1)), Changed: func(s Snapshot) {
 		mu.Lock()
 		defer mu.Unlock()
 		last = names(s)
 	}}
+	set(m)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go m.Run(ctx)
@@ -332,8 +338,9 @@
 		p.set("a")
 		var watches atomic.Bool
 		watches.Store(true)
-		m, seen := followIf(t, p, watches.Load)
-		m.ProbePause = func() time.Duration { return pause }
+		m, seen := followAs(t, p, func(m *Mirror) {
+			m.Watches, m.ProbePause = watches.Load, func() time.Duration { return pause }
+		})
 		time.Sleep(time.Second)
 		p.do(func(p *platform) { p.away = true })
 		time.Sleep(time.Second)
--- a/mirror/offer_test.go
+++ b/mirror/offer_test.go
@@ -21,8 +21,7 @@
 				for i := range 10 {
 					p.set(fmt.Sprint(i))
 				}
-				watching, _ := follow(t, p)
-				watching.Lapses = false
+				watching, _ := followAs(t, p, func(m *Mirror) { m.Lapses = false })
 				follower := &Mirror{}
 				for range 50 {
 					for range random.IntN(4) {
@@ -90,8 +89,10 @@
 		p.set("a")
 		const settled = 4 * time.Second
 		started := time.Now()
-		m, seen := followIf(t, p, func() bool { return time.Since(started) > settled })
-		m.Relists = func() bool { return time.Since(started) < settled }
+		_, seen := followAs(t, p, func(m *Mirror) {
+			m.Watches = func() bool { return time.Since(started) > settled }
+			m.Relists = func() bool { return time.Since(started) < settled }
+		})
 		time.Sleep(1500 * time.Millisecond)
 		p.set("b")
 		time.Sleep(relistTime + spacing + time.Millisecond)
