Count expected VMs before another one can be heard

A VM that is heard so soon is allowed. Change: the count is taken before the second VM begins; the checks are the same. 200 runs with -race pass.

--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -149,7 +149,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		is, w, list := is.New(t), newWire(), []Member{member(1), member(2), member(3)}
 		one, stopOne := begin(t, w, list[0], list)
-		_, stopTwo := begin(t, w, list[1], list)
 		expected := func() (n int) {
 			for _, p := range one.Peers() {
 				if p.Expected() {
@@ -159,6 +158,7 @@
 			return n
 		}
 		is.Equal(expected(), 2)
+		_, stopTwo := begin(t, w, list[1], list)
 		time.Sleep(2 * interval)
 		is.Equal(expected(), 1) // one is heard
 		time.Sleep(silentIntervals * interval)
