--- a/ledger/join.go
+++ b/ledger/join.go
@@ -84,11 +84,11 @@
 		return v, 0, nil
 	}
 	for {
-		chain, _ := s.places(v.Customer, v.Attempt)
-		if len(chain) == 0 {
+		at, ok := s.placeOf(v.Customer, v.Attempt)
+		if !ok {
 			return Record{}, 0, nil
 		}
-		kept, err := s.log.read(chain[0])
+		kept, err := s.log.read(at)
 		if errors.Is(err, errRemoved) {
 			// The record was moved meanwhile.
 			continue
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -271,3 +271,14 @@
 	defer s.mu.Unlock()
 	return s.state.chain(c, id), s.state.whole
 }
+
+// placeOf returns where a turn lies.
+func (s *Store) placeOf(c chestnutcleat.CustomerID, id chestnutcleat.RequestID) (place, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.state.turns[turnKey{c, id}]
+	if t == nil {
+		return place{}, false
+	}
+	return t.at, true
+}
