Store the end of each call before anybody is told

Cause: the end of a repeatable call was told at once and its record was not waited for; an end whose record failed was told too. The next owner read "running" from the witnesses: it accepted a report of an older attempt, and followers of the call waited for an end that nobody would report again.

Ruled out: a report accepted twice by one owner (attempts are compared); a wrong order of records (sequences are taken from the records read).

Change: the end of every call is stored before callers and the entry VM hear of it, and stored again while that fails; when the slots are lost meanwhile the entry VM asks the next owner.

--- a/program/book.go
+++ b/program/book.go
@@ -29,6 +29,8 @@
 	maxJournaled = 4 << 10
 	// suspectInterval is how often a call asks again whether the only allowed run of its fingerprint has ended.
 	suspectInterval = 250 * time.Millisecond
+	// saveInterval is the pause before the end of a call that could not be stored is stored again.
+	saveInterval = 250 * time.Millisecond
 )
 
 // Book is the control state of the programs that this VM owns.
--- a/program/book_test.go
+++ b/program/book_test.go
@@ -162,6 +162,36 @@
 			d := f.begin(booking("a"))
 			return fmt.Sprintf("%d %s", len(s.replies), what(d))
 		}, "0 0 replies"},
+		{"end of a repeatable call that no majority holds is told to nobody", func(f *fleet) string {
+			f.begin(newCall("a", ""))
+			f.start(newCall("a", ""), 1)
+			f.store.hold = true
+			s := f.settle(done(newCall("a", ""), 1))
+			d := f.begin(newCall("a", ""))
+			return fmt.Sprintf("%d %s", len(s.replies), what(d))
+		}, "0 0 replies"},
+		{"end that could not be stored is stored later", func(f *fleet) string {
+			f.begin(newCall("a", ""))
+			f.start(newCall("a", ""), 1)
+			f.store.fail = true
+			s := f.settle(done(newCall("a", ""), 1))
+			f.store.fail = false
+			early := len(s.replies)
+			f.pass(time.Second)
+			f.lose(lost)
+			return fmt.Sprintf("%d %d %s", early, len(s.replies), what(f.begin(newCall("a", ""))))
+		}, "0 1 answer done"},
+		{"owner lost before the end was stored", func(f *fleet) string {
+			f.begin(newCall("a", ""))
+			f.start(newCall("a", ""), 1)
+			f.store.fail = true
+			f.settle(done(newCall("a", ""), 1))
+			f.store.fail = false
+			f.lose(lost)
+			// The entry VM asks again, as the one that it asked is no longer the owner.
+			f.settle(done(newCall("a", ""), 1))
+			return what(f.begin(newCall("b", "a")))
+		}, "run 1"},
 		{"handover while a second attempt waits for its reservation", func(f *fleet) string {
 			f.begin(newCall("a", ""))
 			f.start(newCall("a", ""), 1)
--- a/program/call.go
+++ b/program/call.go
@@ -45,8 +45,11 @@
 	endedAt  time.Time
 	// presumed is set for an unknown outcome that nobody was told yet.
 	presumed bool
-	// saving counts the outcome writes that callers must wait for.
+	// saving is set until the end of the call is stored, for which callers must wait; savers are called then.
 	saving bool
+	savers []func()
+	// saves counts the ends of the call: a presumed one may be replaced.
+	saves int
 }
 
 // charge returns what the call counts against the program's budget.
--- a/program/harness_test.go
+++ b/program/harness_test.go
@@ -92,10 +92,12 @@
 	}
 }
 
-// move hands the program over to another owner.
+// move hands the program over to another owner, which stores the records before it serves.
 func (f *fleet) move() {
 	f.do(func() {
-		f.replace(f.book.Export(chestnutcleat.ProgramKey("c", "p").Slot()), chestnutcleat.Transfer{})
+		records := f.book.Export(chestnutcleat.ProgramKey("c", "p").Slot())
+		f.store.records = append(f.store.records, records...)
+		f.replace(records, chestnutcleat.Transfer{})
 	})
 }
 
--- a/program/settle.go
+++ b/program/settle.go
@@ -20,13 +20,15 @@
 		done(chestnutcleat.SettleReply{})
 	case c.state == ended && c.presumed && c.attempt == r.Attempt && !r.Again:
 		c.presumed = false
+		c.saves++
+		c.saved()
 		c.charged -= c.assumed
 		c.reserved, c.assumed = c.assumed, 0
 		c.state = running
 		b.settled(p, c, r, done)
 	case c.state == ended:
 		b.late(r)
-		done(chestnutcleat.SettleReply{Next: b.replay(c)})
+		c.afterSave(func() { done(chestnutcleat.SettleReply{Next: b.replay(c)}) })
 	case c.again > 0 && c.again == r.Attempt && (r.Again || r.Crashed):
 		b.resettle(p, c, done)
 	case c.state != running || c.attempt != r.Attempt:
@@ -110,7 +112,7 @@
 			c.charged += c.reserved
 			c.reserved = 0
 			b.crashed(p, c)
-			done(chestnutcleat.SettleReply{Next: b.replay(c)})
+			c.afterSave(func() { done(chestnutcleat.SettleReply{Next: b.replay(c)}) })
 		case b.mayRepeat(c):
 			b.next(p, c, r, done)
 		default:
@@ -199,7 +201,7 @@
 }
 
 // finishThen records the answer, passes it to the waiters, and then calls done.
-// The answer of a non-repeatable call is stored first, so that a later owner replays the same one.
+// The answer is stored first, so that a later owner replays the same one and knows that the call has ended.
 func (b *Book) finishThen(p *program, c *call, a chestnutcleat.Answer, done func()) {
 	c.stopSilence()
 	c.reserved = 0
@@ -209,17 +211,57 @@
 	b.startAll(c, chestnutcleat.NewProblem(chestnutcleat.CodeInterrupted, chestnutcleat.NotRun, "the attempt has ended"))
 	b.discard(c)
 	b.retain(c, a)
-	told := func(error) {
-		c.saving = false
-		c.reply(b.replay(c))
-		done()
-	}
-	if c.Repeatable {
-		b.append(false, nil, b.callRecord(p, c, maxJournaled))
-		told(nil)
-	} else {
-		c.saving = true
-		b.append(true, told, b.callRecord(p, c, maxJournaled))
-	}
+	c.saving = true
+	c.savers = append(c.savers, done)
+	c.saves++
+	b.save(p, c, c.saves)
 	b.wake(p)
 }
+
+// save stores the n-th end of a call until that succeeds or another VM owns the program.
+func (b *Book) save(p *program, c *call, n int) {
+	b.append(!c.Repeatable, func(err error) {
+		switch {
+		case c.saves != n:
+			// A report replaced the presumed end.
+		case p.gone:
+			c.saved()
+		case err != nil:
+			b.emit(event.ProgramJournal, "program", p.id, "call", c.ID, "error", err)
+			b.Loop.After(saveInterval, func() { b.saveAgain(p, c, n) })
+		default:
+			c.saved()
+			c.reply(b.replay(c))
+		}
+	}, b.callRecord(p, c, maxJournaled))
+}
+
+// saveAgain repeats a save that failed.
+func (b *Book) saveAgain(p *program, c *call, n int) {
+	switch {
+	case c.saves != n:
+	case p.gone:
+		c.saved()
+	default:
+		b.save(p, c, n)
+	}
+}
+
+// afterSave calls f once the end of a call is stored, or another VM owns its program.
+func (c *call) afterSave(f func()) {
+	if c.saving {
+		c.savers = append(c.savers, f)
+		return
+	}
+	f()
+}
+
+// saved ends the wait for the end of a call to be stored.
+func (c *call) saved() {
+	c.saving = false
+	list := c.savers
+	c.savers = nil
+	for _, f := range list {
+		f()
+	}
+}
