Keep the other VMs in the orders in which they are asked for

A profile of the real peer code at 259 VMs in virtual time: 30% copying and sorting the other VMs several times a second, 14% three table lookups a state of a digest, 13% decoding the tables of states, 6% a table built for three flags.

Ruled out: requests (7 a second a VM at both sizes), the garbage collector (11%, mostly of the copies).

Change: package peer keeps the VMs sorted, those of its group and the far ones by short name, and lets callers go through them without copies; states travel as packed numbers in a list.

--- a/peer/digest.go
+++ b/peer/digest.go
@@ -17,8 +17,23 @@
 	// ageBits is the place of a VM's age in its packed state, and maxAge the largest age that fits, in milliseconds.
 	ageBits = 8
 	maxAge  = 1 << 16
+	// nameBits is the place of its short name.
+	nameBits = 32
 )
 
+// vmState packs a VM's short name, the milliseconds since it was heard and, in the lowest bits, its flags.
+type vmState uint64
+
+func packState(short uint32, age time.Duration, flags uint8) vmState {
+	return vmState(short)<<nameBits | vmState(min(max(0, age.Milliseconds()), maxAge-1))<<ageBits | vmState(flags)
+}
+
+func (s vmState) short() uint32 { return uint32(s >> nameBits) }
+
+func (s vmState) age() time.Duration { return time.Duration(uint32(s)>>ageBits) * time.Millisecond }
+
+func (s vmState) flags() uint8 { return uint8(s) }
+
 // Digest adds up what a relay knows of its group, for other groups, or of all other groups, for its own.
 type Digest struct {
 	From        chestnutcleat.VMID `json:"from"`
@@ -26,8 +41,8 @@
 	Sequence    uint64             `json:"sequence"`
 	// Group is the one that is added up; empty for all other groups.
 	Group Group `json:"group,omitempty"`
-	// States has the VMs that are heard, by short name, each with its flags and, above them, the milliseconds since it was heard.
-	States map[uint32]uint32 `json:"states"`
+	// States has the VMs that are heard.
+	States []vmState `json:"states"`
 	// Load is the number of requests at each instance, by short name.
 	Load map[uint32]int `json:"load,omitempty"`
 	// Tally counts what requests met at the instances, Near what those of the failure domain of the digest's receivers met.
@@ -52,18 +67,13 @@
 	f.sequence++
 	return &Digest{
 		From: f.Self.VM, Incarnation: f.incarnation, Sequence: f.sequence, Group: g, Versions: versions,
-		States: map[uint32]uint32{}, Load: map[uint32]int{}, Breaks: map[uint64]int{},
+		Load: map[uint32]int{}, Breaks: map[uint64]int{},
 	}
 }
 
-// see notes a VM that was heard some time ago.
-func (d *Digest) see(id chestnutcleat.VMID, age time.Duration, flags uint8) {
-	d.States[shortName(string(id))] = uint32(min(age.Milliseconds(), maxAge-1))<<ageBits | uint32(flags)
-}
-
 // addSummary adds a VM's own word.
 func (d *Digest) addSummary(s *Summary, age time.Duration) {
-	d.see(s.VM, age, s.flags())
+	d.States = append(d.States, packState(shortName(string(s.VM)), age, s.flags()))
 	for id, n := range s.Load {
 		d.Load[shortName(string(id))] += n
 	}
@@ -97,7 +107,7 @@
 	var list []chestnutcleat.VMID
 	members := f.groups.members[g]
 	for _, id := range members {
-		p := f.peers[id]
+		p := f.roster.peers[id]
 		if id != f.Self.VM && (p == nil || p.Silent()) {
 			continue
 		}
@@ -142,7 +152,7 @@
 
 // addAddress adds where a VM gets datagrams. It needs the lock.
 func (f *Fleet) addAddress(list []chestnutcleat.Address, id chestnutcleat.VMID) []chestnutcleat.Address {
-	if p := f.peers[id]; p != nil {
+	if p := f.roster.peers[id]; p != nil {
 		return append(list, p.Address)
 	}
 	return list
@@ -155,7 +165,7 @@
 	d := f.newDigest(f.groups.own, own.Versions)
 	d.addSummary(own, 0)
 	for _, id := range f.groups.members[f.groups.own] {
-		if p := f.peers[id]; p != nil && !p.Silent() {
+		if p := f.roster.peers[id]; p != nil && !p.Silent() {
 			d.addSummary(&p.Summary, time.Since(p.Heard))
 		}
 	}
@@ -171,9 +181,10 @@
 	}
 	f.toldGroup = time.Now()
 	d := f.newDigest("", versions)
-	for id, p := range f.peers {
-		if f.groups.isFar(id) && !p.Silent() {
-			d.see(id, time.Since(p.Heard), p.flags())
+	now := time.Now()
+	for short, p := range f.roster.far {
+		if !p.silentAt(now) {
+			d.States = append(d.States, packState(short, now.Sub(p.Heard), p.flags()))
 		}
 	}
 	for g, r := range f.told {
@@ -217,7 +228,7 @@
 func (f *Fleet) noteDigest(d *Digest) notedDigest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := f.peers[d.From]
+	p := f.roster.peers[d.From]
 	if p == nil || d.From == f.Self.VM || !p.digests.accept(d.Incarnation, d.Sequence) {
 		return notedDigest{noted: noted{old: true}}
 	}
@@ -252,22 +263,21 @@
 // were silent and whether a flag changed. It needs the lock.
 func (f *Fleet) takeStates(d *Digest) (heard []chestnutcleat.VMID, changed bool) {
 	now := time.Now()
-	for short, v := range d.States {
-		id := f.groups.names[short]
-		p := f.peers[id]
-		if p == nil || !f.groups.isFar(id) {
+	for _, s := range d.States {
+		p := f.roster.far[s.short()]
+		if p == nil {
 			continue
 		}
-		at := now.Add(-time.Duration(v>>ageBits) * time.Millisecond)
+		at := now.Add(-s.age())
 		if !at.After(p.Heard) {
 			continue
 		}
 		if p.Silent() && now.Sub(at) <= p.patience {
-			heard = append(heard, id)
+			heard = append(heard, p.VM)
 			changed = true
 		}
 		p.Heard = at
-		if flags := uint8(v); flags != p.flags() {
+		if flags := s.flags(); flags != p.flags() {
 			p.setFlags(flags)
 			changed = true
 		}
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -32,33 +31,6 @@
 	maxDatagram    = 60 << 10
 )
 
-// Peer is another VM and its last summary.
-type Peer struct {
-	Summary
-	// Heard is when the last summary arrived; zero if none did.
-	Heard time.Time
-	// known is when this VM first knew of the other one.
-	known time.Time
-	// patience is the age from which the last summary says nothing about the present.
-	patience time.Duration
-	// summaries, grants and digests order the VM's messages.
-	summaries, grants, digests series
-}
-
-// Silent reports whether the VM's state is not known at the moment.
-func (p *Peer) Silent() bool { return p.Heard.IsZero() || time.Since(p.Heard) > p.patience }
-
-// Expected reports whether the VM was not heard yet, but may be soon.
-func (p *Peer) Expected() bool { return p.Heard.IsZero() && time.Since(p.known) < p.patience }
-
-// Quiet returns how long the VM has not been heard.
-func (p *Peer) Quiet() time.Duration {
-	if p.Heard.IsZero() {
-		return time.Since(p.known)
-	}
-	return time.Since(p.Heard)
-}
-
 // Fleet sends this VM's summary and keeps the state of others.
 type Fleet struct {
 	Self Member
@@ -80,7 +52,7 @@
 	Conn net.PacketConn
 
 	mu     sync.Mutex
-	peers  map[chestnutcleat.VMID]*Peer
+	roster roster
 	listed map[chestnutcleat.VMID]Member
 	groups *groups
 	// told has the last digest of each other group, and views the sums over the other groups that relays of this one sent.
@@ -103,7 +75,7 @@
 
 func (f *Fleet) init() {
 	f.once.Do(func() {
-		f.peers = map[chestnutcleat.VMID]*Peer{}
+		f.roster = newRoster()
 		f.questions = map[uint64]time.Time{}
 		f.groups = newGroups(f.Self, nil)
 		f.told, f.views = map[Group]*received{}, map[chestnutcleat.VMID]*received{}
@@ -124,30 +96,12 @@
 			continue
 		}
 		f.listed[m.VM] = m
-		if f.peers[m.VM] == nil {
-			f.peers[m.VM] = &Peer{Summary: Summary{Member: m}, known: time.Now(), patience: silentIntervals * interval}
+		if f.roster.peers[m.VM] == nil {
+			f.roster.peers[m.VM] = newPeer(m)
 		}
 	}
 	f.groups = newGroups(f.Self, slices.Collect(maps.Values(f.listed)))
-	for id, p := range f.peers {
-		p.patience = f.groups.patience(id)
-		if _, ok := f.listed[id]; !ok && p.Silent() {
-			delete(f.peers, id)
-		}
-	}
-}
-
-// Peers returns the other VMs in the order of their ids.
-func (f *Fleet) Peers() []Peer {
-	f.init()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	list := make([]Peer, 0, len(f.peers))
-	for _, p := range f.peers {
-		list = append(list, *p)
-	}
-	slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(a.VM, b.VM) })
-	return list
+	f.roster.arrange(f.groups, f.listed)
 }
 
 // Soon sends a summary at once instead of at the next interval.
@@ -227,7 +181,7 @@
 	f.init()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := f.peers[id]
+	p := f.roster.peers[id]
 	if p == nil {
 		return "", false
 	}
@@ -279,23 +233,26 @@
 func (f *Fleet) note(s *Summary) noted {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := f.peers[s.VM]
-	if p == nil {
-		p = &Peer{known: time.Now(), patience: f.groups.patience(s.VM)}
-		f.peers[s.VM] = p
+	p := f.roster.peers[s.VM]
+	first := p == nil
+	if first {
+		p = newPeer(s.Member)
 	}
 	if !p.summaries.accept(s.Incarnation, s.Sequence) {
 		return noted{old: true}
 	}
 	n := noted{silent: p.Silent(), changed: p.flags() != s.flags(), relays: f.isRelay()}
 	p.Summary, p.Heard = *s, time.Now()
+	if first {
+		f.roster.peers[s.VM] = p
+		f.roster.arrange(f.groups, f.listed)
+	}
 	return n
 }
 
 func (f *Fleet) send(ctx context.Context) {
 	t := time.NewTimer(0)
 	defer t.Stop()
-	silent := map[chestnutcleat.VMID]bool{}
 	var last time.Time
 	for {
 		select {
@@ -309,17 +266,16 @@
 			}
 		}
 		last = time.Now()
-		peers := f.Peers()
-		if err := guard.Call(func() { f.sendOnce(peers) }); err != nil && f.Unread != nil {
+		if err := guard.Call(f.sendOnce); err != nil && f.Unread != nil {
 			f.Unread(err)
 		}
-		f.reportSilent(peers, silent)
+		f.reportSilent()
 		t.Reset(interval)
 	}
 }
 
 // sendOnce tells this VM's group of it and, if this VM is a relay, of the others, and these of its group.
-func (f *Fleet) sendOnce(peers []Peer) {
+func (f *Fleet) sendOnce() {
 	var s Summary
 	f.Describe(&s)
 	relays, urgent := f.sign(&s)
@@ -328,7 +284,7 @@
 		m.Digest = f.digestOthers(s.Versions, urgent)
 		f.tellOthers(&s, urgent)
 	}
-	f.sendTo(m, f.near(peers))
+	f.sendTo(m, f.near())
 }
 
 // sign completes a summary, and reports whether this VM is a relay and whether a change waits to be told.
@@ -341,18 +297,18 @@
 	return f.isRelay(), urgent
 }
 
-// near returns the peers that get this VM's summaries: those of its group, and those that the platform does not list yet.
-func (f *Fleet) near(peers []Peer) []Peer {
+// near returns where this VM's summaries go: to the VMs of its group, and those that the platform does not list yet.
+func (f *Fleet) near() []chestnutcleat.Address {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return f.groups.isFar(p.VM) })
+	to := make([]chestnutcleat.Address, 0, len(f.roster.near))
+	for _, p := range f.roster.near {
+		to = append(to, p.Address)
+	}
+	return to
 }
 
-func (f *Fleet) sendTo(m message, peers []Peer) {
-	to := make([]chestnutcleat.Address, 0, len(peers))
-	for i := range peers {
-		to = append(to, peers[i].Address)
-	}
+func (f *Fleet) sendTo(m message, to []chestnutcleat.Address) {
 	if !f.write(m, to...) {
 		// With very many customers and instances the details are left out; that the VM lives must still be heard.
 		short := *m.Summary
@@ -361,13 +317,14 @@
 	}
 }
 
-func (f *Fleet) reportSilent(peers []Peer, silent map[chestnutcleat.VMID]bool) {
-	for i := range peers {
-		p := &peers[i]
-		was := silent[p.VM]
-		silent[p.VM] = p.Silent()
-		if silent[p.VM] && !was && !p.Heard.IsZero() && f.Silenced != nil {
-			f.Silenced(p.VM)
+// reportSilent tells which VMs are no longer heard.
+func (f *Fleet) reportSilent() {
+	f.mu.Lock()
+	lost := f.roster.missed()
+	f.mu.Unlock()
+	for _, id := range lost {
+		if f.Silenced != nil {
+			f.Silenced(id)
 		}
 	}
 }
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -300,8 +300,8 @@
 func FuzzReceive(f *testing.F) {
 	for _, m := range []message{
 		{Summary: &Summary{Member: Member{VM: "v2"}, Incarnation: 1, Sequence: 1, Load: map[chestnutcleat.InstanceID]int{"i": 1}}},
-		{Digest: &Digest{From: "v2", Incarnation: 1, Sequence: 1, Group: "d/1", States: map[uint32]uint32{7: 1 << ageBits}, Load: map[uint32]int{7: 1}}},
-		{Digest: &Digest{From: "v2", Incarnation: 1, Sequence: 2, States: map[uint32]uint32{7: 1}}},
+		{Digest: &Digest{From: "v2", Incarnation: 1, Sequence: 1, Group: "d/1", States: []vmState{packState(7, time.Millisecond, 0)}, Load: map[uint32]int{7: 1}}},
+		{Digest: &Digest{From: "v2", Incarnation: 1, Sequence: 2, States: []vmState{packState(7, 0, flagLeaving)}}},
 		{Question: &Question{From: "v2", Incarnation: 1, Number: 1, Tokens: rate.Tokens{"c": 1}}},
 		{Grant: &Grant{From: "v2", Incarnation: 1, Sequence: 1, Number: 1, Tokens: rate.Tokens{"c": 1}}},
 	} {
@@ -320,7 +320,7 @@
 		fleet.SetMembers(list)
 		// What is not a message is refused with an error; what is one must be taken.
 		_ = fleet.take(data)
-		fleet.sendOnce(fleet.Peers())
+		fleet.sendOnce()
 		fleet.Totals()
 	})
 }
--- a/peer/group.go
+++ b/peer/group.go
@@ -26,10 +26,9 @@
 // groups is how the VMs that the platform lists are divided. All VMs with the same list divide it alike, and one VM more or
 // less moves few others.
 type groups struct {
-	self  chestnutcleat.VMID
-	own   Group
-	of    map[chestnutcleat.VMID]Group
-	names map[uint32]chestnutcleat.VMID
+	self chestnutcleat.VMID
+	own  Group
+	of   map[chestnutcleat.VMID]Group
 	// members have the VMs of each group by falling score; the first ones that are heard are its relays.
 	members map[Group][]chestnutcleat.VMID
 	domains map[Group]chestnutcleat.FailureDomain
@@ -38,14 +37,13 @@
 // newGroups divides the VMs: a small fleet is one group, a larger one has groups within its failure domains.
 func newGroups(self Member, others []Member) *groups {
 	g := &groups{
-		self: self.VM, of: map[chestnutcleat.VMID]Group{}, names: map[uint32]chestnutcleat.VMID{},
+		self: self.VM, of: map[chestnutcleat.VMID]Group{},
 		members: map[Group][]chestnutcleat.VMID{}, domains: map[Group]chestnutcleat.FailureDomain{},
 	}
 	list := append(slices.Clone(others), self)
 	domains := map[chestnutcleat.FailureDomain][]chestnutcleat.VMID{}
 	for i := range list {
 		m := &list[i]
-		g.names[shortName(string(m.VM))] = m.VM
 		domains[m.Domain] = append(domains[m.Domain], m.VM)
 	}
 	for domain, ids := range domains {
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -90,14 +90,14 @@
 func (n *node) peer(id chestnutcleat.VMID) Peer {
 	n.Fleet.mu.Lock()
 	defer n.Fleet.mu.Unlock()
-	return *n.peers[id]
+	return *n.roster.peers[id]
 }
 
 func (n *node) heard() int {
 	n.Fleet.mu.Lock()
 	defer n.Fleet.mu.Unlock()
 	count := 0
-	for _, p := range n.peers {
+	for _, p := range n.roster.peers {
 		if !p.Silent() {
 			count++
 		}
--- a/peer/summary.go
+++ b/peer/summary.go
@@ -51,10 +51,14 @@
 // flags packs what is true or false of a VM.
 func (s *Summary) flags() uint8 {
 	var f uint8
-	for bit, set := range map[uint8]bool{flagLeaving: s.Leaving, flagAway: s.Away, flagUnwritable: s.Unwritable} {
-		if set {
-			f |= bit
-		}
+	if s.Leaving {
+		f |= flagLeaving
+	}
+	if s.Away {
+		f |= flagAway
+	}
+	if s.Unwritable {
+		f |= flagUnwritable
 	}
 	return f
 }
--- a/peer/tokens.go
+++ b/peer/tokens.go
@@ -22,7 +22,7 @@
 func (f *Fleet) asked(g *Grant) (time.Time, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := f.peers[g.From]
+	p := f.roster.peers[g.From]
 	asked, open := f.questions[g.Number]
 	delete(f.questions, g.Number)
 	return asked, open && p != nil && g.To == f.incarnation && p.grants.accept(g.Incarnation, g.Sequence)
--- a/peer/totals.go
+++ b/peer/totals.go
@@ -21,8 +21,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := Totals{load: map[uint32]int{}}
-	for id, p := range f.peers {
-		if p.Silent() || f.groups.isFar(id) {
+	for _, p := range f.roster.near {
+		if p.Silent() {
 			continue
 		}
 		for i, n := range p.Load {
--- a/role/addresses_test.go
+++ b/role/addresses_test.go
@@ -41,7 +41,7 @@
 					}
 					peers = append(peers, p)
 				}
-				is.New(t).Equal(isCutOff(id(99), peers, tt.writable), tt.want)
+				is.New(t).Equal(isCutOff(id(99), each(peers), len(peers)+1, tt.writable), tt.want)
 			})
 		})
 	}
--- a/role/base.go
+++ b/role/base.go
@@ -199,14 +199,13 @@
 // again. The first of the VMs that are heard does it, and only while it hears more than half of them.
 func (b *base) forgetGone(ctx context.Context) error {
 	for chestnutcleat.Sleep(ctx, goneInterval) == nil {
-		peers := b.fleet.Peers()
 		rank, heard := b.rankHeard()
-		if rank != 0 || 2*heard <= len(peers)+1 {
+		if rank != 0 || 2*heard <= b.fleet.Count()+1 {
 			continue
 		}
-		for i := range peers {
-			if p := &peers[i]; p.Quiet() > goneAfter {
-				b.forget(ctx, p)
+		for _, p := range b.fleet.Peers() {
+			if p.Quiet() > goneAfter {
+				b.forget(ctx, &p)
 			}
 		}
 	}
--- a/role/entry.go
+++ b/role/entry.go
@@ -182,14 +182,9 @@
 // watchFleet follows which VMs are heard and what they report about instances.
 func (e *Entry) watchFleet(ctx context.Context) error {
 	for chestnutcleat.Sleep(ctx, tick) == nil {
-		peers := e.fleet.Peers()
-		ids := make([]chestnutcleat.VMID, 0, len(peers)+1)
-		for i := range peers {
-			ids = append(ids, peers[i].VM)
-		}
 		e.followInstances()
 		if e.mirrors[fleetKind].Version() > 0 {
-			e.rates.SetVMs(append(ids, e.self.VM))
+			e.rates.SetVMs(append(e.fleet.VMs(), e.self.VM))
 		}
 	}
 	return nil
@@ -206,17 +201,16 @@
 
 // addresses are where callers of a failure domain connect. A VM that is cut off names none, so that callers ask another one.
 func (e *Entry) addresses(_ chestnutcleat.Region, domain chestnutcleat.FailureDomain) ([]chestnutcleat.Address, float64) {
-	peers := e.fleet.Peers()
 	writable := e.ledger.Writable()
-	if isCutOff(e.self.VM, peers, writable) {
+	if isCutOff(e.self.VM, e.fleet.All(), e.fleet.Count()+1, writable) {
 		return nil, 0
 	}
 	var list []peer.Summary
 	if !e.leaving.Load() {
 		list = append(list, peer.Summary{Member: e.self, Unwritable: !writable})
 	}
-	for i := range peers {
-		if p := &peers[i]; !p.Silent() && !p.Leaving {
+	for p := range e.fleet.All() {
+		if !p.Silent() && !p.Leaving {
 			list = append(list, p.Summary)
 		}
 	}
--- a/role/follow.go
+++ b/role/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"iter"
 	"math/rand/v2"
 	"time"
 
@@ -55,7 +56,7 @@
 
 // watches reports whether this VM watches the platform itself.
 func (b *base) watches() bool {
-	return b.settled() && isWatcher(b.self.VM, b.away(), b.fleet.Peers())
+	return b.settled() && isWatcher(b.self.VM, b.away(), b.fleet.All())
 }
 
 // settled reports whether the VM knows the fleet: if all VMs start at once none hears of the others before their objects are
@@ -68,7 +69,7 @@
 
 // isWatcher reports whether a VM with these peers watches the platform: in a small fleet, as one of the first VMs that are
 // heard, or in the place of those that do not reach the platform if it does itself. In an outage only the first ones go on.
-func isWatcher(self chestnutcleat.VMID, away bool, peers []peer.Peer) bool {
+func isWatcher(self chestnutcleat.VMID, away bool, peers iter.Seq[*peer.Peer]) bool {
 	first, heard := rankHeard(self, peers, anyPeer)
 	reaching, _ := rankHeard(self, peers, func(p *peer.Peer) bool { return !p.Away })
 	return heard <= allWatch || first < watchers || !away && reaching < watchers
@@ -83,10 +84,9 @@
 
 // rankHeard returns a VM's place among its peers that are heard, or not missed yet, and counted, and the number of all of
 // these, itself included.
-func rankHeard(self chestnutcleat.VMID, peers []peer.Peer, counted func(*peer.Peer) bool) (rank, heard int) {
+func rankHeard(self chestnutcleat.VMID, peers iter.Seq[*peer.Peer], counted func(*peer.Peer) bool) (rank, heard int) {
 	heard = 1
-	for i := range peers {
-		p := &peers[i]
+	for p := range peers {
 		if p.Silent() && !p.Expected() {
 			continue
 		}
@@ -103,14 +103,14 @@
 
 // rankHeard returns this VM's place among those that are heard, and their number.
 func (b *base) rankHeard() (rank, heard int) {
-	return rankHeard(b.self.VM, b.fleet.Peers(), anyPeer)
+	return rankHeard(b.self.VM, b.fleet.All(), anyPeer)
 }
 
 // changed takes over a change and tells the other VMs at once, if some of them do not watch and this one watches or relays.
 func (b *base) changed(take func(mirror.Snapshot)) func(mirror.Snapshot) {
 	return func(s mirror.Snapshot) {
 		take(s)
-		if len(b.fleet.Peers()) >= allWatch && (b.watches() || b.fleet.Relays()) {
+		if b.fleet.Count() >= allWatch && (b.watches() || b.fleet.Relays()) {
 			b.fleet.Soon()
 		}
 	}
--- a/role/follow_test.go
+++ b/role/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,11 +44,22 @@
 							peers = append(peers, p)
 						}
 					}
-					is.Equal(isWatcher(id(self), tt.state(self) == "away", peers), want)
+					is.Equal(isWatcher(id(self), tt.state(self) == "away", each(peers)), want)
 				}
 			})
 		})
 	}
 }
 
+// each goes through peers as a fleet does.
+func each(peers []peer.Peer) iter.Seq[*peer.Peer] {
+	return func(yield func(*peer.Peer) bool) {
+		for i := range peers {
+			if !yield(&peers[i]) {
+				return
+			}
+		}
+	}
+}
+
 func id(i int) chestnutcleat.VMID { return chestnutcleat.VMID(fmt.Sprintf("v%02d", i)) }
--- a/role/store.go
+++ b/role/store.go
@@ -135,7 +135,7 @@
 // candidates are the announced disks and what is known about their VMs.
 func (s *Store) candidates() []keeper.Candidate {
 	heard := map[chestnutcleat.VMID]bool{s.self.VM: true}
-	for _, p := range s.fleet.Peers() {
+	for p := range s.fleet.All() {
 		heard[p.VM] = !p.Silent()
 	}
 	s.mu.Lock()
