Send the end of a turn in one append

Cause: each turn with a budget made three appends to every copy: its reservation, the kept turn, and then its use. The last two are known at the same moment.

Change: the use travels beside the kept turn. Persist takes records that nobody waits for; the senders put both into one append.

Measured: TestTurnEndsInOneAppend: 3 appends a turn before (fails), 2 after.

--- a/entry/budget.go
+++ b/entry/budget.go
@@ -88,26 +88,34 @@
 	return problem(chestnutcleat.CodeNotReady, chestnutcleat.NotRun, "the program's records can't be written: %v", err).WithRetry(recordRetry)
 }
 
-// settle replaces the reservation by what was handed to the caller.
+// settle replaces the reservation by what was handed to the caller, unless the turn was kept with that.
 func (t *turn) settle() {
-	if !t.budgeted() {
-		return
+	if t.budgeted() && t.used() != t.settled {
+		t.Ledger.Post(t.record(ledger.Settle, t.used()))
 	}
-	used := t.Output
+}
+
+// used is what was handed to the caller.
+func (t *turn) used() chestnutcleat.Tokens {
 	if s, ok := t.table.Services[t.service]; ok && s.Engine != nil && s.Engine.Chunk > 0 {
-		used = min(used, s.Engine.Chunk*chestnutcleat.Tokens(t.events))
+		return min(t.Output, s.Engine.Chunk*chestnutcleat.Tokens(t.events))
 	}
-	t.Ledger.Post(t.record(ledger.Settle, used))
+	return t.Output
 }
 
-// keep writes the turn, so that later ones may continue from it. The caller has all but the end of its answer, so a quorum that
-// is lost for a moment is waited for.
+// keep writes the turn, so that later ones may continue from it, and settles its reservation. The caller has all but the end of its
+// answer, so a quorum that is lost for a moment is waited for.
 func (t *turn) keep() error {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(t.ctx), t.until)
 	defer cancel()
 	r := t.record(ledger.Keep, 0)
 	r.Program, r.Previous, r.Input, r.Output = "", t.Previous, t.body, t.output
-	if _, err := t.Ledger.Persist(ctx, r); err != nil {
+	var beside []ledger.Record
+	if t.budgeted() {
+		t.settled = t.used()
+		beside = append(beside, t.record(ledger.Settle, t.settled))
+	}
+	if _, err := t.Ledger.Persist(ctx, r, beside...); err != nil {
 		return err
 	}
 	t.Turns.Add(t.customerID(), ledger.Turn{ID: t.ID, Previous: t.Previous, Input: t.body, Output: t.output})
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -80,6 +80,19 @@
 	return append([]*ran{}, s.ran...)
 }
 
+// appends counts the appends to the copy.
+type appends struct {
+	chestnutcleat.Peers
+	n atomic.Int32
+}
+
+func (a *appends) Call(ctx context.Context, to chestnutcleat.Address, m chestnutcleat.Method, request, reply any) error {
+	if _, ok := request.(ledger.AppendRequest); ok {
+		a.n.Add(1)
+	}
+	return a.Peers.Call(ctx, to, m, request, reply)
+}
+
 // rig is an entry VM with instances, a caller and one copy of the records.
 type rig struct {
 	t         *testing.T
@@ -89,6 +102,7 @@
 	server    *http.Server
 	client    *http.Client
 	network   *vm.Network
+	appends   *appends
 	stop      context.CancelFunc
 	done      sync.WaitGroup
 }
@@ -193,7 +207,8 @@
 	places.Set(list)
 	pool := exchange.NewPool(net.KeepAliveConfig{})
 	pool.Dial = r.instances.dial
-	client := &ledger.Client{Peers: r.network.From("entry"), Observer: quiet{}}
+	r.appends = &appends{Peers: r.network.From("entry")}
+	client := &ledger.Client{Peers: r.appends, Observer: quiet{}}
 	r.done.Go(func() { _ = client.Run(ctx) })
 	rates := rate.NewFleet("v1", 5*time.Second)
 	rates.Set(r.table.Customers)
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/event"
 	"chestnutcleat.example/chestnutcleat/place"
 	"chestnutcleat.example/chestnutcleat/sse"
@@ -22,6 +23,9 @@
 	streamBuffer = 4 << 10
 )
 
+// unsettled is no number of tokens.
+const unsettled chestnutcleat.Tokens = -1
+
 // turn is a stream on its way to the caller.
 type turn struct {
 	*call
@@ -33,6 +37,8 @@
 	events int
 	// output is the data of all events, each with a line feed, on routes that keep turns.
 	output []byte
+	// settled is what the reservation was replaced by; unsettled while it stands.
+	settled chestnutcleat.Tokens
 	// begun is set once the header was sent.
 	begun   bool
 	flusher *http.ResponseController
@@ -41,7 +47,7 @@
 
 // stream serves a request whose answer is a series of events.
 func (c *call) stream() error {
-	t := &turn{call: c, input: c.body, last: -1, flusher: http.NewResponseController(c.w)}
+	t := &turn{call: c, input: c.body, last: -1, settled: unsettled, flusher: http.NewResponseController(c.w)}
 	if c.route.Kept && c.Previous != "" {
 		if err := t.prepend(); err != nil {
 			return c.end(err)
--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -120,6 +120,17 @@
 	})
 }
 
+// The records of a turn's end must travel together: each append costs every copy a message and a write to its disk.
+func TestTurnEndsInOneAppend(t *testing.T) {
+	inBubble(t, func(_ *ran, q *http.Request, w io.Writer) bool { events(q, w, 1, 3, true); return true }, func(is *is.I, r *rig) {
+		a, _, err := r.do(r.t.Context(), "/kept/", "b", "Chestnutcleat-Program-Id", "p", "Chestnutcleat-Token-Budget", "100", "Chestnutcleat-Token-Count", "9,50")
+		is.NoErr(err)
+		is.Equal(a.StatusCode, 200)
+		time.Sleep(time.Second)
+		is.Equal(r.appends.n.Load(), int32(2)) // the reservation; the turn and its use
+	})
+}
+
 // drips keeps sending a piece until the connection is closed.
 func drips(r *ran, w io.Writer, piece string) bool {
 	for {
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -132,22 +132,27 @@
 	delete(c.pending, o)
 }
 
-// start queues a record for all copies.
-func (c *Client) start(r Record, expiry time.Time) (*operation, error) {
-	o := &operation{
+func newOperation(r Record, expiry time.Time) *operation {
+	return &operation{
 		record: r, held: map[chestnutcleat.DiskID]bool{}, refused: map[chestnutcleat.DiskID]bool{}, attempts: map[chestnutcleat.RequestID]Attempt{},
 		expiry: expiry, done: make(chan struct{}),
 	}
+}
+
+// start queues records for all copies, which get them in one append.
+func (c *Client) start(list ...*operation) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.copies.Version == 0 || c.senders == nil {
-		return nil, ErrNoCopies
+		return ErrNoCopies
+	}
+	for _, o := range list {
+		c.pending[o] = true
 	}
-	c.pending[o] = true
 	for _, s := range c.senders {
-		s.add(o)
+		s.add(list...)
 	}
-	return o, nil
+	return nil
 }
 
 // Writable reports whether enough copies to write to answered last time; before the copies are known nothing says otherwise.
@@ -171,14 +176,19 @@
 	return c.Persist(ctx, r)
 }
 
-// Persist returns once a write quorum holds the record; a Reserve returns the other attempts of its program.
-func (c *Client) Persist(ctx context.Context, r Record) ([]Attempt, error) {
+// Persist returns once a write quorum holds the record; a Reserve returns the other attempts of its program. The records beside
+// it travel with it, and nobody waits for them.
+func (c *Client) Persist(ctx context.Context, r Record, beside ...Record) ([]Attempt, error) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(postTime)
 	}
-	o, err := c.start(r, deadline)
-	if err != nil {
+	o := newOperation(r, deadline)
+	all := []*operation{o}
+	for _, b := range beside {
+		all = append(all, newOperation(b, time.Now().Add(postTime)))
+	}
+	if err := c.start(all...); err != nil {
 		return nil, err
 	}
 	select {
@@ -201,7 +211,7 @@
 
 // Post writes a record that nobody waits for.
 func (c *Client) Post(r Record) {
-	if _, err := c.start(r, time.Now().Add(postTime)); err != nil {
+	if err := c.start(newOperation(r, time.Now().Add(postTime))); err != nil {
 		c.Observer.Emit(event.RecordLost, "request", r.Attempt, "kind", r.Kind, "error", err)
 	}
 }
--- a/ledger/sender.go
+++ b/ledger/sender.go
@@ -38,13 +38,13 @@
 	told chestnutcleat.Version
 }
 
-// add queues an operation. It needs the client's lock.
-func (s *sender) add(o *operation) {
+// add queues operations. It needs the client's lock.
+func (s *sender) add(list ...*operation) {
 	if len(s.queue) >= maxWaiting {
 		// A copy that is away this long needs the older records no more than any other: a quorum of the others holds them.
 		s.queue = s.queue[len(s.queue)/2:]
 	}
-	s.queue = append(s.queue, o)
+	s.queue = append(s.queue, list...)
 	select {
 	case s.wake <- struct{}{}:
 	default:
--- a/ledger/store_test.go
+++ b/ledger/store_test.go
@@ -173,16 +173,16 @@
 		s.acknowledge([]*operation{o}, &r)
 	}
 	full, free := AppendReply{Full: true}, AppendReply{Attempts: [][]Attempt{nil}}
-	o, err := c.start(*reserve("a", 1), time.Time{})
-	is.NoErr(err)
+	o := newOperation(*reserve("a", 1), time.Time{})
+	is.NoErr(c.start(o))
 	answer(o, "1", full)
 	answer(o, "2", free)
 	is.True(!o.finished)
 	answer(o, "3", free)
 	is.True(o.finished)
 	is.NoErr(o.err)
-	o, err = c.start(*reserve("b", 1), time.Time{})
-	is.NoErr(err)
+	o = newOperation(*reserve("b", 1), time.Time{})
+	is.NoErr(c.start(o))
 	answer(o, "1", full)
 	answer(o, "3", full)
 	<-o.done
