Play changes of operators in the soak

Cause: the soak never changed the configuration, withdrew a key, let an instance drain or sent beyond a customer's rate, so the bounds of these were not checked under faults.

Change: three kinds of planned work, one customer whose key comes and goes, one whose callers don't mind its low rate, and three checks: nothing runs for a withdrawn key after the bound of changes, nothing reaches an instance after the bound of draining, no window of 5 s has more runs than rate and burst allow. Outages and pauses put the bounds off.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -14,7 +14,7 @@
 	kinds string
 }{
 	{1, ""},
-	{101, "stop,reload,platform-down,platform-lost,platform-deaf,compact"},
+	{101, "stop,reload,platform-down,platform-lost,platform-deaf,compact,change,withdraw,leave"},
 }
 
 // soakPlans are faults that once broke a promise, each with its cause.
--- /dev/null
+++ b/soak/bounds.go
@@ -0,0 +1,86 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat/standin/instance"
+)
+
+const (
+	// applyTime is the time in which a change is in effect at all VMs that reach the platform, and drainTime that in which an
+	// instance that leaves gets no more requests.
+	applyTime = 2 * time.Second
+	drainTime = 2 * time.Second
+	// wayTime is what a request takes to an instance; it counts by when it was sent.
+	wayTime = 200 * time.Millisecond
+	// window is the span over which rates hold, overage the part, and tolerance the number of requests, that may pass beyond.
+	window    = 5 * time.Second
+	overage   = 0.1
+	tolerance = 20
+)
+
+// checkWithdrawn looks for requests that ran for a customer whose key had been withdrawn.
+func (r *record) checkWithdrawn(log *instance.Log, p *Plan) {
+	for _, f := range p.Faults {
+		if f.Kind != Withdraw {
+			continue
+		}
+		from, to := p.known(f, applyTime), time.Duration(f.At)+time.Duration(f.For)
+		for _, a := range r.attempts {
+			if a.customer == instance.SampleWithdrawn && a.begun > from && a.end < to && len(log.Of(a.ID)) > 0 {
+				r.violate(a, "ran though its key had been withdrawn at %v", time.Duration(f.At))
+			}
+		}
+	}
+}
+
+// checkLeft looks for requests that reached an instance which had left.
+func (r *record) checkLeft(log *instance.Log, p *Plan) {
+	all := log.All()
+	for _, f := range p.Faults {
+		if f.Kind != Leave {
+			continue
+		}
+		from, to := p.known(f, drainTime)+wayTime, time.Duration(f.At)+time.Duration(f.For)
+		for _, v := range all {
+			if at := v.At.Sub(r.begun); v.Instance == f.On && at > from && at < to {
+				r.broken = append(r.broken, Violation{At: at, What: fmt.Sprintf("%s got a request of %s though it leaves since %v", f.On, v.Customer, time.Duration(f.At))})
+			}
+		}
+	}
+}
+
+// checkRate looks for windows in which more requests of the limited customer ran than its rate allows.
+func (r *record) checkRate(log *instance.Log) {
+	var times []time.Time
+	for _, v := range log.All() {
+		if v.Customer == instance.SampleLimited {
+			times = append(times, v.At)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	most := int((instance.LimitedRate*window.Seconds()+instance.LimitedBurst)*(1+overage)) + tolerance
+	for i := most; i < len(times); i++ {
+		if span := times[i].Sub(times[i-most]); span < window {
+			r.broken = append(r.broken, Violation{At: times[i].Sub(r.begun), What: fmt.Sprintf("%d requests of %s ran within %v", most+1, instance.SampleLimited, span)})
+			return
+		}
+	}
+}
+
+// blinding are the kinds of faults in which a VM does not learn what operators change.
+var blinding = map[Kind]bool{PlatformDown: true, Pause: true}
+
+// known returns when all VMs know of a change within a bound: faults that keep them from it put that off.
+func (p *Plan) known(change Fault, bound time.Duration) time.Duration {
+	at := time.Duration(change.At)
+	for _, f := range p.Faults {
+		begun, end := time.Duration(f.At), time.Duration(f.At)+time.Duration(f.For)
+		if blinding[f.Kind] && begun < at+bound && end > at {
+			at = end
+		}
+	}
+	return at + bound
+}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -24,6 +24,8 @@
 	// thinkTime is the longest pause between two turns, retryPause the least before another try.
 	thinkTime  = 60 * time.Millisecond
 	retryPause = 50 * time.Millisecond
+	// hurryPause is that of callers who are refused most of the time.
+	hurryPause = 20 * time.Millisecond
 )
 
 // caller runs one program after the other.
@@ -40,7 +42,18 @@
 func (c *caller) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		c.count++
-		c.program(ctx, fmt.Sprintf("%s-p%d", c.name, c.count))
+		id := fmt.Sprintf("%s-p%d", c.name, c.count)
+		switch c.customer {
+		case instance.SampleLimited:
+			// These callers don't mind what the last answer said.
+			c.tool(ctx, id, 0)
+			_ = chestnutcleat.Sleep(ctx, hurryPause)
+		case instance.SampleWithdrawn:
+			c.program(ctx, id)
+			_ = chestnutcleat.Sleep(ctx, hurryPause)
+		default:
+			c.program(ctx, id)
+		}
 	}
 }
 
@@ -114,6 +127,10 @@
 	switch {
 	case a.served():
 		return false
+	case a.customer == instance.SampleLimited && a.Status == http.StatusTooManyRequests:
+		return false
+	case a.customer == instance.SampleWithdrawn && a.Status == http.StatusUnauthorized:
+		return false
 	case a.Status == http.StatusNotFound && a.Previous != "":
 		c.record.violate(a, "turn %s was answered whole and is not found", a.Previous)
 		return false
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -51,6 +51,9 @@
 type upstream struct {
 	*instance.Server
 	link *link
+	// domain and born are those of its entry at the platform.
+	domain string
+	born   int64
 }
 
 // fleet is the processes of a run and the stand-ins beside them.
@@ -66,11 +69,13 @@
 
 	mu     sync.Mutex
 	errors []error
+	// sample is the configuration in force.
+	sample instance.Sample
 }
 
 // newFleet starts the stand-ins and the processes of a program in a folder.
 func newFleet(program, folder string) (*fleet, error) {
-	f := &fleet{log: &instance.Log{}, platform: store.New(), processes: map[string]*process{}, upstreams: map[string]*upstream{}}
+	f := &fleet{log: &instance.Log{}, platform: store.New(), sample: instance.Sample{Timeout: deadline}, processes: map[string]*process{}, upstreams: map[string]*upstream{}}
 	platform, err := f.serve(f.platform.Handler())
 	if err != nil {
 		return nil, err
@@ -81,7 +86,7 @@
 			return nil, err
 		}
 	}
-	f.platform.Set("config", "main", instance.SampleConfiguration(1))
+	f.configure(func(*instance.Sample) {})
 	for i, id := range append(n.entries, n.stores...) {
 		kind := settings.RoleEntry
 		if i >= entryCount {
@@ -109,17 +114,31 @@
 }
 
 func (f *fleet) addInstance(id, domain string) error {
-	u := &upstream{Server: &instance.Server{ID: id, Log: f.log}}
+	u := &upstream{Server: &instance.Server{ID: id, Log: f.log}, domain: domain, born: time.Now().UnixMilli()}
 	var err error
 	if u.link, err = f.serve(u.Server); err != nil {
 		return err
 	}
 	f.upstreams[id] = u
-	service, _, _ := strings.Cut(id, "-")
-	f.platform.Set("servers", id, instance.Entry(service, u.link.Addr().String(), domain, time.Now().UnixMilli()))
+	f.enter(u, instance.StateReady)
 	return nil
 }
 
+// enter writes an instance's entry at the platform.
+func (f *fleet) enter(u *upstream, state string) {
+	service, _, _ := strings.Cut(u.ID, "-")
+	f.platform.Set("servers", u.ID, instance.Entry(service, u.link.Addr().String(), u.domain, state, u.born))
+}
+
+// configure writes the configuration as an operator does.
+func (f *fleet) configure(change func(*instance.Sample)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(&f.sample)
+	f.sample.Version++
+	f.platform.Set("config", "main", f.sample.Configuration())
+}
+
 // vmSettings are those of a VM; each has a loopback address of its own, so that ports are the same on all.
 func vmSettings(id, kind string, i int, platform, folder string) settings.Role {
 	ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()/250%64, 1+os.Getpid()%250, i+1)
@@ -238,6 +257,17 @@
 		during(instance.Faults{Twice: 0.5})
 	case Slow:
 		during(instance.Faults{Slow: 120 * time.Millisecond})
+	case Change:
+		f.configure(func(s *instance.Sample) { s.Timeout = deadline + span })
+	case Withdraw:
+		f.configure(func(s *instance.Sample) { s.Withdrawn = true })
+		_ = chestnutcleat.Sleep(ctx, span)
+		f.configure(func(s *instance.Sample) { s.Withdrawn = false })
+	case Leave:
+		u := f.upstreams[v.On]
+		f.enter(u, instance.StateDraining)
+		_ = chestnutcleat.Sleep(ctx, span)
+		f.enter(u, instance.StateReady)
 	case Vanish:
 		f.upstreams[v.On].link.vanish(span)
 	case Mute:
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -43,6 +43,10 @@
 	Vanish Kind = "vanish"
 	// Mute lets an instance's connections go silent without an end.
 	Mute Kind = "mute"
+	// Change is a change of the configuration, Withdraw takes a customer's key back for a while, and Leave lets an instance drain.
+	Change   Kind = "change"
+	Withdraw Kind = "withdraw"
+	Leave    Kind = "leave"
 )
 
 // on tells what a kind of fault acts on.
@@ -50,6 +54,7 @@
 	Kill: onAny, Stop: onEntry, Pause: onAny, KillAll: onNone, Wipe: onStore, Reload: onEntry,
 	PlatformDown: onNone, PlatformLost: onNone, PlatformDeaf: onNone, Compact: onNone,
 	Errors: onInstance, Lose: onInstance, Twice: onInstance, Slow: onInstance, Vanish: onInstance, Mute: onInstance,
+	Change: onNone, Withdraw: onNone, Leave: onInstance,
 }
 
 type target int
@@ -110,11 +115,19 @@
 		}
 	}
 	slices.Sort(kinds)
-	storeLost := time.Duration(0)
+	storeLost, changed := time.Duration(0), map[Kind]time.Duration{}
 	for at := calm; at < length-calm; at += time.Duration(random.ExpFloat64() * float64(meanGap)) {
 		f := Fault{At: chestnutcleat.Duration(at), Kind: kinds[random.IntN(len(kinds))]}
 		span := shortest + time.Duration(random.Int64N(int64(longest-shortest)))
 		f.For = chestnutcleat.Duration(min(span, length-calm-at))
+		if f.Kind == Withdraw || f.Kind == Leave {
+			if at < changed[f.Kind] {
+				continue
+			}
+			// What the bound of a change leaves of its time is what can be checked.
+			f.For = chestnutcleat.Duration(min(span+applyTime, length-calm-at))
+			changed[f.Kind] = at + time.Duration(f.For)
+		}
 		f.On = n.draw(random, on[f.Kind])
 		if slices.Contains(n.stores, f.On) || f.Kind == KillAll {
 			if at < storeLost {
--- a/soak/record.go
+++ b/soak/record.go
@@ -98,6 +98,9 @@
 		}
 	}
 	r.checkReturn(p)
+	r.checkWithdrawn(log, p)
+	r.checkLeft(log, p)
+	r.checkRate(log)
 	return r.broken
 }
 
@@ -109,7 +112,7 @@
 	served, all := 0, 0
 	from := time.Duration(p.Length) - calm/2
 	for _, a := range r.attempts {
-		if a.begun < from {
+		if a.begun < from || a.customer == instance.SampleLimited {
 			continue
 		}
 		all++
@@ -127,7 +130,7 @@
 }
 
 // planned are the kinds of faults that must cut no request.
-var planned = map[Kind]bool{Stop: true, Reload: true, PlatformDown: true, PlatformLost: true, PlatformDeaf: true, Compact: true}
+var planned = map[Kind]bool{Stop: true, Reload: true, PlatformDown: true, PlatformLost: true, PlatformDeaf: true, Compact: true, Change: true, Withdraw: true, Leave: true}
 
 // settleTime is how long a fault may show after its end.
 const settleTime = 4 * time.Second
--- a/soak/run.go
+++ b/soak/run.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,8 +18,12 @@
 	"chestnutcleat.example/chestnutcleat/standin/program"
 )
 
-// callerCount is the number of programs that run at one time.
-const callerCount = 16
+const (
+	// callerCount is the number of programs that run at one time.
+	callerCount = 16
+	// withdrawnCount and limitedCount are the callers of the customers whose key is withdrawn at times and whose rate is low.
+	withdrawnCount, limitedCount = 2, 3
+)
 
 // Soak is one run.
 type Soak struct {
@@ -61,9 +66,14 @@
 }
 
 func (s *Soak) startCallers(ctx context.Context, running *sync.WaitGroup, f *fleet, r *record) {
-	d := &net.Dialer{Timeout: time.Second}
+	var customers []string
 	for i := range callerCount {
-		customer := instance.SampleCustomers[i%len(instance.SampleCustomers)]
+		customers = append(customers, instance.SampleCustomers[i%len(instance.SampleCustomers)])
+	}
+	customers = append(customers, slices.Repeat([]string{instance.SampleWithdrawn}, withdrawnCount)...)
+	customers = append(customers, slices.Repeat([]string{instance.SampleLimited}, limitedCount)...)
+	d := &net.Dialer{Timeout: time.Second}
+	for i, customer := range customers {
 		c := &caller{
 			record: r, name: fmt.Sprintf("%d-%d", s.Plan.Seed, i), customer: customer,
 			random: rand.New(rand.NewPCG(s.Plan.Seed, uint64(i))),
--- a/standin/instance/config.go
+++ b/standin/instance/config.go
@@ -1,5 +1,10 @@
 package instance
 
+import (
+	"maps"
+	"time"
+)
+
 // Names of the sample configuration.
 const (
 	SampleHost = "soak.example"
@@ -13,17 +18,48 @@
 	ServiceModel = "model"
 )
 
-// SampleCustomers are the customers of the sample configuration; the key of each is its name with "key-" before it.
-var SampleCustomers = []string{"alma", "bruno", "clara"}
+// Customers of the sample configuration; the key of each is its name with "key-" before it.
+var (
+	// SampleCustomers are far below their rates.
+	SampleCustomers = []string{"alma", "bruno", "clara"}
+	// SampleWithdrawn is one whose key operators withdraw at times, SampleLimited one with a low rate.
+	SampleWithdrawn, SampleLimited = "dora", "emil"
+)
+
+// LimitedRate and LimitedBurst are those of SampleLimited, in requests a second and requests.
+const (
+	LimitedRate  = 20
+	LimitedBurst = 20
+)
+
+// Sample is the part of the sample configuration that operators change.
+type Sample struct {
+	Version int
+	// Withdrawn leaves the key of SampleWithdrawn out.
+	Withdrawn bool
+	// Timeout is that of all routes.
+	Timeout time.Duration
+}
 
-// SampleConfiguration returns a configuration of two services in the users' form.
-func SampleConfiguration(version int) any {
+// Configuration returns a configuration of two services in the users' form.
+func (s Sample) Configuration() any {
 	var customers []any
-	for _, c := range SampleCustomers {
-		customers = append(customers, map[string]any{"name": c, "api_keys": []string{"key-" + c}, "rate_per_s": 400, "burst": 400})
+	for _, c := range append([]string{SampleWithdrawn}, SampleCustomers...) {
+		if c != SampleWithdrawn || !s.Withdrawn {
+			customers = append(customers, sampleCustomer(c, 400, 400))
+		}
+	}
+	customers = append(customers, sampleCustomer(SampleLimited, LimitedRate, LimitedBurst))
+	route := func(name, path, service string, more map[string]any) map[string]any {
+		out := map[string]any{
+			"name": name, "host": SampleHost, "path_prefix": path, "service": service,
+			"timeout_ms": s.Timeout.Milliseconds(), "target_latency_ms": 250,
+		}
+		maps.Copy(out, more)
+		return out
 	}
 	return map[string]any{
-		"version": version,
+		"version": s.Version,
 		"routes": []any{
 			route("check", PathCheck, ServiceTool, map[string]any{"type": "idempotent", "max_attempts": 3}),
 			route("book", PathBook, ServiceTool, map[string]any{"type": "non_idempotent", "max_attempts": 1}),
@@ -38,17 +74,17 @@
 	}
 }
 
-func route(name, path, service string, more map[string]any) map[string]any {
-	out := map[string]any{
-		"name": name, "host": SampleHost, "path_prefix": path, "service": service, "timeout_ms": 4000, "target_latency_ms": 250,
-	}
-	for k, v := range more {
-		out[k] = v
-	}
-	return out
+func sampleCustomer(name string, rate, burst int) any {
+	return map[string]any{"name": name, "api_keys": []string{"key-" + name}, "rate_per_s": rate, "burst": burst}
 }
 
+// States of an instance's entry.
+const (
+	StateReady    = "ready"
+	StateDraining = "draining"
+)
+
 // Entry returns an instance's entry at the platform.
-func Entry(service, address, domain string, born int64) any {
-	return map[string]any{"service": service, "address": address, "zone": domain, "slots": 16, "state": "ready", "born": born}
+func Entry(service, address, domain, state string, born int64) any {
+	return map[string]any{"service": service, "address": address, "zone": domain, "slots": 16, "state": state, "born": born}
 }
--- a/standin/instance/server.go
+++ b/standin/instance/server.go
@@ -30,6 +30,8 @@
 	Instance, Path, Customer, Body string
 	// Resumed is the last event that was delivered before; -1 for a run from the start.
 	Resumed int
+	// At is when it began.
+	At time.Time
 }
 
 // Log keeps what all instances ran, by request.
@@ -55,6 +57,17 @@
 	return append([]Run{}, l.runs[id]...)
 }
 
+// All returns all runs, in no order.
+func (l *Log) All() []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []Run
+	for _, runs := range l.runs {
+		list = append(list, runs...)
+	}
+	return list
+}
+
 // Faults makes an instance misbehave; shares are parts of its requests.
 type Faults struct {
 	// Errors are answered with a failure of the instance's own.
@@ -92,7 +105,7 @@
 	if err != nil {
 		return
 	}
-	run := Run{Instance: s.ID, Path: r.URL.Path, Customer: r.Header.Get(headerCustomer), Body: string(body), Resumed: -1}
+	run := Run{Instance: s.ID, Path: r.URL.Path, Customer: r.Header.Get(headerCustomer), Body: string(body), Resumed: -1, At: time.Now()}
 	if n, err := strconv.Atoi(r.Header.Get(headerResume)); err == nil {
 		run.Resumed = n
 	}
