--- a/peer/digest.go
+++ b/peer/digest.go
@@ -41,7 +41,7 @@
 	// Group is the one that is added up; empty for all other groups.
 	Group Group `json:"group,omitempty"`
 	// States has the VMs that are heard.
-	States []vmState `json:"states"`
+	States []vmState `json:"heard"`
 	// Load is the number of requests at each instance, by short name.
 	Load map[uint32]int `json:"load,omitempty"`
 	// Tally counts what requests met at the instances, Near what those of the failure domain of the digest's receivers met.
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -16,7 +16,7 @@
 // Forwarded is the last summary of a VM of the relay's group; of the member it has the VM's id only.
 type Forwarded struct {
 	Summary
-	// Age is the time since it was made, in milliseconds.
+	// Age is the time since it was heard, in milliseconds.
 	Age uint32 `json:"age"`
 }
 
