--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -75,7 +75,10 @@
 
 // newFleet starts the stand-ins and the processes of a program in a folder.
 func newFleet(program, folder string) (*fleet, error) {
-	f := &fleet{log: &instance.Log{}, platform: store.New(), sample: instance.Sample{Timeout: deadline}, processes: map[string]*process{}, upstreams: map[string]*upstream{}}
+	f := &fleet{
+		log: &instance.Log{}, platform: store.New(), sample: instance.Sample{Timeout: deadline},
+		processes: map[string]*process{}, upstreams: map[string]*upstream{},
+	}
 	platform, err := f.serve(f.platform.Handler())
 	if err != nil {
 		return nil, err
--- a/standin/instance/config.go
+++ b/standin/instance/config.go
@@ -18,12 +18,16 @@
 	ServiceModel = "model"
 )
 
-// Customers of the sample configuration; the key of each is its name with "key-" before it.
-var (
-	// SampleCustomers are far below their rates.
-	SampleCustomers = []string{"alma", "bruno", "clara"}
-	// SampleWithdrawn is one whose key operators withdraw at times, SampleLimited one with a low rate.
-	SampleWithdrawn, SampleLimited = "dora", "emil"
+// SampleCustomers are customers of the sample configuration that are far below their rates; the key of each is its name with "key-"
+// before it.
+var SampleCustomers = []string{"alma", "bruno", "clara"}
+
+// Customers of the sample configuration beside them.
+const (
+	// SampleWithdrawn is one whose key operators withdraw at times.
+	SampleWithdrawn = "dora"
+	// SampleLimited is one with a low rate.
+	SampleLimited = "emil"
 )
 
 // LimitedRate and LimitedBurst are those of SampleLimited, in requests a second and requests.
