--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -309,7 +309,10 @@
 	if told {
 		m.told = time.Now()
 	}
-	s := m.snapshot()
+	var s Snapshot
+	if changed {
+		s = m.snapshot(0)
+	}
 	m.mu.Unlock()
 	if regained && m.Regained != nil {
 		m.Regained()
--- a/mirror/offer.go
+++ b/mirror/offer.go
@@ -11,10 +11,13 @@
 // maxRemoved bounds the removed objects that are remembered for other VMs.
 const maxRemoved = 1024
 
-func (m *Mirror) snapshot() Snapshot {
-	s := Snapshot{Version: m.version, Objects: make([]chestnutcleat.Stored, 0, len(m.objects))}
+// snapshot returns the objects that changed since a version, all since zero.
+func (m *Mirror) snapshot(since chestnutcleat.Version) Snapshot {
+	s := Snapshot{Version: m.version, Since: since, Objects: []chestnutcleat.Stored{}}
 	for _, o := range m.objects {
-		s.Objects = append(s.Objects, o)
+		if since == 0 || o.Version > since {
+			s.Objects = append(s.Objects, o)
+		}
 	}
 	slices.SortFunc(s.Objects, func(a, b chestnutcleat.Stored) int { return strings.Compare(a.Name, b.Name) })
 	return s
@@ -32,13 +35,14 @@
 func (m *Mirror) Offered(since chestnutcleat.Version) Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := m.snapshot()
+	if since < m.first {
+		since = 0
+	}
+	s := m.snapshot(since)
 	s.Lapsed = slices.Sorted(maps.Keys(m.lapsed))
-	if since == 0 || since < m.first {
+	if since == 0 {
 		return s
 	}
-	s.Since = since
-	s.Objects = slices.DeleteFunc(s.Objects, func(o chestnutcleat.Stored) bool { return o.Version <= since })
 	for name, v := range m.removed {
 		if _, back := m.objects[name]; v > since && !back {
 			s.Objects = append(s.Objects, chestnutcleat.Stored{Name: name, Version: v, Deleted: true})
