--- a/place/health.go
+++ b/place/health.go
@@ -101,12 +101,14 @@
 	defer t.mu.Unlock()
 	var out []Ejection
 	own := t.tallies.sum()
+	sums := make([]Tally, len(groups))
+	for i, g := range groups {
+		sums[i].Add(g)
+		sums[i].Add(own)
+	}
 	for _, list := range t.services {
 		shares := map[*state]float64{}
-		for _, g := range groups {
-			all := Tally{}
-			all.Add(g)
-			all.Add(own)
+		for _, all := range sums {
 			for _, s := range list {
 				shares[s] = max(shares[s], s.failing(all, len(list)))
 			}
