--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -43,6 +43,12 @@
 	return a.verdict() == place.Erred && c.route.Repeatable() && c.runs+1 < c.route.Attempts && len(c.tried) < maxOffers
 }
 
+// passOver leaves an instance's own error to another one to do better.
+func (c *call) passOver(a *attempt) *failure {
+	c.failed(a.use, true, errInstance)
+	return &failure{ran: true, err: errInstance}
+}
+
 // failure is an exchange without a usable answer.
 type failure struct {
 	// ran is set when the instance may have run the request.
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -61,8 +61,7 @@
 	use.End(a.verdict())
 	a.response.Close()
 	if c.again(a) {
-		c.failed(use, true, errInstance)
-		return &failure{ran: true, err: errInstance}
+		return c.passOver(a)
 	}
 	h := c.header(a)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -192,8 +192,7 @@
 	}
 	a.use.End(a.verdict())
 	if t.begun || t.again(a) {
-		t.failed(a.use, true, errInstance)
-		return &failure{ran: true, err: errInstance}
+		return t.passOver(a)
 	}
 	t.header(a).Del("Content-Length")
 	t.w.WriteHeader(a.response.Status)
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -153,7 +153,7 @@
 	}
 	list := make([]Attempt, 0, len(p.attempts))
 	for id, a := range p.attempts {
-		// A settled zero counts nothing and would only make the answer longer.
+		// An open reservation of nothing counts nothing.
 		if id != r.Attempt && (a.tokens > 0 || a.settled) {
 			list = append(list, Attempt{ID: id, Tokens: a.tokens, Settled: a.settled})
 		}
