--- a/peer/cost_test.go
+++ b/peer/cost_test.go
@@ -54,9 +54,7 @@
 				if cores > controlCores {
 					t.Errorf("a VM of %d uses %.4f of a core, expected at most %.4f", count, cores, controlCores)
 				}
-				for _, n := range nodes {
-					n.stop()
-				}
+				stopAll(nodes)
 			})
 		})
 	}
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -73,29 +73,34 @@
 // addSummary adds a VM's own word.
 func (d *Digest) addSummary(s *Summary, age time.Duration) {
 	d.States = append(d.States, packState(shortName(string(s.VM)), age, s.flags()))
-	for id, n := range s.Load {
-		d.Load[shortName(string(id))] += n
-	}
-	for k, n := range s.Breaks {
-		d.Breaks[k] += n
-	}
+	addLoad(d.Load, s.Load)
+	addCounts(d.Breaks, s.Breaks)
 	d.Tally.Add(s.Tally)
 }
 
 // addDigest adds another group.
 func (d *Digest) addDigest(o *Digest, near bool) {
-	for id, n := range o.Load {
-		d.Load[id] += n
-	}
-	for k, n := range o.Breaks {
-		d.Breaks[k] += n
-	}
+	addCounts(d.Load, o.Load)
+	addCounts(d.Breaks, o.Breaks)
 	d.Tally.Add(o.Tally)
 	if near {
 		d.Near.Add(o.Tally)
 	}
 }
 
+func addCounts[K comparable](into, from map[K]int) {
+	for k, n := range from {
+		into[k] += n
+	}
+}
+
+// addLoad adds a VM's requests at each instance, which sums have by short name.
+func addLoad(into map[uint32]int, from map[chestnutcleat.InstanceID]int) {
+	for id, n := range from {
+		into[shortName(string(id))] += n
+	}
+}
+
 // tellOthers sends the digest of this VM's group to the relays of the other groups, as often as their number allows, and at once if
 // that is urgent.
 func (f *Fleet) tellOthers(own *Summary, urgent bool) {
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -53,7 +53,6 @@
 
 	mu     sync.Mutex
 	roster roster
-	listed map[chestnutcleat.VMID]Member
 	groups *groups
 	// told has the last digest of each other group, and views the sums over the other groups that relays of this one sent.
 	told     map[Group]*received
@@ -90,18 +89,18 @@
 	f.init()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.listed = make(map[chestnutcleat.VMID]Member, len(list))
+	others := make(map[chestnutcleat.VMID]Member, len(list))
 	for _, m := range list {
 		if m.VM == f.Self.VM || m.Role != f.Self.Role {
 			continue
 		}
-		f.listed[m.VM] = m
+		others[m.VM] = m
 		if f.roster.peers[m.VM] == nil {
 			f.roster.peers[m.VM] = newPeer(m)
 		}
 	}
-	f.groups = newGroups(f.Self, slices.Collect(maps.Values(f.listed)))
-	f.roster.arrange(f.groups, f.listed)
+	f.groups = newGroups(f.Self, slices.Collect(maps.Values(others)))
+	f.roster.arrange(f.groups)
 }
 
 // Soon sends a summary at once instead of at the next interval.
@@ -154,10 +153,12 @@
 		return fmt.Errorf("datagram of %d bytes: %w", len(data), err)
 	}
 	if m.Summary != nil && m.Summary.VM != "" && m.Summary.VM != f.Self.VM {
-		f.receive(*m.Summary, m.Part)
+		f.tell(*m.Summary, f.note(m.Summary, m.Part))
 	}
 	for i := range m.Forwarded {
-		f.takeForwarded(&m.Forwarded[i])
+		v := &m.Forwarded[i]
+		n := f.noteForwarded(v)
+		f.tell(v.Summary, n)
 	}
 	if m.Digest != nil {
 		f.receiveDigest(m.Digest)
@@ -208,8 +209,8 @@
 	return true
 }
 
-func (f *Fleet) receive(s Summary, as part) {
-	n := f.note(&s, as)
+// tell passes on a summary and what it changed.
+func (f *Fleet) tell(s Summary, n noted) {
 	if n.old {
 		return
 	}
@@ -249,7 +250,7 @@
 	p.Summary, p.Heard = *s, time.Now()
 	if first {
 		f.roster.peers[s.VM] = p
-		f.roster.arrange(f.groups, f.listed)
+		f.roster.arrange(f.groups)
 	}
 	return n
 }
--- a/peer/group.go
+++ b/peer/group.go
@@ -85,6 +85,12 @@
 // shortName names a VM or an instance in digests.
 func shortName(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
+// has reports whether the platform lists a VM.
+func (g *groups) has(id chestnutcleat.VMID) bool {
+	_, ok := g.of[id]
+	return ok
+}
+
 // isFar reports whether a VM is heard of through relays.
 func (g *groups) isFar(id chestnutcleat.VMID) bool {
 	group, ok := g.of[id]
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -60,9 +60,8 @@
 	own := f.relaysOf(f.groups.own)
 	var to, asking []*Peer
 	for _, p := range f.roster.near {
-		_, listed := f.groups.of[p.VM]
 		switch {
-		case !listed || slices.Contains(own, p.VM):
+		case !f.groups.has(p.VM) || slices.Contains(own, p.VM):
 			to = append(to, p)
 		case p.part != asHelper && time.Since(p.direct) <= askingIntervals*interval:
 			asking = append(asking, p)
@@ -100,37 +99,23 @@
 	return list
 }
 
-// takeForwarded takes over a summary that a relay passes on.
-func (f *Fleet) takeForwarded(v *Forwarded) {
-	known, heard := f.noteForwarded(v)
-	if !known {
-		return
-	}
-	if heard && f.Heard != nil {
-		f.Heard(v.VM)
-	}
-	if f.Received != nil {
-		f.Received(v.Summary)
-	}
-}
-
-// noteForwarded reports whether a forwarded summary is newer than what is known of a VM of this group, and whether the VM had not
-// been heard before.
-func (f *Fleet) noteForwarded(v *Forwarded) (known, heard bool) {
+// noteForwarded takes over a summary that a relay passes on, if it is of this group.
+func (f *Fleet) noteForwarded(v *Forwarded) noted {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.roster.peers[v.VM]
 	if p == nil || f.groups.isFar(v.VM) || !p.summaries.accept(v.Incarnation, v.Sequence) {
-		return false, false
+		return noted{old: true}
 	}
 	at := time.Now().Add(-time.Duration(v.Age) * time.Millisecond)
-	heard = p.Silent() && time.Since(at) <= p.patience
+	// Relays of one group don't tell each other again what both were told.
+	n := noted{silent: p.Silent() && time.Since(at) <= p.patience}
 	v.Member = p.Member
 	p.Summary = v.Summary
 	if at.After(p.Heard) {
 		p.Heard = at
 	}
-	return true, heard
+	return n
 }
 
 // isRelay reports whether this VM is one of the first of its group that are heard. It needs the lock.
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -72,6 +72,19 @@
 	return w, nodes
 }
 
+// wholeFleet is fleetOf with VMs that all hear each other.
+func wholeFleet(t *testing.T, count int) (*wire, []*node) {
+	w, nodes := fleetOf(t, count)
+	within(nodes, -1, func(n *node) bool { return n.heard() == count-1 })
+	return w, nodes
+}
+
+func stopAll(nodes []*node) {
+	for _, n := range nodes {
+		n.stop()
+	}
+}
+
 // within returns how long it takes until all nodes but one meet a condition, and gives up after a minute.
 func within(nodes []*node, but int, met func(n *node) bool) time.Duration {
 	begun := time.Now()
@@ -157,9 +170,7 @@
 				if most > span*maxPerSecond || load > knownTime || leaving > flagTime || lost > lostTime {
 					t.Errorf("bounds are %d datagrams/s, %v, %v and %v", maxPerSecond, knownTime, flagTime, lostTime)
 				}
-				for _, n := range nodes[:count-1] {
-					n.stop()
-				}
+				stopAll(nodes[:count-1])
 			})
 		})
 	}
@@ -171,8 +182,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const count = 100
-		w, nodes := fleetOf(t, count)
-		within(nodes, -1, func(n *node) bool { return n.heard() == count-1 })
+		w, nodes := wholeFleet(t, count)
 		cut := map[chestnutcleat.VMID]bool{}
 		var group Group
 		for _, n := range nodes {
@@ -202,9 +212,7 @@
 		}
 		set(false)
 		is.True(within(nodes, -1, func(n *node) bool { return n.heard() == count-1 }) <= lostTime)
-		for _, n := range nodes {
-			n.stop()
-		}
+		stopAll(nodes)
 	})
 }
 
@@ -213,8 +221,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const count = 100
-		w, nodes := fleetOf(t, count)
-		within(nodes, -1, func(n *node) bool { return n.heard() == count-1 })
+		w, nodes := wholeFleet(t, count)
 		var lonely *node
 		for _, n := range nodes {
 			if !n.Relays() {
@@ -236,9 +243,7 @@
 			time.Sleep(100 * time.Millisecond)
 			is.True(within(nodes, -1, whole) == 0) // and it stays so
 		}
-		for _, n := range nodes {
-			n.stop()
-		}
+		stopAll(nodes)
 	})
 }
 
@@ -246,11 +251,8 @@
 func TestFormerRelayIsQuiet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		w, nodes := fleetOf(t, 100)
-		within(nodes, -1, func(n *node) bool { return n.heard() == 99 })
-		for _, n := range nodes {
-			n.stop()
-		}
+		w, nodes := wholeFleet(t, 100)
+		stopAll(nodes)
 		for _, n := range nodes {
 			if n.Relays() {
 				continue
@@ -277,9 +279,7 @@
 			is.Equal(l.Tally.Answered["s"], count-1)
 			is.Equal(l.Near.Answered["s"], count/testDomains-1)
 		}
-		for _, n := range nodes {
-			n.stop()
-		}
+		stopAll(nodes)
 	})
 }
 
--- a/peer/roster.go
+++ b/peer/roster.go
@@ -60,11 +60,11 @@
 }
 
 // arrange drops the VMs that are neither listed nor heard and orders the others.
-func (r *roster) arrange(g *groups, listed map[chestnutcleat.VMID]Member) {
+func (r *roster) arrange(g *groups) {
 	r.sorted, r.near, r.far = nil, nil, map[uint32]*Peer{}
 	for id, p := range r.peers {
 		p.patience = g.patience()
-		if _, ok := listed[id]; !ok && p.Silent() {
+		if !g.has(id) && p.Silent() {
 			delete(r.peers, id)
 			continue
 		}
--- a/peer/totals.go
+++ b/peer/totals.go
@@ -25,18 +25,14 @@
 		if p.Silent() {
 			continue
 		}
-		for i, n := range p.Load {
-			t.load[shortName(string(i))] += n
-		}
+		addLoad(t.load, p.Load)
 		t.Tally.Add(p.Tally)
 		if p.Domain == f.Self.Domain {
 			t.Near.Add(p.Tally)
 		}
 	}
 	if v := f.view(); v != nil {
-		for i, n := range v.Load {
-			t.load[i] += n
-		}
+		addCounts(t.load, v.Load)
 		t.Tally.Add(v.Tally)
 		t.Near.Add(v.Near)
 	}
