Hear the VMs of a group whose summaries don't fit into a datagram

Found on reading the change: where the summaries that a relay forwards are longer than a datagram together (some 400 instances with requests at each of 14 VMs), only the relay's own short summary was sent. The VMs of its group, which no longer send to each other, and those of other groups were then not heard: v0 of 100 VMs heard 8.

Change: such a message goes without the requests and counts of all its summaries, and without the sums only if it is still too long.

TestLongSummariesAreHeard fails before and passes after.

--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -14,7 +14,6 @@
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/guard"
-	"chestnutcleat.example/chestnutcleat/place"
 	"chestnutcleat.example/chestnutcleat/rate"
 	"chestnutcleat.example/chestnutcleat/vm"
 )
@@ -306,15 +305,15 @@
 	return urgent
 }
 
+// sendTo sends a message, if it is too long in part: that VMs live must be heard.
 func (f *Fleet) sendTo(m message, to []chestnutcleat.Address) {
-	if len(to) == 0 {
+	if len(to) == 0 || f.write(m, to...) {
 		return
 	}
-	if !f.write(m, to...) {
-		// With very many customers and instances the details are left out; that the VM lives must still be heard.
-		short := *m.Summary
-		short.Load, short.Breaks, short.Tally = nil, nil, place.Tally{}
-		f.write(message{Part: m.Part, Summary: &short}, to...)
+	short := m.brief()
+	if !f.write(short, to...) {
+		short.Digest = nil
+		f.write(short, to...)
 	}
 }
 
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -247,6 +247,31 @@
 	})
 }
 
+// With very many instances the summaries of a group don't fit into one datagram: their VMs must be heard all the same.
+func TestLongSummariesAreHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count, instances = 100, 400
+		_, nodes := fleetOf(t, count)
+		for _, n := range nodes {
+			load := map[chestnutcleat.InstanceID]int{}
+			for i := range instances {
+				load[chestnutcleat.InstanceID(fmt.Sprintf("instance-with-a-long-name-%d", i))] = 1
+			}
+			n.say(Summary{Load: load})
+		}
+		time.Sleep(lostTime)
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			for _, n := range nodes {
+				if n.heard() != count-1 {
+					t.Fatalf("%s hears %d VMs of %d", n.Self.VM, n.heard(), count-1)
+				}
+			}
+		}
+		stopAll(nodes)
+	})
+}
+
 // A VM whose place as a relay was taken between two looks must tell the other groups nothing: with -race it ended the process.
 func TestFormerRelayIsQuiet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/peer/summary.go
+++ b/peer/summary.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"slices"
+
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/place"
 	"chestnutcleat.example/chestnutcleat/rate"
@@ -67,6 +69,12 @@
 	s.Leaving, s.Away, s.Unwritable = f&flagLeaving != 0, f&flagAway != 0, f&flagUnwritable != 0
 }
 
+// brief leaves out what grows with the numbers of instances and of broken runs.
+func (s Summary) brief() Summary {
+	s.Load, s.Breaks, s.Tally = nil, nil, place.Tally{}
+	return s
+}
+
 // Question asks another VM for tokens of customers' rates.
 type Question struct {
 	From chestnutcleat.VMID `json:"from"`
@@ -110,3 +118,14 @@
 	Question  *Question   `json:"question,omitempty"`
 	Grant     *Grant      `json:"grant,omitempty"`
 }
+
+// brief is the message with brief summaries.
+func (m message) brief() message {
+	own := m.Summary.brief()
+	m.Summary = &own
+	m.Forwarded = slices.Clone(m.Forwarded)
+	for i := range m.Forwarded {
+		m.Forwarded[i].Summary = m.Forwarded[i].Summary.brief()
+	}
+	return m
+}
