--- a/role/addresses.go
+++ b/role/addresses.go
@@ -1,7 +1,6 @@
 package role
 
 import (
-	"iter"
 	"slices"
 
 	"chestnutcleat.example/chestnutcleat"
@@ -13,8 +12,7 @@
 
 // isCutOff reports whether a VM is on the smaller side of a cut, without the records of programs: it can't say who else
 // serves, and most programs would fail here. While all VMs lack the records it is not, as they still serve plain services.
-func isCutOff(self chestnutcleat.VMID, peers iter.Seq[*peer.Peer], listed int, writable bool) bool {
-	_, heard := rankHeard(self, peers, anyPeer)
+func isCutOff(heard, listed int, writable bool) bool {
 	return !writable && listed > 2 && 2*heard <= listed
 }
 
--- a/role/addresses_test.go
+++ b/role/addresses_test.go
@@ -41,7 +41,8 @@
 					}
 					peers = append(peers, p)
 				}
-				is.New(t).Equal(isCutOff(id(99), each(peers), len(peers)+1, tt.writable), tt.want)
+				_, heard := rankHeard(id(99), each(peers), anyPeer)
+				is.New(t).Equal(isCutOff(heard, len(peers)+1, tt.writable), tt.want)
 			})
 		})
 	}
--- a/role/base.go
+++ b/role/base.go
@@ -128,6 +128,8 @@
 		return errors.Join(fmt.Errorf("listen on %s: %w", a, err), tcp.Close())
 	}
 	b.tcp, b.fleet.Conn, b.fleet.Unread = tcp, udp, b.unread
+	b.fleet.Heard = func(id chestnutcleat.VMID) { b.Observer.Emit(event.PeerBack, "peer", id) }
+	b.fleet.Silenced = func(id chestnutcleat.VMID) { b.Observer.Emit(event.PeerLost, "peer", id) }
 	return nil
 }
 
--- a/role/entry.go
+++ b/role/entry.go
@@ -106,8 +106,6 @@
 		Digested: func(d peer.Digest) { e.digested(ctx, &d) },
 		Asked:    e.rates.Give,
 		Granted:  e.rates.Take,
-		Heard:    func(id chestnutcleat.VMID) { e.Observer.Emit(event.PeerBack, "peer", id) },
-		Silenced: func(id chestnutcleat.VMID) { e.Observer.Emit(event.PeerLost, "peer", id) },
 	}
 	memory := int64(e.Settings.Memory) << 20
 	e.rates.Ask = e.fleet.Ask
@@ -202,7 +200,7 @@
 // addresses are where callers of a failure domain connect. A VM that is cut off names none, so that callers ask another one.
 func (e *Entry) addresses(_ chestnutcleat.Region, domain chestnutcleat.FailureDomain) ([]chestnutcleat.Address, float64) {
 	writable := e.ledger.Writable()
-	if isCutOff(e.self.VM, e.fleet.All(), e.fleet.Count()+1, writable) {
+	if _, heard := e.rankHeard(); isCutOff(heard, e.fleet.Count()+1, writable) {
 		return nil, 0
 	}
 	var list []peer.Summary
--- a/role/store.go
+++ b/role/store.go
@@ -86,8 +86,6 @@
 		Describe: func(m *peer.Summary) { m.Versions, m.Away = s.versions(), s.away() },
 		Received: func(m peer.Summary) { s.catchUp(ctx, m.VM, m.Versions) },
 		Digested: func(d peer.Digest) { s.catchUp(ctx, d.From, d.Versions) },
-		Heard:    func(id chestnutcleat.VMID) { s.Observer.Emit(event.PeerBack, "peer", id) },
-		Silenced: func(id chestnutcleat.VMID) { s.Observer.Emit(event.PeerLost, "peer", id) },
 	}
 	s.keeper = &keeper.Keeper{
 		VM: s.self.VM, Store: s.store, Objects: s.objects, Observer: s.Observer, Kind: fleetKind, Name: copiesName,
