--- a/program/begin.go
+++ b/program/begin.go
@@ -129,7 +129,7 @@
 	switch {
 	case c.Body != in.Body || c.Route != in.Route:
 		b.refuse(done, chestnutcleat.NewProblem(chestnutcleat.CodeCallReused, chestnutcleat.NotRun, "call %q was sent before with another body", in.ID))
-	case c.state == ended && !c.saving:
+	case c.state == ended && !c.saving():
 		b.stats.Replays++
 		c.presumed = false
 		done(b.replay(c))
--- a/program/book.go
+++ b/program/book.go
@@ -114,6 +114,7 @@
 	for _, c := range p.calls {
 		c.stopSilence()
 		b.discard(c)
+		c.saved()
 	}
 }
 
--- a/program/call.go
+++ b/program/call.go
@@ -45,10 +45,9 @@
 	endedAt  time.Time
 	// presumed is set for an unknown outcome that nobody was told yet.
 	presumed bool
-	// saving is set until the end of the call is stored, for which callers must wait; savers are called then.
-	saving bool
+	// savers are called once the end of the call is stored; there are some until then.
 	savers []func()
-	// saves counts the ends of the call: a presumed one may be replaced.
+	// saves tells the writes of the end apart, of which only the last one counts.
 	saves int
 }
 
--- a/program/settle.go
+++ b/program/settle.go
@@ -20,7 +20,6 @@
 		done(chestnutcleat.SettleReply{})
 	case c.state == ended && c.presumed && c.attempt == r.Attempt && !r.Again:
 		c.presumed = false
-		c.saves++
 		c.saved()
 		c.charged -= c.assumed
 		c.reserved, c.assumed = c.assumed, 0
@@ -211,24 +210,24 @@
 	b.startAll(c, chestnutcleat.NewProblem(chestnutcleat.CodeInterrupted, chestnutcleat.NotRun, "the attempt has ended"))
 	b.discard(c)
 	b.retain(c, a)
-	c.saving = true
 	c.savers = append(c.savers, done)
 	c.saves++
 	b.save(p, c, c.saves)
 	b.wake(p)
 }
 
-// save stores the n-th end of a call until that succeeds or another VM owns the program.
+// save stores the n-th end of a call until that succeeds, a report replaces a presumed end or another VM owns the program.
 func (b *Book) save(p *program, c *call, n int) {
 	b.append(!c.Repeatable, func(err error) {
 		switch {
 		case c.saves != n:
-			// A report replaced the presumed end.
-		case p.gone:
-			c.saved()
 		case err != nil:
 			b.emit(event.ProgramJournal, "program", p.id, "call", c.ID, "error", err)
-			b.Loop.After(saveInterval, func() { b.saveAgain(p, c, n) })
+			b.Loop.After(saveInterval, func() {
+				if c.saves == n {
+					b.save(p, c, n)
+				}
+			})
 		default:
 			c.saved()
 			c.reply(b.replay(c))
@@ -236,20 +235,12 @@
 	}, b.callRecord(p, c, maxJournaled))
 }
 
-// saveAgain repeats a save that failed.
-func (b *Book) saveAgain(p *program, c *call, n int) {
-	switch {
-	case c.saves != n:
-	case p.gone:
-		c.saved()
-	default:
-		b.save(p, c, n)
-	}
-}
+// saving reports whether the end of the call is not stored yet, for which callers must wait.
+func (c *call) saving() bool { return len(c.savers) > 0 }
 
 // afterSave calls f once the end of a call is stored, or another VM owns its program.
 func (c *call) afterSave(f func()) {
-	if c.saving {
+	if c.saving() {
 		c.savers = append(c.savers, f)
 		return
 	}
@@ -258,7 +249,7 @@
 
 // saved ends the wait for the end of a call to be stored.
 func (c *call) saved() {
-	c.saving = false
+	c.saves++
 	list := c.savers
 	c.savers = nil
 	for _, f := range list {
