Say bounds, spans and violations of the soak once

The bounds that the soak checks are those that it gives the VMs, where both were written down; the end of a fault was computed in four places and a violation without a request noted in four; a count of starts was never read. Both stand-ins share the names of their headers.

--- a/soak/bounds.go
+++ b/soak/bounds.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -10,7 +9,7 @@
 
 const (
 	// applyTime is the time in which a change is in effect at all VMs that reach the platform, and drainTime that in which an
-	// instance that leaves gets no more requests.
+	// instance that leaves gets no more requests; the VMs' settings say the same.
 	applyTime = 2 * time.Second
 	drainTime = 2 * time.Second
 	// wayTime is what a request takes to an instance; it counts by when it was sent.
@@ -27,10 +26,11 @@
 		if f.Kind != Withdraw {
 			continue
 		}
-		from, to := p.known(f, applyTime), time.Duration(f.At)+time.Duration(f.For)
+		at, to := f.span()
+		from := p.known(at, applyTime)
 		for _, a := range r.attempts {
 			if a.customer == instance.SampleWithdrawn && a.begun > from && a.end < to && len(log.Of(a.ID)) > 0 {
-				r.violate(a, "ran though its key had been withdrawn at %v", time.Duration(f.At))
+				r.violate(a, "ran though its key had been withdrawn at %v", at)
 			}
 		}
 	}
@@ -43,10 +43,11 @@
 		if f.Kind != Leave {
 			continue
 		}
-		from, to := p.known(f, drainTime)+wayTime, time.Duration(f.At)+time.Duration(f.For)
+		left, to := f.span()
+		from := p.known(left, drainTime) + wayTime
 		for _, v := range all {
 			if at := v.At.Sub(r.begun); v.Instance == f.On && at > from && at < to {
-				r.broken = append(r.broken, Violation{At: at, What: fmt.Sprintf("%s got a request of %s though it leaves since %v", f.On, v.Customer, time.Duration(f.At))})
+				r.fail(at, "%s got a request of %s though it leaves since %v", f.On, v.Customer, left)
 			}
 		}
 	}
@@ -65,7 +66,7 @@
 	most := int((instance.LimitedRate*window.Seconds()+instance.LimitedBurst)*(1+overage)) + tolerance
 	for i := most; i < len(times); i++ {
 		if span := times[i].Sub(times[i-most]); span < window {
-			r.broken = append(r.broken, Violation{At: times[i].Sub(r.begun), What: fmt.Sprintf("%d requests of %s ran within %v", most+1, instance.SampleLimited, span)})
+			r.fail(times[i].Sub(r.begun), "%d requests of %s ran within %v", most+1, instance.SampleLimited, span)
 			return
 		}
 	}
@@ -75,10 +76,9 @@
 var blinding = map[Kind]bool{PlatformDown: true, Pause: true}
 
 // known returns when all VMs know of a change within a bound: faults that keep them from it put that off.
-func (p *Plan) known(change Fault, bound time.Duration) time.Duration {
-	at := time.Duration(change.At)
+func (p *Plan) known(at, bound time.Duration) time.Duration {
 	for _, f := range p.Faults {
-		begun, end := time.Duration(f.At), time.Duration(f.At)+time.Duration(f.For)
+		begun, end := f.span()
 		if blinding[f.Kind] && begun < at+bound && end > at {
 			at = end
 		}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -151,7 +151,8 @@
 	s := settings.Role{
 		VM: chestnutcleat.VMID(id), Role: kind, Domain: chestnutcleat.FailureDomain(domain(i)), Region: "region",
 		IP: ip, Ports: []int{internalPort, internalPort}, Platform: chestnutcleat.Address(platform), Tolerance: 1,
-		Memory: memory, Grace: grace, Hold: 1, Apply: 2000, Drain: 2000, Window: 5, Overage: 0.1, Metrics: metricsPort,
+		Memory: memory, Grace: grace, Hold: 1, Apply: int(applyTime.Milliseconds()), Drain: int(drainTime.Milliseconds()),
+		Window: window.Seconds(), Overage: overage, Metrics: metricsPort,
 	}
 	if kind == settings.RoleEntry {
 		s.Listen = settings.Listen{Callers: at(callersPort), Ready: at(readyPort), Registry: at(registryPort)}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -88,6 +88,11 @@
 	For chestnutcleat.Duration `json:"for,omitempty"`
 }
 
+// span returns when the fault begins and ends.
+func (f Fault) span() (from, to time.Duration) {
+	return time.Duration(f.At), time.Duration(f.At) + time.Duration(f.For)
+}
+
 // Plan is the faults of a run, in the order of their times.
 type Plan struct {
 	Seed   uint64                 `json:"seed"`
--- a/soak/process.go
+++ b/soak/process.go
@@ -28,9 +28,8 @@
 	command *exec.Cmd
 	ending  bool
 	// wipe empties the disk before the next start.
-	wipe   bool
-	starts int
-	ended  chan struct{}
+	wipe  bool
+	ended chan struct{}
 }
 
 func newProcess(program, folder string, s settings.Role) (*process, error) {
@@ -88,7 +87,6 @@
 		return false, fmt.Errorf("start %s: %w", p.settings.VM, err)
 	}
 	p.command = c
-	p.starts++
 	p.mu.Unlock()
 	// How it ended is in its log; a process that a signal ended is what faults are for.
 	_ = c.Wait()
--- a/soak/record.go
+++ b/soak/record.go
@@ -62,17 +62,26 @@
 
 func (r *record) add(a *attempt) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.attempts = append(r.attempts, a)
+	r.mu.Unlock()
 	if a.Fault != "" {
-		r.broken = append(r.broken, Violation{At: a.end, Request: a.ID, What: a.Fault})
+		r.violate(a, "%s", a.Fault)
 	}
 }
 
+// violate notes a promise that an attempt shows to be broken, and fail one that shows in no single attempt.
 func (r *record) violate(a *attempt, format string, args ...any) {
+	r.note(Violation{At: a.end, Request: a.ID, What: fmt.Sprintf(format, args...)})
+}
+
+func (r *record) fail(at time.Duration, format string, args ...any) {
+	r.note(Violation{At: at, What: fmt.Sprintf(format, args...)})
+}
+
+func (r *record) note(v Violation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.broken = append(r.broken, Violation{At: a.end, Request: a.ID, What: fmt.Sprintf(format, args...)})
+	r.broken = append(r.broken, v)
 }
 
 // check looks at what instances ran, once all attempts have ended.
@@ -121,7 +130,7 @@
 		}
 	}
 	if float64(served) < servedAgain*float64(all) || all == 0 {
-		r.broken = append(r.broken, Violation{At: time.Duration(p.Length), What: fmt.Sprintf("%d of %d requests are served after the faults", served, all)})
+		r.fail(time.Duration(p.Length), "%d of %d requests are served after the faults", served, all)
 	}
 }
 
@@ -142,8 +151,8 @@
 		return false
 	}
 	for _, f := range p.Faults {
-		at := time.Duration(f.At)
-		if !planned[f.Kind] && at <= to && from <= at+time.Duration(f.For)+settleTime {
+		begun, end := f.span()
+		if !planned[f.Kind] && begun <= to && from <= end+settleTime {
 			return false
 		}
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -59,7 +59,7 @@
 	}
 	running.Wait()
 	for _, d := range f.differences(context.WithoutCancel(ctx)) {
-		r.broken = append(r.broken, Violation{At: time.Since(r.begun), What: "after the faults " + d})
+		r.fail(time.Since(r.begun), "after the faults %s", d)
 	}
 	failed := f.end()
 	return s.report(f, r, failed)
--- a/standin/instance/server.go
+++ b/standin/instance/server.go
@@ -14,13 +14,18 @@
 	"time"
 )
 
-// Headers of the users' protocol.
+// Headers of the users' protocol that callers look at too.
+const (
+	// HeaderID names the request, and HeaderSigned is an instance's signature.
+	HeaderID     = "Chestnutcleat-Request-Id"
+	HeaderSigned = "Chestnutcleat-Server-Seal"
+)
+
+// Headers between entry VMs and instances.
 const (
-	headerID       = "Chestnutcleat-Request-Id"
 	headerExpected = "Chestnutcleat-Expect-Instance"
 	headerCustomer = "Chestnutcleat-Tenant"
 	headerNotRun   = "Chestnutcleat-Not-Executed"
-	headerSigned   = "Chestnutcleat-Server-Seal"
 	headerResume   = "Last-Event-Id"
 )
 
@@ -93,7 +98,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get(headerID)
+	id := r.Header.Get(HeaderID)
 	if e := r.Header.Get(headerExpected); id == "" || e != "" && e != s.ID {
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -113,8 +118,8 @@
 		f = *p
 	}
 	time.Sleep(f.Slow)
-	w.Header().Set(headerID, id)
-	w.Header().Set(headerSigned, "seal")
+	w.Header().Set(HeaderID, id)
+	w.Header().Set(HeaderSigned, "seal")
 	switch {
 	case rand.Float64() < f.Errors:
 		http.Error(w, "failed", http.StatusInternalServerError)
@@ -152,7 +157,7 @@
 		return
 	}
 	defer c.Close()
-	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\nContent-Length: %d\r\n\r\n%s", headerID, id, headerSigned, len(body), body)
+	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\nContent-Length: %d\r\n\r\n%s", HeaderID, id, HeaderSigned, len(body), body)
 	for range 2 {
 		if _, err := io.WriteString(c, answer); err != nil {
 			return
--- a/standin/program/client.go
+++ b/standin/program/client.go
@@ -129,10 +129,10 @@
 		_, out.Err = io.Copy(io.Discard, io.LimitReader(a.Body, answerBytes))
 		return out
 	}
-	if id := a.Header.Get("Chestnutcleat-Request-Id"); id != q.ID {
+	if id := a.Header.Get(instance.HeaderID); id != q.ID {
 		out.Fault = fmt.Sprintf("answer is for request %q", id)
 	}
-	if a.Header.Get("Chestnutcleat-Server-Seal") == "" {
+	if a.Header.Get(instance.HeaderSigned) == "" {
 		out.Fault = "success is not signed"
 	}
 	if strings.HasPrefix(q.Path, instance.StreamPrefix) {
@@ -145,7 +145,7 @@
 
 func (c *Client) header(h http.Header, q *Request) {
 	h.Set("Authorization", "Bearer "+c.Key)
-	h.Set("Chestnutcleat-Request-Id", q.ID)
+	h.Set(instance.HeaderID, q.ID)
 	h.Set("Chestnutcleat-Deadline-Ms", strconv.FormatInt(q.Deadline.Milliseconds(), 10))
 	if q.Program == "" {
 		return
