--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -9,6 +10,7 @@
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/event"
 	"chestnutcleat.example/chestnutcleat/exchange"
+	"chestnutcleat.example/chestnutcleat/memory"
 	"chestnutcleat.example/chestnutcleat/place"
 )
 
@@ -22,12 +24,25 @@
 	meta       chestnutcleat.ResponseInfo
 }
 
-// maxInitialBuffer limits the initial buffer for a buffered response, in bytes; the buffer grows as needed.
-const maxInitialBuffer = 16 << 20
+// Bounds limits what an instance may send in answer to one request, in bytes. Zero means the default.
+type Bounds struct {
+	// Body limits a response that is passed on once it is complete.
+	Body int64
+	// Event limits one event of a stream.
+	Event int64
+	// Output limits the data of all events of a turn that is kept.
+	Output int64
+}
+
+// Default bounds, in bytes.
+const (
+	defaultMaxResponse = 4 << 20
+	defaultMaxOutput   = 1 << 20
+)
 
 // readBody reads the whole response body.
-func (a *attempt) readBody() ([]byte, error) {
-	return readAll(make([]byte, 0, max(minBodyBuffer, min(a.response.Length+1, maxInitialBuffer))), a.response)
+func (c *call) readBody(a *attempt) ([]byte, error) {
+	return c.memory.ReadAll(a.response, a.response.Length, cmp.Or(c.Bounds.Body, defaultMaxResponse))
 }
 
 // outcome returns the outcome that the status of a complete response means for the instance.
@@ -113,7 +128,7 @@
 	var e *exchange.Error
 	sent := !errors.As(err, &e) || e.Sent
 	outcome := place.ConnectionError
-	if c.ctx.Err() != nil {
+	if c.ctx.Err() != nil || errors.Is(err, memory.ErrExhausted) {
 		outcome = place.Neutral
 	}
 	assignment.End(outcome)
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -139,6 +139,9 @@
 	for i := range chain {
 		size += len(chain[i].Input) + len(chain[i].Output)
 	}
+	if err := t.memory.Add(int64(size)); err != nil {
+		return outOfMemory(err)
+	}
 	input := make([]byte, 0, size)
 	for i := len(chain) - 1; i >= 0; i-- {
 		input = append(append(input, chain[i].Input...), chain[i].Output...)
--- a/entry/buffered.go
+++ b/entry/buffered.go
@@ -54,7 +54,7 @@
 		return f
 	}
 	defer a.response.Close()
-	body, err := a.readBody()
+	body, err := c.readBody(a)
 	if err != nil {
 		return c.endFailed(assignment, err)
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +14,7 @@
 	"chestnutcleat.example/chestnutcleat/event"
 	"chestnutcleat.example/chestnutcleat/exchange"
 	"chestnutcleat.example/chestnutcleat/ledger"
+	"chestnutcleat.example/chestnutcleat/memory"
 	"chestnutcleat.example/chestnutcleat/place"
 	"chestnutcleat.example/chestnutcleat/rate"
 )
@@ -26,8 +27,6 @@
 	busyRetryAfter = 150 * time.Millisecond
 	// defaultMaxBody is the limit of request bodies, in bytes, when the configuration sets none.
 	defaultMaxBody = 4 << 20
-	// minBodyBuffer is the smallest initial buffer for a body, in bytes.
-	minBodyBuffer = 512
 	// defaultTimeout applies to routes without a timeout.
 	defaultTimeout = time.Minute
 )
@@ -46,12 +45,13 @@
 	Observer  chestnutcleat.Observer
 	Metrics   *Metrics
 	Domain    chestnutcleat.FailureDomain
-	// MaxBodyMemory is the limit for the request bodies held at the same time, in bytes.
-	MaxBodyMemory int64
+	// Memory is shared by the bodies of all requests and answers in progress.
+	Memory *memory.Budget
+	// Bounds limits the answers of instances.
+	Bounds Bounds
 
-	bodyBytes atomic.Int64
-	inFlight  atomic.Int64
-	draining  atomic.Bool
+	inFlight atomic.Int64
+	draining atomic.Bool
 }
 
 // Drain makes every further response the last one on its connection.
@@ -72,6 +72,8 @@
 	customer *config.Customer
 	service  chestnutcleat.ServiceName
 	body     []byte
+	// memory is what the bodies of the request and its answer take.
+	memory memory.Reservation
 	// deadline is when the caller stops waiting or the route's timeout ends, whichever is first.
 	deadline time.Time
 	// fingerprint identifies the request across its attempts.
@@ -90,10 +92,10 @@
 	if h.draining.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{Handler: h, w: w, r: r}
+	c := &call{Handler: h, w: w, r: r, memory: memory.Reservation{Budget: h.Memory}}
+	defer c.memory.Release()
 	err := c.prepare()
 	if err == nil {
-		defer h.bodyBytes.Add(-int64(len(c.body)))
 		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 		defer cancel()
 		c.ctx = ctx
@@ -132,7 +134,7 @@
 	}
 	c.deadline = q.Deadline(timeout)
 	c.service = c.route.PickService(rand.Float64())
-	if err := c.readBody(); err != nil {
+	if err := c.readRequestBody(); err != nil {
 		return err
 	}
 	c.fingerprint = FingerprintOf(c.customerID(), c.r.Method, c.r.RequestURI, c.body)
@@ -164,8 +166,8 @@
 	return c.customer.ID
 }
 
-// readBody reads the whole body, within the limits on body size and memory.
-func (c *call) readBody() error {
+// readRequestBody reads the whole body of the request, within the limits on size, time and memory.
+func (c *call) readRequestBody() error {
 	limit := c.table.Limits.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBody
@@ -174,42 +176,38 @@
 	if size > limit {
 		return problem(chestnutcleat.CodeTooLarge, chestnutcleat.NotRun, "body of %d bytes exceeds the limit of %d bytes", size, limit)
 	}
-	if c.bodyBytes.Load()+max(size, 0) > c.MaxBodyMemory {
-		return problem(chestnutcleat.CodeBusy, chestnutcleat.NotRun, "not enough memory for the request body").WithRetry(jitteredRetryAfter())
-	}
 	if size == 0 {
 		return nil
 	}
-	body := make([]byte, 0, max(size, minBodyBuffer))
-	body, err := readAll(body, http.MaxBytesReader(c.w, c.r.Body, limit))
-	c.bodyBytes.Add(int64(len(body)))
+	// The error is ignored: connections that support no deadline are read without one.
+	control := http.NewResponseController(c.w)
+	_ = control.SetReadDeadline(c.deadline)
+	body, err := c.memory.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit), size, limit)
 	if err != nil {
-		c.bodyBytes.Add(-int64(len(body)))
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return problem(chestnutcleat.CodeTooLarge, chestnutcleat.NotRun, "body exceeds the limit of %d bytes", limit)
-		}
-		return problem(chestnutcleat.CodeBadRequest, chestnutcleat.NotRun, "cannot read the request body: %v", err)
+		return bodyError(err, limit)
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	c.body = body
 	return nil
 }
 
-// readAll appends the data of r to b until EOF. Unlike with io.ReadAll, the caller chooses the size of the initial buffer.
-func readAll(b []byte, r io.Reader) ([]byte, error) {
-	for {
-		if len(b) == cap(b) {
-			b = append(b, 0)[:len(b)]
-		}
-		n, err := r.Read(b[len(b):cap(b)])
-		b = b[:len(b)+n]
-		if err == io.EOF {
-			return b, nil
-		}
-		if err != nil {
-			return b, err
-		}
-	}
+// bodyError returns the error for a caller whose request body could not be read.
+func bodyError(err error, limit int64) error {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return problem(chestnutcleat.CodeTooLarge, chestnutcleat.NotRun, "body exceeds the limit of %d bytes", limit)
+	case errors.Is(err, memory.ErrExhausted):
+		return outOfMemory(err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return problem(chestnutcleat.CodeDeadline, chestnutcleat.NotRun, "the request body did not arrive within the time that the caller or the route allows")
+	}
+	return problem(chestnutcleat.CodeBadRequest, chestnutcleat.NotRun, "cannot read the request body: %v", err)
+}
+
+// outOfMemory returns the error for a request that was not sent to an instance for lack of memory.
+func outOfMemory(err error) error {
+	return problem(chestnutcleat.CodeBusy, chestnutcleat.NotRun, "%v", err).WithRetry(jitteredRetryAfter())
 }
 
 // checkRate counts the request against its customer's rate limit.
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -21,6 +21,7 @@
 	"chestnutcleat.example/chestnutcleat/config"
 	"chestnutcleat.example/chestnutcleat/exchange"
 	"chestnutcleat.example/chestnutcleat/ledger"
+	"chestnutcleat.example/chestnutcleat/memory"
 	"chestnutcleat.example/chestnutcleat/place"
 	"chestnutcleat.example/chestnutcleat/platform"
 	"chestnutcleat.example/chestnutcleat/rate"
@@ -216,7 +217,7 @@
 	h.handler = &Handler{
 		Codec: platform.Codec{}, Config: func() *config.Table { return h.table }, Instances: instanceTable, Pool: pool, Rates: rates,
 		Ledger: client, Turns: &TurnCache{Size: 1 << 20}, Crashes: &CrashTracker{}, Observer: discardObserver{}, Metrics: &Metrics{Set: metrics.NewSet()},
-		MaxBodyMemory: 1 << 20,
+		Memory: &memory.Budget{Limit: 1 << 20},
 	}
 	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 	h.server = &http.Server{Handler: h.handler}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -22,6 +23,8 @@
 	minStallTimeout = 600 * time.Millisecond
 	// streamBufferSize is the read buffer of a stream in bytes, enough for a few events.
 	streamBufferSize = 4 << 10
+	// maxCommentBytes limits what may come between two events with data, in bytes. Comments that keep a connection open take far less.
+	maxCommentBytes = 64 << 10
 )
 
 // notSettled is the settledTokens of a turn whose reservation has not been settled.
@@ -36,6 +39,8 @@
 	lastEventID int
 	// events is the number of events delivered.
 	events int
+	// commentBytes is the size of what came since the last event with data, in bytes.
+	commentBytes int
 	// output is the data of all delivered events, each followed by a line feed, on routes that retain turns.
 	output []byte
 	// settledTokens is the number of tokens that storeTurn settled the reservation with, or notSettled.
@@ -117,15 +122,15 @@
 	if a.response.Status != http.StatusOK {
 		return t.relayBuffered(a)
 	}
-	events := sse.Reader{R: bufio.NewReaderSize(a.response, streamBufferSize)}
+	events := sse.Reader{R: bufio.NewReaderSize(a.response, streamBufferSize), MaxBytes: t.Bounds.Event, Reserve: t.memory.Add}
 	for {
 		e, err := events.Next()
 		if err == io.EOF {
 			assignment.End(place.Success)
 			return t.finish(a)
 		}
-		if err == nil && t.lastEventID >= 0 && e.ID >= 0 && e.ID <= t.lastEventID {
-			err = errOrder
+		if err == nil {
+			err = t.checkEvent(e)
 		}
 		if err != nil {
 			return t.endFailed(assignment, errors.Join(context.Cause(ctx), err))
@@ -142,10 +147,34 @@
 }
 
 var (
-	errStalled = errors.New("instance sends no events")
-	errOrder   = errors.New("event out of order")
+	errStalled       = errors.New("instance sends no events")
+	errOrder         = errors.New("event out of order")
+	errOnlyComments  = errors.New("instance sends only comments")
+	errOutputTooLong = errors.New("output exceeds its size limit")
 )
 
+// checkEvent returns an error if the stream must not go on with this event.
+func (t *turn) checkEvent(e sse.Event) error {
+	if t.lastEventID >= 0 && e.ID >= 0 && e.ID <= t.lastEventID {
+		return errOrder
+	}
+	if e.Data == nil {
+		if t.commentBytes += len(e.Raw); t.commentBytes > maxCommentBytes {
+			return errOnlyComments
+		}
+		return nil
+	}
+	t.commentBytes = 0
+	if !t.route.Retained {
+		return nil
+	}
+	size := int64(len(e.Data) + 1)
+	if int64(len(t.output))+size > cmp.Or(t.Bounds.Output, defaultMaxOutput) {
+		return errOutputTooLong
+	}
+	return t.memory.Add(size)
+}
+
 // stallTimeout returns how long to wait for the next event. Only a stream that can resume at another instance is abandoned
 // before the deadline.
 func (t *turn) stallTimeout() time.Duration {
@@ -187,7 +216,7 @@
 
 // relayBuffered passes on a response that is not an event stream.
 func (t *turn) relayBuffered(a *attempt) *failure {
-	body, err := a.readBody()
+	body, err := t.readBody(a)
 	if err != nil {
 		return t.endFailed(a.assignment, err)
 	}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -37,6 +38,9 @@
 	Err        error
 }
 
+// ErrHeadTooLong is returned for a response whose head exceeds Pool.MaxHead.
+var ErrHeadTooLong = errors.New("head of the response is too long")
+
 // Error implements error.
 func (e *Error) Error() string { return fmt.Sprintf("exchange (sent %t): %v", e.Sent, e.Err) }
 
@@ -95,19 +99,29 @@
 	} else {
 		writeResult <- nil
 	}
+	resp, err := c.readHead(request, cmp.Or(p.MaxHead, defaultMaxHead))
+	if err != nil {
+		return nil, &Error{Sent: true, Err: err}
+	}
+	return &Response{
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		body: resp.Body, conn: c, pool: p, writeResult: writeResult, closeAfter: resp.Close,
+	}, nil
+}
+
+// readHead reads the head of the final response, after any informational responses.
+func (c *conn) readHead(request *http.Request, limit int64) (*http.Response, error) {
+	c.inHead, c.headLeft = true, limit
+	defer func() { c.inHead = false }()
 	for {
 		resp, err := http.ReadResponse(c.reader, request)
-		if err != nil {
-			return nil, &Error{Sent: true, Err: err}
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return &Response{
-				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-				body: resp.Body, conn: c, pool: p, writeResult: writeResult, closeAfter: resp.Close,
-			}, nil
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, &Error{Sent: true, Err: errors.New("unexpected switch of protocols")}
+		switch {
+		case err != nil:
+			return nil, err
+		case resp.StatusCode >= http.StatusOK:
+			return resp, nil
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.New("unexpected switch of protocols")
 		}
 	}
 }
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -294,3 +294,41 @@
 	is.True(err != nil)
 	is.Equal(<-seen, "GET /a%2Fb//c/?q=%20&r HTTP/1.1")
 }
+
+// Whatever an instance sends, an exchange must end, return a connection only after a complete response and never panic. All input
+// is followed by the end of the connection.
+func FuzzExchange(f *testing.F) {
+	f.Add([]byte(okResponse))
+	f.Add([]byte(okResponse + okResponse))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + okResponse))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nok\r\n0\r\nX: y\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551616\r\n\r\nok"))
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		p := NewPool(net.KeepAliveConfig{})
+		defer p.Close()
+		p.Dial = func(context.Context, chestnutcleat.Address) (net.Conn, error) {
+			client, server := net.Pipe()
+			go func() {
+				serveOnce(string(answer))(0, server)
+				server.Close()
+			}()
+			return client, nil
+		}
+		r, err := p.Do(t.Context(), "a", &Request{Method: "POST", Target: "/x", Host: "h", Header: http.Header{}, Body: []byte("b")})
+		if err != nil {
+			return
+		}
+		if r.Status < 200 || r.Status == http.StatusSwitchingProtocols {
+			t.Errorf("status %d is not final", r.Status)
+		}
+		n, err := io.Copy(io.Discard, r)
+		if n > int64(len(answer)) || err == nil && r.Length >= 0 && n != r.Length {
+			t.Errorf("%d bytes of a body of %d, error %v", n, r.Length, err)
+		}
+		r.Close()
+		if err != nil && len(p.idle["a"]) > 0 {
+			t.Error("the connection is kept after an incomplete response")
+		}
+	})
+}
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -26,6 +26,8 @@
 	// first, so the others would otherwise keep their file descriptors.
 	pruneInterval  = 5 * time.Second
 	readBufferSize = 4 << 10 // bytes
+	// defaultMaxHead is the value of Pool.MaxHead if it is not set, in bytes.
+	defaultMaxHead = 32 << 10
 )
 
 // Pool is a pool of idle connections to instances.
@@ -34,6 +36,9 @@
 	Dial func(ctx context.Context, a chestnutcleat.Address) (net.Conn, error)
 	// OnDial is called after each dial, also after a failed one. It may be nil.
 	OnDial func(a chestnutcleat.Address, err error)
+	// MaxHead limits the status line and header of a response, including all informational responses before it, in bytes. Zero
+	// means a default.
+	MaxHead int64
 
 	mu        sync.Mutex
 	idle      map[chestnutcleat.Address][]*conn
@@ -45,6 +50,9 @@
 	net.Conn
 	reader  *bufio.Reader
 	address chestnutcleat.Address
+	// inHead is set while the head of a response is read, which may take headLeft more bytes.
+	inHead   bool
+	headLeft int64
 	// expires is when an idle connection must no longer be used, as the instance may close it.
 	expires time.Time
 }
@@ -75,7 +83,22 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), address: a}, nil
+	c := &conn{Conn: raw, address: a}
+	c.reader = bufio.NewReaderSize(c, readBufferSize)
+	return c, nil
+}
+
+// Read implements io.Reader for the buffered reader of the connection.
+func (c *conn) Read(b []byte) (int, error) {
+	if !c.inHead {
+		return c.Conn.Read(b)
+	}
+	if c.headLeft <= 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := c.Conn.Read(b[:min(int64(len(b)), c.headLeft)])
+	c.headLeft -= int64(n)
+	return n, err
 }
 
 func (p *Pool) popIdle(a chestnutcleat.Address) *conn {
--- a/role/entry.go
+++ b/role/entry.go
@@ -18,6 +18,7 @@
 	"chestnutcleat.example/chestnutcleat/event"
 	"chestnutcleat.example/chestnutcleat/exchange"
 	"chestnutcleat.example/chestnutcleat/ledger"
+	"chestnutcleat.example/chestnutcleat/memory"
 	"chestnutcleat.example/chestnutcleat/mirror"
 	"chestnutcleat.example/chestnutcleat/peer"
 	"chestnutcleat.example/chestnutcleat/place"
@@ -108,20 +109,23 @@
 		GrantTokens: e.limiter.Lend,
 		OnGrant:     e.limiter.ReceiveTokens,
 	}
-	memory := int64(e.Settings.MemoryMB) << 20
+	size := int64(e.Settings.MemoryMB) << 20
 	e.limiter.RequestTokens = e.fleet.RequestTokens
+	answers := e.Settings.Answers
 	pool := exchange.NewPool(platform.KeepAlive)
+	pool.MaxHead = answers.Head
 	opened := e.Metrics.NewCounter("instance_connections_total")
 	pool.OnDial = func(chestnutcleat.Address, error) { opened.Inc() }
 	e.handler = &entry.Handler{
 		Codec: platform.Codec{}, Config: e.config.Load, Instances: e.placement, Pool: pool, Rates: e.limiter, Ledger: e.ledger,
-		Turns: &entry.TurnCache{Size: int(memory / cacheMemoryDivisor)}, Crashes: &entry.CrashTracker{}, Observer: e.Observer, Metrics: &entry.Metrics{Set: e.Metrics},
-		Domain: e.Settings.Domain, MaxBodyMemory: memory / bodyMemoryDivisor,
+		Turns: &entry.TurnCache{Size: int(size / cacheMemoryDivisor)}, Crashes: &entry.CrashTracker{}, Observer: e.Observer, Metrics: &entry.Metrics{Set: e.Metrics},
+		Domain: e.Settings.Domain, Memory: &memory.Budget{Limit: size / bodyMemoryDivisor}, Bounds: entry.Bounds{Body: answers.Body, Event: answers.Event, Output: answers.Output},
 	}
 	e.follow(platform.ConfigKind, false, e.configChanged)
 	e.follow(platform.InstanceKind, true, e.instancesChanged)
 	e.follow(fleetKind, false, e.fleetChanged)
 	e.registerGauges()
+	e.Metrics.NewGauge("body_memory_bytes", func() float64 { return float64(e.handler.Memory.Used()) })
 }
 
 // listen opens the sockets for callers, readiness probes and the registry.
--- a/settings/role.go
+++ b/settings/role.go
@@ -51,6 +51,20 @@
 	Overage float64 `json:"overage"`
 	// MetricsPort is the port of the metrics listener; zero means none.
 	MetricsPort int `json:"metrics,omitempty"`
+	// Answers is used only by the entry role.
+	Answers Answers `json:"answers,omitempty"`
+}
+
+// Answers limits what an instance may send in answer to one request, in bytes; zero means the default.
+type Answers struct {
+	// Head limits the status line and header, with all informational responses before them; 32 KiB by default.
+	Head int64 `json:"head,omitempty"`
+	// Body limits an answer that is passed on once it is complete; 4 MiB by default.
+	Body int64 `json:"body,omitempty"`
+	// Event limits one event of a stream; 1 MiB by default.
+	Event int64 `json:"event,omitempty"`
+	// Output limits the data of all events of a turn that is kept; 1 MiB by default.
+	Output int64 `json:"output,omitempty"`
 }
 
 // Listen holds the listening addresses of the entry role.
@@ -128,6 +142,11 @@
 	if r.Overage < 0 {
 		d.Add("overage", "expected a fraction of at least 0, found %v", r.Overage)
 	}
+	for field, limit := range map[string]int64{"head": r.Answers.Head, "body": r.Answers.Body, "event": r.Answers.Event, "output": r.Answers.Output} {
+		if limit < 0 {
+			d.Add("answers."+field, "expected at least 0 bytes, found %d", limit)
+		}
+	}
 	checkOneOf(d, "log.level", r.Log.Level, levels)
 	checkOneOf(d, "log.format", r.Log.Format, formats)
 }
--- a/settings/role_test.go
+++ b/settings/role_test.go
@@ -50,9 +50,9 @@
 // One error must name every invalid field.
 func TestRoleErrors(t *testing.T) {
 	is := is.New(t)
-	_, err := ParseRole("f", []byte(`{"vm": "a b", "role": "control", "ports": [1], "platform": "host", "tolerance": -1, "space": -1, "overage": -1, "other": 1}`))
+	_, err := ParseRole("f", []byte(`{"vm": "a b", "role": "control", "ports": [1], "platform": "host", "tolerance": -1, "space": -1, "overage": -1, "answers": {"head": -1, "body": -1, "event": -1, "output": -1}, "other": 1}`))
 	is.True(err != nil)
-	for _, field := range []string{"vm", "role", "domain", "ip", "ports", "platform", "tolerance", "space", "memory", "grace", "apply", "drain", "window", "overage", "other"} {
+	for _, field := range []string{"vm", "role", "domain", "ip", "ports", "platform", "tolerance", "space", "memory", "grace", "apply", "drain", "window", "overage", "answers.head", "answers.body", "answers.event", "answers.output", "other"} {
 		is.True(strings.Contains(err.Error(), field+": "))
 	}
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -202,6 +202,24 @@
 	return out
 }
 
+// peakMemoryMetric is the metric of a process's peak resident memory in bytes, with the space before its value.
+const peakMemoryMetric = "process_resident_memory_peak_bytes "
+
+// overMemory returns the VMs whose process has taken more memory than its settings allow.
+func (f *fleet) overMemory(ctx context.Context) []string {
+	var out []string
+	for id, p := range f.processes {
+		peak, err := p.peakMemory(ctx)
+		if err != nil {
+			out = append(out, fmt.Sprintf("%s: query its memory: %v", id, err))
+		}
+		if limit := int64(p.settings.MemoryMB) << 20; peak > limit {
+			out = append(out, fmt.Sprintf("%s took %d bytes of memory, its limit is %d", id, peak, limit))
+		}
+	}
+	return out
+}
+
 // stop ends all processes and stand-ins and returns the errors of the processes.
 func (f *fleet) stop() []error {
 	for _, p := range f.processes {
@@ -259,6 +277,8 @@
 		withInstanceFaults(instance.Faults{ConnectionLossRate: 0.3})
 	case DuplicateAnswers:
 		withInstanceFaults(instance.Faults{DuplicateRate: 0.5})
+	case EndlessAnswers:
+		withInstanceFaults(instance.Faults{EndlessRate: 0.5})
 	case DelayAnswers:
 		withInstanceFaults(instance.Faults{Delay: 120 * time.Millisecond})
 	case ChangeConfiguration:
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -36,11 +36,13 @@
 	PlatformStallWatches FaultKind = "platform-deaf"
 	PlatformCompact      FaultKind = "compact"
 	// InstanceErrors lets an instance answer with errors, LoseAnswers run requests but lose their answers, DuplicateAnswers send an
-	// answer twice, and DelayAnswers answer slowly. ResetConnections resets and refuses its connections.
+	// answer twice, DelayAnswers answer slowly, and EndlessAnswers send bytes until the connection is closed. ResetConnections
+	// resets and refuses its connections.
 	InstanceErrors   FaultKind = "errors"
 	LoseAnswers      FaultKind = "lose"
 	DuplicateAnswers FaultKind = "twice"
 	DelayAnswers     FaultKind = "slow"
+	EndlessAnswers   FaultKind = "endless"
 	ResetConnections FaultKind = "vanish"
 	// StallConnections lets an instance's connections stay open without sending.
 	StallConnections FaultKind = "mute"
@@ -55,7 +57,7 @@
 var targets = map[FaultKind]targetKind{
 	Kill: targetAnyVM, Stop: targetEntry, Pause: targetAnyVM, KillAll: targetNone, WipeDisk: targetStore, ReloadSettings: targetEntry,
 	PlatformDown: targetNone, PlatformLoseAnswers: targetNone, PlatformStallWatches: targetNone, PlatformCompact: targetNone,
-	InstanceErrors: targetInstance, LoseAnswers: targetInstance, DuplicateAnswers: targetInstance, DelayAnswers: targetInstance,
+	InstanceErrors: targetInstance, LoseAnswers: targetInstance, DuplicateAnswers: targetInstance, DelayAnswers: targetInstance, EndlessAnswers: targetInstance,
 	ResetConnections: targetInstance, StallConnections: targetInstance,
 	ChangeConfiguration: targetNone, WithdrawKey: targetNone, DrainInstance: targetInstance,
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -1,13 +1,19 @@
 package soak
 
 import (
+	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -102,6 +108,27 @@
 	}
 }
 
+// peakMemory returns the peak resident memory of the running process in bytes, from its metrics.
+func (p *process) peakMemory(ctx context.Context) (int64, error) {
+	address := net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.MetricsPort))
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if value, ok := strings.CutPrefix(lines.Text(), peakMemoryMetric); ok {
+			return strconv.ParseInt(value, 10, 64)
+		}
+	}
+	return 0, errors.Join(fmt.Errorf("metric %s is missing", peakMemoryMetric), lines.Err())
+}
+
 // wipeDisk kills the process and empties its disk before the next start.
 func (p *process) wipeDisk() {
 	p.mu.Lock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -61,6 +61,9 @@
 	for _, outlier := range f.outliers(context.WithoutCancel(ctx)) {
 		r.addRunViolation(time.Since(r.start), "after the faults: %s", outlier)
 	}
+	for _, excess := range f.overMemory(context.WithoutCancel(ctx)) {
+		r.addRunViolation(time.Since(r.start), "%s", excess)
+	}
 	processErrs := f.stop()
 	return s.report(f, r, processErrs)
 }
--- a/sse/reader.go
+++ b/sse/reader.go
@@ -3,16 +3,17 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"strconv"
 )
 
-// ErrTooLong is returned for an event that exceeds the size limit of 1 MiB.
+// ErrTooLong is returned for an event that exceeds Reader.MaxBytes.
 var ErrTooLong = errors.New("event is too long")
 
-// maxEventBytes limits the size of one event.
-const maxEventBytes = 1 << 20
+// DefaultMaxBytes is the size limit of an event, in bytes, for a Reader that sets none.
+const DefaultMaxBytes = 1 << 20
 
 // Event is one server-sent event.
 type Event struct {
@@ -26,7 +27,12 @@
 
 // Reader reads complete events from R.
 type Reader struct {
-	R   *bufio.Reader
+	R *bufio.Reader
+	// MaxBytes limits the size of one event; zero means DefaultMaxBytes.
+	MaxBytes int64
+	// Reserve is called before the buffer for an event grows by n bytes; an error ends the stream. It may be nil.
+	Reserve func(n int64) error
+
 	raw []byte
 }
 
@@ -53,10 +59,10 @@
 	start := len(r.raw)
 	for {
 		part, err := r.R.ReadSlice('\n')
-		r.raw = append(r.raw, part...)
-		if len(r.raw) > maxEventBytes {
-			return nil, ErrTooLong
+		if err := r.grow(len(part)); err != nil {
+			return nil, err
 		}
+		r.raw = append(r.raw, part...)
 		switch {
 		case err == nil:
 			return bytes.TrimSuffix(bytes.TrimSuffix(r.raw[start:], []byte("\n")), []byte("\r")), nil
@@ -69,6 +75,25 @@
 	}
 }
 
+// grow makes room for n more bytes of an event.
+func (r *Reader) grow(n int) error {
+	size := len(r.raw) + n
+	if int64(size) > cmp.Or(r.MaxBytes, DefaultMaxBytes) {
+		return ErrTooLong
+	}
+	if size <= cap(r.raw) {
+		return nil
+	}
+	more := max(size, 2*cap(r.raw)) - cap(r.raw)
+	if r.Reserve != nil {
+		if err := r.Reserve(int64(more)); err != nil {
+			return err
+		}
+	}
+	r.raw = append(make([]byte, 0, cap(r.raw)+more), r.raw...)
+	return nil
+}
+
 func (e *Event) parseField(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
--- a/standin/instance/server.go
+++ b/standin/instance/server.go
@@ -79,6 +79,8 @@
 	ConnectionLossRate float64
 	// DuplicateRate is the fraction of plain requests whose response is sent a second time, later, on the same connection.
 	DuplicateRate float64
+	// EndlessRate is the fraction that gets bytes until the connection is closed, in the header, the body or an event.
+	EndlessRate float64
 	// Delay is a delay before each response and each event.
 	Delay time.Duration
 }
@@ -125,6 +127,8 @@
 		http.Error(w, "failed", http.StatusInternalServerError)
 	case rand.Float64() < f.ConnectionLossRate:
 		panic(http.ErrAbortHandler)
+	case rand.Float64() < f.EndlessRate:
+		writeEndlessly(w, id)
 	case strings.HasPrefix(r.URL.Path, StreamPrefix):
 		writeStream(w, r, id, run.LastEventID, f.Delay)
 	case rand.Float64() < f.DuplicateRate:
@@ -165,3 +169,18 @@
 		time.Sleep(duplicateDelay)
 	}
 }
+
+// writeEndlessly sends one part of a response without end, until the connection is closed.
+func writeEndlessly(w http.ResponseWriter, id string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\n", HeaderID, id, HeaderSignature)
+	starts := []string{"HTTP/1.1 200 ", head + "X: ", head + "\r\n", head + "\r\ndata: "}
+	_, err = io.WriteString(c, starts[rand.IntN(len(starts))])
+	for junk := strings.Repeat("x", 4<<10); err == nil; {
+		_, err = io.WriteString(c, junk)
+	}
+}
