Refuse turns that continue from themselves and end circular chains

Change: a turn whose chain holds its own id is refused with 400, not run; the first turn with an id stands at a replica; chains in the cache and from replicas end with ErrCircular. A copy of a kept turn that a compaction moved behind a later record of the same id with another predecessor, both from such a caller, is not told apart after a restart.

--- a/entry/budget.go
+++ b/entry/budget.go
@@ -128,6 +128,8 @@
 func (t *turn) prependChain() error {
 	chain, err := t.loadChain()
 	switch {
+	case errors.Is(err, ledger.ErrCircular):
+		return problem(chestnutcleat.CodeBadRequest, chestnutcleat.NotRun, "turn %s: %v", t.Previous, err)
 	case errors.Is(err, chestnutcleat.ErrNotFound):
 		return problem(chestnutcleat.CodeProgramUnknown, chestnutcleat.NotRun, "turn %s is not kept for customer %s", t.Previous, t.customerID())
 	case t.r.Context().Err() != nil:
@@ -137,6 +139,9 @@
 	}
 	size := len(t.body)
 	for i := range chain {
+		if chain[i].ID == t.ID {
+			return problem(chestnutcleat.CodeBadRequest, chestnutcleat.NotRun, "turn %s cannot continue from turn %s, which continues from it", t.ID, t.Previous)
+		}
 		size += len(chain[i].Input) + len(chain[i].Output)
 	}
 	if err := t.memory.Add(int64(size)); err != nil {
@@ -152,9 +157,9 @@
 
 // loadChain returns the stored turns before this one, newest first, from the cache and the ledger.
 func (t *turn) loadChain() ([]ledger.Turn, error) {
-	chain, missing := t.Turns.Chain(t.customerID(), t.Previous)
-	if missing == "" {
-		return chain, nil
+	chain, missing, err := t.Turns.Chain(t.customerID(), t.Previous)
+	if err != nil || missing == "" {
+		return chain, err
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, recordTimeout)
 	defer cancel()
--- a/entry/turncache.go
+++ b/entry/turncache.go
@@ -58,19 +58,22 @@
 
 // Chain returns the cached turns from id backwards, newest first, and the id of the first missing turn, or an empty id if the
 // chain is complete.
-func (c *TurnCache) Chain(customer chestnutcleat.CustomerID, id chestnutcleat.RequestID) ([]ledger.Turn, chestnutcleat.RequestID) {
+func (c *TurnCache) Chain(customer chestnutcleat.CustomerID, id chestnutcleat.RequestID) ([]ledger.Turn, chestnutcleat.RequestID, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var chain []ledger.Turn
 	for id != "" {
 		e := c.entries[turnKey{customer, id}]
 		if e == nil {
-			return chain, id
+			return chain, id, nil
+		}
+		if len(chain) == len(c.entries) {
+			return nil, "", ledger.ErrCircular
 		}
 		c.lru.MoveToFront(e)
 		t := e.Value.(*cachedTurn).turn
 		chain = append(chain, t)
 		id = t.Previous
 	}
-	return chain, ""
+	return chain, "", nil
 }
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -17,6 +17,8 @@
 	ErrNoQuorum = errors.New("too few copies answered")
 	// ErrFull is returned when too many replicas have no room for a reservation.
 	ErrFull = errors.New("too many replicas are full")
+	// ErrCircular is returned for a chain of turns that leads back to one of its turns.
+	ErrCircular = errors.New("chain of turns is circular")
 )
 
 const (
--- a/ledger/fetch.go
+++ b/ledger/fetch.go
@@ -19,11 +19,18 @@
 // read quorum lacks the turn.
 func (c *Client) Fetch(ctx context.Context, customer chestnutcleat.CustomerID, id chestnutcleat.RequestID) ([]Turn, error) {
 	var chain []Turn
+	seen := map[chestnutcleat.RequestID]bool{}
 	for {
 		part, err := c.fetchFromAny(ctx, customer, id)
 		if err != nil {
 			return nil, err
 		}
+		for i := range part {
+			if seen[part[i].ID] {
+				return nil, ErrCircular
+			}
+			seen[part[i].ID] = true
+		}
 		chain = append(chain, part...)
 		last := chain[len(chain)-1]
 		if last.Previous == "" {
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -109,11 +109,15 @@
 func (s *state) applyTurn(r *Record, loc location) {
 	k := turnKey{s.intern(r.Customer), r.Attempt}
 	t := s.turns[k]
-	if t == nil {
+	switch {
+	case t == nil:
 		t = &turnState{previous: r.Previous}
 		s.turns[k] = t
 		s.memory += turnMemory(k, t)
-	} else {
+	case t.previous != r.Previous:
+		// The first turn with an id stands, as later turns may continue it.
+		return
+	default:
 		s.removeLive(t.loc)
 	}
 	t.loc = loc
--- a/ledger/state_test.go
+++ b/ledger/state_test.go
@@ -99,3 +99,15 @@
 		t.Errorf("chain has %d turns", n)
 	}
 }
+
+// A second turn with the id of a kept one must not replace it, as later turns continue the first one.
+func TestFirstTurnStands(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	s.apply(turnRecord("a", ""), location{offset: 1, bytes: 10})
+	s.apply(turnRecord("b", "a"), location{offset: 2, bytes: 10})
+	s.apply(turnRecord("a", "b"), location{offset: 3, bytes: 10})
+	is.Equal(s.chainLocations("c", "b"), []location{{offset: 2, bytes: 10}, {offset: 1, bytes: 10}})
+	s.apply(turnRecord("a", ""), location{offset: 4, bytes: 10}) // moved by a compaction
+	is.Equal(s.chainLocations("c", "a"), []location{{offset: 4, bytes: 10}})
+}
