--- a/logs/timeline.go
+++ b/logs/timeline.go
@@ -72,26 +72,37 @@
 	return l, nil
 }
 
+// scanLines calls a function for each line of a log, and returns the number of lines that could not be parsed.
+func scanLines(r io.Reader, f func(Line)) (unparsed int, err error) {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		l, err := parseLine(s.Bytes())
+		if err != nil {
+			unparsed++
+			continue
+		}
+		f(l)
+	}
+	return unparsed, s.Err()
+}
+
 // Timeline selects the log lines with an attribute that equals the id, for example a request or program, and the lines not
 // about requests that the same VMs wrote from the given time before the first to the same time after the last of them.
 // It returns the lines sorted by time and the number of lines that could not be parsed.
 func Timeline(id string, around time.Duration, logs ...io.Reader) (list []Line, unparsed int, err error) {
 	var matched, unmatched []Line
 	for i, r := range logs {
-		s := bufio.NewScanner(r)
-		s.Buffer(nil, maxLine)
-		for s.Scan() {
-			l, err := parseLine(s.Bytes())
+		n, err := scanLines(r, func(l Line) {
 			switch {
-			case err != nil:
-				unparsed++
 			case l.HasValue(id):
 				matched = append(matched, l)
 			case around > 0 && !l.isRequestLine():
 				unmatched = append(unmatched, l)
 			}
-		}
-		if err := s.Err(); err != nil {
+		})
+		unparsed += n
+		if err != nil {
 			return nil, unparsed, fmt.Errorf("read log %d: %w", i+1, err)
 		}
 	}
