Bound the programs that a customer near its limit has in progress

Hypothesis: a customer above its rate loses its programs because new ones are admitted all the while, take the tokens of those under way and break too; a bound on programs in progress over the fleet lets those under way end.

Turns that continue a kept one and calls of tools never count as starts. No program is refused while half of a customer's tokens are left over the fleet.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -74,6 +74,8 @@
 	body     []byte
 	// memory is what the bodies of the request and its answer take.
 	memory memory.Reservation
+	// admission is the rate limiter's admission of the request, nil without one.
+	admission *rate.Admission
 	// deadline is when the caller stops waiting or the route's timeout ends, whichever is first.
 	deadline time.Time
 	// fingerprint identifies the request across its attempts.
@@ -93,7 +95,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{Handler: h, w: w, r: r, memory: memory.Reservation{Budget: h.Memory}}
-	defer c.memory.Release()
+	defer c.release()
 	err := c.prepare()
 	if err == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -110,6 +112,15 @@
 	}
 }
 
+// release returns what the request holds of limits.
+func (c *call) release() {
+	c.memory.Release()
+	if c.admission == nil {
+		return
+	}
+	c.Rates.End(*c.admission)
+}
+
 // prepare decodes and routes the request, reads its body and returns an error if it must not be forwarded.
 func (c *call) prepare() error {
 	q, err := c.Codec.DecodeRequest(c.r)
@@ -215,13 +226,23 @@
 	if c.customer == nil {
 		return nil
 	}
-	ok, retry := c.Rates.Admit(c.r.Context(), c.customer.ID)
-	if !ok {
-		return problem(chestnutcleat.CodeRate, chestnutcleat.NotRun, "customer %s exceeds its rate limit", c.customer.ID).WithRetry(max(retry, jitteredRetryAfter()))
+	q := rate.Request{Customer: c.customer.ID, Program: c.Program, Start: c.mayStartProgram()}
+	m := c.Rates.Admit(c.r.Context(), q)
+	switch m.Verdict {
+	case rate.OverRate:
+		return problem(chestnutcleat.CodeRate, chestnutcleat.NotRun, "customer %s exceeds its rate limit", c.customer.ID).WithRetry(max(m.Retry, jitteredRetryAfter()))
+	case rate.TooManyPrograms:
+		return problem(chestnutcleat.CodePrograms, chestnutcleat.NotRun, "the rate limit of customer %s carries no further program", c.customer.ID).WithRetry(m.Retry)
 	}
+	c.admission = &m
 	return nil
 }
 
+// mayStartProgram reports whether the request may be the first one of its program: a turn that continues no stored one.
+func (c *call) mayStartProgram() bool {
+	return c.route.Type == config.Streaming && c.Previous == "" && c.Resume == 0
+}
+
 // jitteredRetryAfter returns busyRetryAfter plus up to as much jitter.
 func jitteredRetryAfter() time.Duration {
 	return busyRetryAfter + time.Duration(rand.Int64N(int64(busyRetryAfter)))
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -6,6 +6,7 @@
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/place"
+	"chestnutcleat.example/chestnutcleat/rate"
 )
 
 const (
@@ -49,6 +50,8 @@
 	DomainOutcomes place.OutcomeCounts `json:"near,omitzero"`
 	// CrashCounts counts, by the fingerprint of a request, how often an instance's connection broke while it ran the request.
 	CrashCounts map[uint64]int `json:"breaks,omitempty"`
+	// Activities describes the programs of customers near their limits.
+	Activities rate.Activities `json:"programs,omitempty"`
 	// Versions are the versions of the platform's objects that the relay has.
 	Versions map[chestnutcleat.ObjectKind]chestnutcleat.Version `json:"versions,omitempty"`
 }
@@ -66,7 +69,7 @@
 	f.sequence++
 	return &Digest{
 		From: f.Self.VM, Incarnation: f.incarnation, Sequence: f.sequence, Group: g, Versions: versions,
-		Load: map[uint32]int{}, CrashCounts: map[uint64]int{},
+		Load: map[uint32]int{}, CrashCounts: map[uint64]int{}, Activities: rate.Activities{},
 	}
 }
 
@@ -76,6 +79,7 @@
 	addLoad(d.Load, s.Load)
 	addCounts(d.CrashCounts, s.CrashCounts)
 	d.Outcomes.Add(s.Outcomes)
+	d.Activities.Add(s.Activities)
 }
 
 // addDigest adds the digest of another group.
@@ -83,6 +87,7 @@
 	addCounts(d.Load, o.Load)
 	addCounts(d.CrashCounts, o.CrashCounts)
 	d.Outcomes.Add(o.Outcomes)
+	d.Activities.Add(o.Activities)
 	if sameDomain {
 		d.DomainOutcomes.Add(o.Outcomes)
 	}
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -12,6 +12,7 @@
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/place"
+	"chestnutcleat.example/chestnutcleat/rate"
 )
 
 const (
@@ -42,6 +43,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s.Load, s.Leaving, s.Outcomes, s.CrashCounts = n.content.Load, n.content.Leaving, n.content.Outcomes, n.content.CrashCounts
+	s.Activities = n.content.Activities
 }
 
 func (n *node) setSummary(s Summary) {
@@ -312,6 +314,33 @@
 	})
 }
 
+// All VMs must know the programs in progress of a customer near its limit, each counted once although several VMs serve it.
+func TestActivitiesAreShared(t *testing.T) {
+	for _, count := range []int{7, 100} {
+		t.Run(fmt.Sprint(count, " VMs"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				_, nodes := fleetOf(t, count)
+				for i, n := range nodes {
+					// Program 1 is served by all VMs, and one more by each pair of VMs.
+					n.setSummary(Summary{Activities: rate.Activities{"c": {Programs: []uint32{1, uint32(10 + i/2)}, Rate: 2, Starts: 0.5, Left: 1, VMs: 1, Scarce: i == 3}}})
+				}
+				time.Sleep(5 * time.Second)
+				for i, n := range nodes {
+					a := n.Totals().Activities["c"]
+					is.Equal(a.VMs, count-1)
+					is.Equal(a.Rate, 2*float64(count-1))
+					is.Equal(a.Starts, 0.5*float64(count-1))
+					is.Equal(a.Left, float64(count-1))
+					is.Equal(a.Scarce, i != 3)
+					is.True(len(a.Programs) == 1+(count+1)/2 || i == count-1 && count%2 == 1 && len(a.Programs) == 1+count/2)
+				}
+				stopAll(nodes)
+			})
+		})
+	}
+}
+
 // All VMs must divide the fleet in the same way, and adding a VM must move few others.
 func TestGroups(t *testing.T) {
 	is := is.New(t)
--- a/peer/summary.go
+++ b/peer/summary.go
@@ -41,6 +41,8 @@
 	Load map[chestnutcleat.InstanceID]int `json:"load,omitempty"`
 	// Outcomes has the outcomes of the VM's requests.
 	Outcomes place.OutcomeCounts `json:"tally,omitzero"`
+	// Activities describes the programs of customers near their limits.
+	Activities rate.Activities `json:"programs,omitempty"`
 }
 
 // Bits of a VM's flags in digests.
@@ -69,9 +71,9 @@
 	s.Leaving, s.PlatformUnreachable, s.Unwritable = f&flagLeaving != 0, f&flagPlatformUnreachable != 0, f&flagUnwritable != 0
 }
 
-// withoutCounts returns the summary without the fields that grow with the numbers of instances and of broken requests.
+// withoutCounts returns the summary without the fields that grow with the numbers of instances, broken requests and programs.
 func (s Summary) withoutCounts() Summary {
-	s.Load, s.CrashCounts, s.Outcomes = nil, nil, place.OutcomeCounts{}
+	s.Load, s.CrashCounts, s.Outcomes, s.Activities = nil, nil, place.OutcomeCounts{}, nil
 	return s
 }
 
--- a/peer/totals.go
+++ b/peer/totals.go
@@ -3,6 +3,7 @@
 import (
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/place"
+	"chestnutcleat.example/chestnutcleat/rate"
 )
 
 // Totals holds sums over the other VMs that are heard.
@@ -10,6 +11,8 @@
 	load map[uint32]int
 	// Outcomes has the outcomes of the requests of all these VMs, DomainOutcomes those of VMs in this VM's failure domain.
 	Outcomes, DomainOutcomes place.OutcomeCounts
+	// Activities describes the programs of customers near their limits.
+	Activities rate.Activities
 }
 
 // Load returns the number of requests at an instance.
@@ -20,13 +23,14 @@
 	f.init()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t := Totals{load: map[uint32]int{}}
+	t := Totals{load: map[uint32]int{}, Activities: rate.Activities{}}
 	for _, p := range f.peers.local {
 		if p.Silent() {
 			continue
 		}
 		addLoad(t.load, p.Load)
 		t.Outcomes.Add(p.Outcomes)
+		t.Activities.Add(p.Activities)
 		if p.Domain == f.Self.Domain {
 			t.DomainOutcomes.Add(p.Outcomes)
 		}
@@ -34,6 +38,7 @@
 	if v := f.bestView(); v != nil {
 		addCounts(t.load, v.Load)
 		t.Outcomes.Add(v.Outcomes)
+		t.Activities.Add(v.Activities)
 		t.DomainOutcomes.Add(v.DomainOutcomes)
 	}
 	return t
--- a/problem.go
+++ b/problem.go
@@ -20,6 +20,7 @@
 	CodeRouteUnknown   Code = "route-unknown"
 	CodeForbidden      Code = "forbidden"
 	CodeRate           Code = "rate-exceeded"
+	CodePrograms       Code = "too-many-programs"
 	CodeProgramUnknown Code = "program-unknown"
 	CodeProgramEnded   Code = "program-ended"
 	CodeOrderUnknown   Code = "order-unknown"
@@ -61,6 +62,7 @@
 	CodeRouteUnknown:        http.StatusNotFound,
 	CodeForbidden:           http.StatusForbidden,
 	CodeRate:                http.StatusTooManyRequests,
+	CodePrograms:            http.StatusTooManyRequests,
 	CodeProgramUnknown:      http.StatusNotFound,
 	CodeProgramEnded:        http.StatusConflict,
 	CodeOrderUnknown:        http.StatusConflict,
--- a/rate/account.go
+++ b/rate/account.go
@@ -38,6 +38,8 @@
 	emptyAnswers, emptyAtLastLoan uint64
 	// waiting is the number of requests that wait for tokens of other VMs.
 	waiting int
+	// activity tracks the customer's programs.
+	activity activity
 	// lastFutileWait is when a request last waited for tokens of other VMs and got none.
 	lastFutileWait time.Time
 }
@@ -127,6 +129,9 @@
 	return a.share - a.used.total
 }
 
+// left returns the tokens that this VM has left.
+func (a *account) left(now time.Time) float64 { return a.advance(now) + a.borrowedLeft() }
+
 // borrowedLeft returns the borrowed tokens that are left.
 func (a *account) borrowedLeft() float64 {
 	total := 0.0
@@ -148,19 +153,39 @@
 	return math.Floor(max(0, own-float64(a.waiting)-a.demand*retainTime.Seconds()))
 }
 
+// token is a used token of a VM's own share or a borrowed one.
+type token struct {
+	borrowed bool
+	// at is when the token was used, or when the borrowed one was requested.
+	at time.Time
+}
+
 // take uses one token. Borrowed tokens go first, as they expire soon.
-func (a *account) take(own float64, now time.Time) bool {
+func (a *account) take(own float64, now time.Time) (t token, ok bool) {
 	for i := range a.borrowed {
 		if a.borrowed[i].tokens >= 1 {
 			a.borrowed[i].tokens--
-			return true
+			return token{borrowed: true, at: a.borrowed[i].requested}, true
 		}
 	}
 	if own < 1 {
-		return false
+		return token{}, false
 	}
 	a.used.add(now, 1)
-	return true
+	return token{at: now}, true
+}
+
+// giveBack returns a token that was not used after all to where it came from, for as long as it could have been used there.
+func (a *account) giveBack(t token) {
+	if !t.borrowed {
+		a.used.remove(t.at, 1)
+		return
+	}
+	i := 0
+	for i < len(a.borrowed) && a.borrowed[i].requested.Before(t.at) {
+		i++
+	}
+	a.borrowed = slices.Insert(a.borrowed, i, loan{tokens: 1, requested: t.at})
 }
 
 // nextRequest returns the request for the tokens that this VM lacks. One holder is asked at a time, and the next one after its
--- a/rate/burst_test.go
+++ b/rate/burst_test.go
@@ -27,7 +27,7 @@
 		f.running.Go(func() {
 			for range requests {
 				time.Sleep(time.Duration(20+rand.IntN(200)) * time.Millisecond)
-				ok, _ := f.limiter(rand.IntN(l.vms)).Admit(context.Background(), customer)
+				ok := f.limiter(rand.IntN(l.vms)).takeToken(context.Background(), customer).admitted
 				f.mu.Lock()
 				total++
 				if ok {
--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -40,6 +41,8 @@
 	Window time.Duration
 	// Overage is the fraction of a limit by which operators accept that it is exceeded, as many VMs enforce it together.
 	Overage float64
+	// Random draws from [0, 1).
+	Random func() float64
 	// RequestTokens sends a request for tokens to another VM and does not wait for the answer.
 	RequestTokens func(to chestnutcleat.VMID, needs Tokens)
 
@@ -47,13 +50,15 @@
 	vms       []chestnutcleat.VMID
 	started   time.Time
 	customers map[chestnutcleat.CustomerID]*account
+	// sample tracks a sample of the programs of all customers.
+	sample activity
 	// answered is closed and replaced at each answer of another VM.
 	answered chan struct{}
 }
 
 // NewLimiter returns a limiter. It admits no requests of limited customers before SetVMs is called.
 func NewLimiter(self chestnutcleat.VMID, w time.Duration) *Limiter {
-	return &Limiter{Self: self, Window: w, started: time.Now(), customers: map[chestnutcleat.CustomerID]*account{}, answered: make(chan struct{})}
+	return &Limiter{Self: self, Window: w, Random: rand.Float64, started: time.Now(), customers: map[chestnutcleat.CustomerID]*account{}, answered: make(chan struct{})}
 }
 
 // SetVMs sets the VMs that share the limits, including this one.
@@ -105,13 +110,161 @@
 	l.customers = customers
 }
 
-// Admit counts one request, or returns the delay after which to retry. A request without a token waits up to maxTokenWait for those
-// of other VMs, so that a customer below its limit is not refused at a VM that has used up its share.
-func (l *Limiter) Admit(ctx context.Context, c chestnutcleat.CustomerID) (ok bool, retry time.Duration) {
+// Request is what the limiter needs to know of a request.
+type Request struct {
+	Customer chestnutcleat.CustomerID
+	// Program is the program that the request belongs to; empty for none.
+	Program chestnutcleat.ProgramID
+	// Start is set if the request may be the first one of its program.
+	Start bool
+}
+
+func (q Request) hash() programHash { return hashProgram(q.Customer, q.Program) }
+
+// Verdict is the limiter's decision on a request.
+type Verdict int
+
+// Verdicts.
+const (
+	// Admitted requests must be ended by Limiter.End.
+	Admitted Verdict = iota
+	// OverRate means that the customer has used its limit.
+	OverRate
+	// TooManyPrograms means that the customer's limit carries no further program.
+	TooManyPrograms
+)
+
+// Admission is the limiter's answer to a request.
+type Admission struct {
+	Verdict Verdict
+	// Retry is the time after which to retry a refused request.
+	Retry time.Duration
+
+	request Request
+	token   token
+}
+
+// Admit decides on a request.
+func (l *Limiter) Admit(ctx context.Context, q Request) Admission {
+	ok, starts := l.beginRequest(q)
+	if !ok {
+		return Admission{Verdict: TooManyPrograms, Retry: startRetry(l.Random())}
+	}
+	d := l.takeToken(ctx, q.Customer)
+	switch {
+	case d.admitted:
+		return Admission{request: q, token: d.token}
+	case starts:
+		l.forget(q)
+	default:
+		l.refuse(q)
+	}
+	return Admission{Verdict: OverRate, Retry: d.retry}
+}
+
+// beginRequest counts a request. It returns false if its program may not begin, and whether the program begins with it.
+func (l *Limiter) beginRequest(q Request) (ok, starts bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.customers[q.Customer]
+	if a == nil || q.Program == "" {
+		return true, false
+	}
+	now, program := time.Now(), q.hash()
+	starts = q.Start && !a.activity.isKnown(program, now)
+	if starts && !a.activity.mayStart(now, l.Random()) {
+		return false, true
+	}
+	a.activity.begin(program, now)
+	if program.sampled() {
+		l.sample.begin(program, now)
+	}
+	return true, starts
+}
+
+// End records that an admitted request has ended.
+func (l *Limiter) End(m Admission) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q := m.request
+	if a := l.customers[q.Customer]; a != nil && q.Program != "" {
+		l.endRequest(a, q.hash(), time.Now())
+	}
+}
+
+// Refund returns the token of an admitted request that was not sent to any instance.
+func (l *Limiter) Refund(m Admission) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a := l.customers[m.request.Customer]; a != nil && m.Verdict == Admitted {
+		a.giveBack(m.token)
+	}
+}
+
+// endRequest records the end of a request. The caller holds l.mu.
+func (l *Limiter) endRequest(a *account, p programHash, now time.Time) {
+	a.activity.end(p, now)
+	l.sample.end(p, now)
+}
+
+// refuse records that a request of a program in progress was refused.
+func (l *Limiter) refuse(q Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a := l.customers[q.Customer]; a != nil && q.Program != "" {
+		now := time.Now()
+		l.endRequest(a, q.hash(), now)
+		a.activity.refused(now)
+	}
+}
+
+// forget drops a program whose first request was refused.
+func (l *Limiter) forget(q Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a := l.customers[q.Customer]; a != nil {
+		delete(a.activity.own, q.hash())
+		delete(l.sample.own, q.hash())
+	}
+}
+
+// Activities returns the activity at this VM of the customers near their limits.
+func (l *Limiter) Activities() Activities {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	out := Activities{sample: l.sample.report(0, now)}
+	for c, a := range l.customers {
+		if a.activity.scarce(now) {
+			out[c] = a.activity.report(a.left(now), now)
+		}
+	}
+	return out
+}
+
+// SetActivities sets the sums over the activities that the other VMs report, which they do at the given interval.
+func (l *Limiter) SetActivities(others Activities, interval time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.sample.learn(l.sample.merge(others[sample], 0, now), len(l.vms), interval)
+	usual := l.sample.perProgram(0)
+	for c, a := range l.customers {
+		s := a.activity.merge(others[c], a.left(now), now)
+		if a.activity.scarce(now) {
+			a.activity.learn(s, len(l.vms), interval)
+		}
+		a.activity.allowStarts(s, a.windowTokens, a.perSecond, a.activity.perProgram(usual))
+	}
+}
+
+// takeToken counts one request. A request without a token waits up to maxTokenWait for
+// those of other VMs, so that a customer below its limit is not refused at a VM that has used up its share.
+func (l *Limiter) takeToken(ctx context.Context, c chestnutcleat.CustomerID) decision {
 	d := l.tryAdmit(c, time.Now(), nil)
 	l.sendRequest(c, d.request)
 	if d.answered == nil {
-		return d.admitted, d.retry
+		return d
 	}
 	deadline := time.NewTimer(maxTokenWait)
 	defer deadline.Stop()
@@ -123,15 +276,15 @@
 		case <-retryTicker.C:
 		case <-deadline.C:
 			l.endWait(c, true)
-			return false, d.retry
+			return d
 		case <-ctx.Done():
 			l.endWait(c, false)
-			return false, d.retry
+			return d
 		}
 		d = l.tryAdmit(c, time.Now(), &d)
 		l.sendRequest(c, d.request)
 		if d.answered == nil {
-			return d.admitted, d.retry
+			return d
 		}
 	}
 }
@@ -145,6 +298,7 @@
 // decision is the result of one attempt to admit a request.
 type decision struct {
 	admitted bool
+	token    token
 	request  tokenRequest
 	// answered is closed at the next answer of another VM; nil when the decision is final.
 	answered <-chan struct{}
@@ -169,8 +323,11 @@
 		a.demand += 1 / demandAveragingTime.Seconds()
 	}
 	skipWait := now.Sub(a.lastFutileWait) <= noWaitTime
-	if a.take(own, now) {
-		d := decision{admitted: true}
+	if own < lowShare*a.share {
+		a.activity.scarceAt = now
+	}
+	if t, ok := a.take(own, now); ok {
+		d := decision{admitted: true, token: t}
 		if !skipWait {
 			d.request = a.nextRequest(l.Self, a.advance(now), now)
 		}
--- a/rate/limiter_test.go
+++ b/rate/limiter_test.go
@@ -132,7 +132,7 @@
 }
 
 func (f *testFleet) admit(i int) {
-	ok, _ := f.limiter(i).Admit(context.Background(), customer)
+	ok := f.limiter(i).takeToken(context.Background(), customer).admitted
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if ok {
@@ -286,22 +286,21 @@
 		time.Sleep(time.Minute)
 		for range 500 {
 			time.Sleep(testWindow / 500)
-			limiter.Admit(t.Context(), customer)
+			limiter.takeToken(t.Context(), customer)
 		}
 		limiter.SetCustomers([]config.Customer{{ID: customer, Rate: 1, Burst: 4}})
 		admitted := 0
 		for range 100 {
 			time.Sleep(testWindow / 100)
-			if ok, _ := limiter.Admit(t.Context(), customer); ok {
+			if limiter.takeToken(t.Context(), customer).admitted {
 				admitted++
 			}
 		}
 		is.True(admitted > 0 && admitted <= 9)
-		_, retry := limiter.Admit(t.Context(), customer)
+		retry := limiter.takeToken(t.Context(), customer).retry
 		is.True(retry > 0 && retry <= time.Second)
 		for range 100 {
-			ok, _ := limiter.Admit(t.Context(), "unlimited")
-			is.True(ok)
+			is.True(limiter.takeToken(t.Context(), "unlimited").admitted)
 		}
 	})
 }
--- a/rate/window.go
+++ b/rate/window.go
@@ -62,6 +62,18 @@
 	w.slots[i] = slot{number: number, used: n}
 }
 
+// remove removes n uses that were added at a time, as far as they have not left the window.
+func (w *window) remove(at time.Time, n float64) {
+	number := w.slotNumber(at)
+	for i := range w.slots {
+		if w.slots[i].number == number {
+			n = min(n, w.slots[i].used)
+			w.slots[i].used -= n
+			w.total -= n
+		}
+	}
+}
+
 // scale multiplies all uses by a factor.
 func (w *window) scale(factor float64) {
 	for i := range w.slots {
--- a/role/entry.go
+++ b/role/entry.go
@@ -167,6 +167,7 @@
 	s.PlatformUnreachable, s.Unwritable = e.platformUnreachable(), !e.ledger.Writable()
 	s.Versions = e.versions()
 	s.CrashCounts = e.handler.Crashes.RecentCounts()
+	s.Activities = e.limiter.Activities()
 	s.Load, s.Outcomes = e.placement.OwnLoad(), e.placement.Outcomes()
 }
 
@@ -185,7 +186,7 @@
 // trackFleet updates the instances' load and the set of VMs that share the rates from what other VMs report.
 func (e *Entry) trackFleet(ctx context.Context) error {
 	for chestnutcleat.Sleep(ctx, fleetCheckInterval) == nil {
-		e.updateInstances()
+		e.applyTotals()
 		if e.mirrors[fleetKind].Version() > 0 {
 			e.limiter.SetVMs(append(e.fleet.VMs(), e.self.VM))
 		}
@@ -193,10 +194,11 @@
 	return nil
 }
 
-// updateInstances applies the load and outcomes that other VMs report about instances, and reports ejected instances.
-func (e *Entry) updateInstances() {
+// applyTotals applies what other VMs report about instances and programs, and reports ejected instances.
+func (e *Entry) applyTotals() {
 	t := e.fleet.Totals()
 	e.placement.SetRemoteLoad(t.Load)
+	e.limiter.SetActivities(t.Activities, fleetCheckInterval)
 	for _, v := range e.placement.EjectOutliers(t.Outcomes, t.DomainOutcomes) {
 		e.Observer.Emit(event.InstanceEjected, "instance", v.Instance, "share", v.FailureRate, "rest", v.Duration.Seconds())
 	}
