Give back the token of a request that was not sent to an instance

Cause: a request that is refused after the rate was checked (budget exhausted, turn unknown, no quorum, no instance) used a token.

Change: the token goes back to where it came from, this VM's share or the loan, at the time at which it was used, so the limit stays exact.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -110,6 +110,7 @@
 	q := &exchange.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: c.Codec.ForwardHeader(c.r.Header, f), Body: body,
 	}
+	c.sent = true
 	response, err := c.Pool.Do(ctx, assignment.Address, q)
 	if err != nil {
 		return nil, c.endFailed(assignment, err)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -76,6 +76,8 @@
 	memory memory.Reservation
 	// admission is the rate limiter's admission of the request, nil without one.
 	admission *rate.Admission
+	// sent is set once the request was sent to an instance.
+	sent bool
 	// deadline is when the caller stops waiting or the route's timeout ends, whichever is first.
 	deadline time.Time
 	// fingerprint identifies the request across its attempts.
@@ -118,6 +120,9 @@
 	if c.admission == nil {
 		return
 	}
+	if !c.sent {
+		c.Rates.Refund(*c.admission)
+	}
 	c.Rates.End(*c.admission)
 }
 
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -273,3 +273,28 @@
 		is.Equal(len(h.instances.received()), 0)
 	})
 }
+
+// A request that was not sent to an instance must not count against its customer's limit: programs whose budget is exhausted send
+// turn after turn, and took the tokens of the customer's other programs.
+func TestRefusedRequestsUseNoTokens(t *testing.T) {
+	runInBubble(t, func(r *receivedRequest, q *http.Request, w io.Writer) bool {
+		writeEvents(q, w, 1, 1, true)
+		return true
+	}, func(is *is.I, h *harness) {
+		time.Sleep(10 * time.Second) // the limit of the customer is available: 6 in 5 s
+		send := func(budget string) int {
+			resp, _, err := h.do(h.t.Context(), "/plan/", "b", "Authorization", "Bearer key of busy", "Chestnutcleat-Program-Id", "p",
+				"Chestnutcleat-Token-Budget", budget, "Chestnutcleat-Token-Count", "9,50")
+			is.NoErr(err)
+			return resp.StatusCode
+		}
+		for range 20 {
+			is.Equal(send("1"), 402)
+		}
+		for range 6 {
+			is.Equal(send("1000"), 200)
+		}
+		is.Equal(send("1000"), 429)
+		is.Equal(len(h.instances.received()), 6)
+	})
+}
