Lend a holder's last token also after it had requests of its own

Cause: a holder kept back its demand of the next 0.1 s, and of a demand that decays without ever being zero a fraction too; of the rest only whole tokens are lent, so each holder's last token stayed where it was after the first request there.

Ruled out: answers that come too late (all within 6 ms), loans that lapse unused (none at those moments).

Change: whole tokens are kept back.

--- a/rate/account.go
+++ b/rate/account.go
@@ -148,9 +148,10 @@
 }
 
 // lendable returns the whole tokens that this VM can lend, less those for waiting requests and the demand of retainTime. Fractions
-// are not lent, as they would lie unused at the many VMs that ask for the last tokens.
+// are neither lent, as they would lie unused at the many VMs that ask for the last tokens, nor kept back, as the last token of each
+// holder would never be lent after its first request.
 func (a *account) lendable(own float64) float64 {
-	return math.Floor(max(0, own-float64(a.waiting)-a.demand*retainTime.Seconds()))
+	return math.Floor(max(0, own-float64(a.waiting)-math.Floor(a.demand*retainTime.Seconds())))
 }
 
 // token is a used token of a VM's own share or a borrowed one.
--- a/rate/burst_test.go
+++ b/rate/burst_test.go
@@ -22,12 +22,13 @@
 	f.delay = 3 * time.Millisecond
 	f.waitForShares()
 	refused, total := 0, 0
-	for range programs {
+	for program := range uint64(programs) {
+		own := rand.New(rand.NewPCG(seed, 2+program))
 		time.Sleep(time.Duration(random.ExpFloat64() * float64(requests) / (1.1 * l.rate) * float64(time.Second)))
 		f.running.Go(func() {
 			for range requests {
-				time.Sleep(time.Duration(20+rand.IntN(200)) * time.Millisecond)
-				ok := f.limiter(rand.IntN(l.vms)).takeToken(context.Background(), customer).admitted
+				time.Sleep(time.Duration(20+own.IntN(200)) * time.Millisecond)
+				ok := f.limiter(own.IntN(l.vms)).takeToken(context.Background(), customer).admitted
 				f.mu.Lock()
 				total++
 				if ok {
@@ -49,7 +50,8 @@
 // Few requests may be refused below the limit, as a refusal in the middle of a program loses the program. Answers that came
 // after the timeout once made VMs skip the holders that had tokens.
 func TestBurstsBelowLimit(t *testing.T) {
-	for seed := range uint64(5) {
+	// The last three broke the bound while a holder kept its last token for a demand of next to nothing.
+	for _, seed := range []uint64{0, 1, 2, 3, 4, 463, 1159, 1458} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				l := limit{vms: 250, rate: 12, burst: 12}
