Bring a large configuration to all VMs of a group in time

Cause (docs/incidents/large-configuration.md): all members of a group copied a configuration of 1,828 routes from one relay, shared its link of 30 Mbit/s, gave up after 1 s and began anew, each time with all routes.

Ruled out, in the test without network: a longer time for a fetch alone (slowest 4.8 s after the acknowledgement, allowed are 3 s).

The fetches moved from role/follow.go to a type of their own.

--- a/event/system.go
+++ b/event/system.go
@@ -40,5 +40,6 @@
 	Panicked                   = add(859, Error, "message or change dropped after a panic", "Report the stack; the process continues with its previous state.")
 	DatagramInvalid            = add(860, Warning, "datagrams received that cannot be decoded", "Find out who sends to this port; see the metric datagrams_unread_total.")
 	InstanceEjected            = add(861, Warning, "instance ejected because of its failure rate", "Check the instance; it is tried again after the ejection time.")
+	ObjectsCopyFailed          = add(862, Warning, "newer objects could not be copied from another VM", "Check the link to the VM that is named; the next VM that reports them is asked.")
 	LogLinesDropped            = add(857, Warning, "log lines dropped", "Lines came faster than they could be written; see the metrics.")
 )
--- a/role/base.go
+++ b/role/base.go
@@ -56,6 +56,7 @@
 	fleet   *peer.Fleet
 	// mirrors holds the mirror of each kind that this VM follows.
 	mirrors map[chestnutcleat.ObjectKind]*mirror.Mirror
+	fetcher *fetcher
 	tcp     net.Listener
 	// started is the start time of the process.
 	started time.Time
@@ -63,9 +64,7 @@
 	// status returns the present status of this VM.
 	status func() Status
 
-	mu sync.Mutex
-	// fetching holds the kinds that are being fetched from another VM.
-	fetching  map[chestnutcleat.ObjectKind]bool
+	mu        sync.Mutex
 	ownObject chestnutcleat.StoredObject
 	// memberVersions holds the versions of the VMs' objects.
 	memberVersions map[chestnutcleat.VMID]chestnutcleat.Version
@@ -112,8 +111,10 @@
 	b.mux = vm.NewMux()
 	b.mux.OnPanic = func(m chestnutcleat.Method, err error) { b.reportPanic(string(m), err) }
 	b.mirrors = map[chestnutcleat.ObjectKind]*mirror.Mirror{}
-	b.fetching = map[chestnutcleat.ObjectKind]bool{}
-	vm.Handle(b.mux, methodObjects, b.serveObjects)
+	b.fetcher = newFetcher(b.mirrors)
+	b.fetcher.peers, b.fetcher.observer, b.fetcher.shouldWatch = b.client, b.Observer, b.shouldWatch
+	b.fetcher.address = func(id chestnutcleat.VMID) (chestnutcleat.Address, bool) { return b.fleet.Address(id) }
+	vm.Handle(b.mux, methodObjects, b.fetcher.serve)
 }
 
 // listen opens the TCP and UDP sockets for other VMs.
--- a/role/entry.go
+++ b/role/entry.go
@@ -174,13 +174,13 @@
 // handleSummary processes the summary of another VM.
 func (e *Entry) handleSummary(ctx context.Context, s *peer.Summary) {
 	e.handler.Crashes.Merge(string(s.VM), s.CrashCounts)
-	e.catchUp(ctx, s.VM, s.Versions)
+	e.fetcher.catchUp(ctx, s.VM, s.Versions)
 }
 
 // handleDigest processes a digest, in which a relay summarizes other VMs.
 func (e *Entry) handleDigest(ctx context.Context, d *peer.Digest) {
 	e.handler.Crashes.Merge("group "+string(d.Group), d.CrashCounts)
-	e.catchUp(ctx, d.From, d.Versions)
+	e.fetcher.catchUp(ctx, d.From, d.Versions)
 }
 
 // trackFleet updates the instances' load and the set of VMs that share the rates from what other VMs report.
--- a/role/follow.go
+++ b/role/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"iter"
 	"math/rand/v2"
 	"time"
@@ -22,21 +21,13 @@
 	maxSettleTime = 4 * time.Second
 	// fleetProbeInterval is the time between probes of an unreachable platform, counted over all VMs that don't watch.
 	fleetProbeInterval = 500 * time.Millisecond
-	// catchUpDelay gives this VM's own watch time to deliver what another VM already has.
-	catchUpDelay   = 150 * time.Millisecond
-	methodObjects  = chestnutcleat.Method("mirror/objects")
-	objectsTimeout = time.Second
+	// refreshTimeout bounds a list of a kind in turn.
+	refreshTimeout = time.Second
 	// pollSlotDivisor divides the shorter of the deadlines for applying a change into the slots in which the VMs list in turn.
 	// A watch that misses a change must not delay a configuration or the draining of an instance.
 	pollSlotDivisor = 6
 )
 
-// objectsRequest asks another VM for all objects of a kind, or for the changes since a version.
-type objectsRequest struct {
-	Kind  chestnutcleat.ObjectKind `json:"kind"`
-	Since chestnutcleat.Version    `json:"since,omitempty"`
-}
-
 // follow starts to mirror a kind and calls changed after each change.
 func (b *base) follow(k chestnutcleat.ObjectKind, retainAfterOutage bool, changed func(mirror.Snapshot)) {
 	seed := uint64(time.Now().UnixNano())
@@ -153,7 +144,7 @@
 		}
 		m := b.mirrors[kinds[slot%len(kinds)]]
 		go func() {
-			ctx, cancel := context.WithTimeout(ctx, objectsTimeout)
+			ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 			defer cancel()
 			before := m.Version()
 			// The mirror's watch reports an unreachable platform.
@@ -163,53 +154,3 @@
 		}()
 	}
 }
-
-// serveObjects answers the request of a VM that is behind.
-func (b *base) serveObjects(_ context.Context, r objectsRequest) (mirror.Snapshot, error) {
-	m := b.mirrors[r.Kind]
-	if m == nil {
-		return mirror.Snapshot{}, fmt.Errorf("kind %q is not followed here", r.Kind)
-	}
-	return m.SnapshotSince(r.Since), nil
-}
-
-// catchUp fetches the kinds of which another VM has newer objects.
-func (b *base) catchUp(ctx context.Context, id chestnutcleat.VMID, versions map[chestnutcleat.ObjectKind]chestnutcleat.Version) {
-	for k, v := range versions {
-		m := b.mirrors[k]
-		if m == nil || m.Version() >= v {
-			continue
-		}
-		b.mu.Lock()
-		busy := b.fetching[k]
-		b.fetching[k] = true
-		b.mu.Unlock()
-		if !busy {
-			go b.fetchObjects(ctx, m, id, v)
-		}
-	}
-}
-
-func (b *base) fetchObjects(ctx context.Context, m *mirror.Mirror, id chestnutcleat.VMID, v chestnutcleat.Version) {
-	defer func() {
-		b.mu.Lock()
-		b.fetching[m.Kind] = false
-		b.mu.Unlock()
-	}()
-	if b.shouldWatch() && chestnutcleat.Sleep(ctx, catchUpDelay) != nil || m.Version() >= v {
-		return
-	}
-	a, ok := b.fleet.Address(id)
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, objectsTimeout)
-	defer cancel()
-	var s mirror.Snapshot
-	// A VM that doesn't answer is asked again after its next summary.
-	if err := b.client.Call(ctx, a, methodObjects, objectsRequest{Kind: m.Kind, Since: m.Version()}, &s); err != nil {
-		return
-	}
-	b.Observer.Emit(event.ObjectsCopied, "kind", m.Kind, "version", s.Version, "before", m.Version(), "from", id)
-	m.Merge(s)
-}
--- a/role/store.go
+++ b/role/store.go
@@ -84,8 +84,8 @@
 	s.fleet = &peer.Fleet{
 		Self:      s.self,
 		Describe:  func(m *peer.Summary) { m.Versions, m.PlatformUnreachable = s.versions(), s.platformUnreachable() },
-		OnSummary: func(m peer.Summary) { s.catchUp(ctx, m.VM, m.Versions) },
-		OnDigest:  func(d peer.Digest) { s.catchUp(ctx, d.From, d.Versions) },
+		OnSummary: func(m peer.Summary) { s.fetcher.catchUp(ctx, m.VM, m.Versions) },
+		OnDigest:  func(d peer.Digest) { s.fetcher.catchUp(ctx, d.From, d.Versions) },
 	}
 	s.reconciler = &keeper.Reconciler{
 		VM: s.self.VM, Store: s.store, Objects: s.objects, Observer: s.Observer, Kind: fleetKind, Name: replicaSetName,
--- a/vm/network.go
+++ b/vm/network.go
@@ -22,6 +22,8 @@
 type Network struct {
 	// Delay is the one-way delay of a message.
 	Delay time.Duration
+	// BytesPerSecond is the rate at which each VM can send replies; zero means no limit.
+	BytesPerSecond int
 	// Rand determines which messages are lost.
 	Rand *rand.Rand
 
@@ -32,7 +34,9 @@
 	// stopped holds a channel per address that is closed when the process there stops.
 	stopped map[chestnutcleat.Address]chan struct{}
 	blocked map[link]bool
-	traffic map[chestnutcleat.Address]Traffic
+	// sendingUntil is when each VM will have sent its replies.
+	sendingUntil map[chestnutcleat.Address]time.Time
+	traffic      map[chestnutcleat.Address]Traffic
 }
 
 // Traffic counts the messages that a VM sent and received.
@@ -48,7 +52,9 @@
 		muxes:   map[chestnutcleat.Address]*Mux{},
 		stopped: map[chestnutcleat.Address]chan struct{}{},
 		blocked: map[link]bool{},
-		traffic: map[chestnutcleat.Address]Traffic{},
+
+		sendingUntil: map[chestnutcleat.Address]time.Time{},
+		traffic:      map[chestnutcleat.Address]Traffic{},
 	}
 }
 
@@ -137,6 +143,23 @@
 	n.traffic[a] = t
 }
 
+// queueReply returns the time until a VM has sent a reply of some bytes after those that it sends already.
+func (n *Network) queueReply(from chestnutcleat.Address, size int) time.Duration {
+	if n.BytesPerSecond == 0 {
+		return 0
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	until := n.sendingUntil[from]
+	if until.Before(now) {
+		until = now
+	}
+	until = until.Add(time.Duration(float64(size) / float64(n.BytesPerSecond) * float64(time.Second)))
+	n.sendingUntil[from] = until
+	return until.Sub(now)
+}
+
 // endpoint is the RPC client of one VM in a Network.
 type endpoint struct {
 	network *Network
@@ -165,7 +188,7 @@
 	if err != nil {
 		return err
 	}
-	if err := chestnutcleat.Sleep(ctx, n.Delay); err != nil {
+	if err := chestnutcleat.Sleep(ctx, n.Delay+n.queueReply(to, len(r.Body))); err != nil {
 		return err
 	}
 	if !n.deliver(to, e.address, len(r.Body)) {
