Let the use of customers' rates outlast all processes

Ruled out: no admission for a whole window after a start, which takes five seconds from every customer; the records of programs, as they don't hold calls of tools and no time.

Change: package checkpoint. Holders report their use to one storage VM more than may be lost at once, ten times a second, in large fleets less often, while they have used a quarter of a share; storage VMs keep the last report in a file. After a start an entry VM asks for it and counts what it says.

--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -54,6 +54,9 @@
 	sample activity
 	// answered is closed and replaced at each answer of another VM.
 	answered chan struct{}
+	// restored holds what the process before used of customers that are not known yet, and restoredAt the time of Restore.
+	restored   Usage
+	restoredAt time.Time
 }
 
 // NewLimiter returns a limiter. It admits no requests of limited customers before SetVMs is called.
@@ -104,6 +107,7 @@
 		if isNew {
 			// No VM has admitted requests of a new customer, so its share may grow from the start.
 			a.growShare(now.Sub(l.started))
+			a.restore(l.restored[c.ID], now.Sub(l.restoredAt), now)
 		}
 		customers[c.ID] = a
 	}
--- a/role/entry.go
+++ b/role/entry.go
@@ -1,11 +1,13 @@
 package role
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +15,7 @@
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/accept"
+	"chestnutcleat.example/chestnutcleat/checkpoint"
 	"chestnutcleat.example/chestnutcleat/config"
 	"chestnutcleat.example/chestnutcleat/entry"
 	"chestnutcleat.example/chestnutcleat/event"
@@ -53,8 +56,10 @@
 	placement *place.Table
 	limiter   *rate.Limiter
 	ledger    *ledger.Client
-	handler   *entry.Handler
-	leaving   atomic.Bool
+	// checkpoint reports the use of customers' rates to storage VMs.
+	checkpoint *checkpoint.Client
+	handler    *entry.Handler
+	leaving    atomic.Bool
 	// servers are the HTTP servers for callers, readiness and the registry.
 	servers []*accept.Server
 	// undecodable holds the versions of instances' objects that could not be decoded, so that each is reported once.
@@ -76,6 +81,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	e.start(ctx, g)
 	g.Go(func() error { return e.ledger.Run(ctx) })
+	g.Go(func() error { return e.checkpoint.Run(ctx) })
 	g.Go(func() error { return e.poll(ctx, platform.ConfigKind, platform.InstanceKind) })
 	g.Go(func() error { return e.trackFleet(ctx) })
 	g.Go(func() error { return e.removeSilentVMs(ctx) })
@@ -100,6 +106,10 @@
 	e.limiter = rate.NewLimiter(e.self.VM, time.Duration(e.Settings.RateWindow*float64(time.Second)))
 	e.limiter.Overage = e.Settings.Overage
 	e.ledger = &ledger.Client{Peers: e.client, Observer: e.Observer, Domain: e.Settings.Domain}
+	e.checkpoint = &checkpoint.Client{
+		VM: e.self.VM, Peers: e.client, Limiter: e.limiter, Observer: e.Observer, Stores: e.checkpointStores,
+		VMs: func() int { return e.fleet.Count() + 1 },
+	}
 	e.undecodable = map[chestnutcleat.InstanceID]chestnutcleat.Version{}
 	e.status = e.collectStatus
 	e.fleet = &peer.Fleet{
@@ -128,6 +138,20 @@
 	e.Metrics.NewGauge("body_memory_bytes", func() float64 { return float64(e.handler.Memory.Used()) })
 }
 
+// checkpointStores returns the addresses of the storage VMs that keep this VM's reports: one more than may be lost at a time, by
+// rendezvous hashing over those that hold records.
+func (e *Entry) checkpointStores() []chestnutcleat.Address {
+	set := e.ledger.ReplicaSet()
+	list := set.All()
+	score := func(r chestnutcleat.Replica) uint64 { return chestnutcleat.Rendezvous(string(e.self.VM), r.VM) }
+	slices.SortFunc(list, func(a, b chestnutcleat.Replica) int { return cmp.Compare(score(b), score(a)) })
+	var out []chestnutcleat.Address
+	for _, r := range list[:min(len(list), e.Settings.Tolerance+1)] {
+		out = append(out, r.Address)
+	}
+	return out
+}
+
 // listen opens the sockets for callers, readiness probes and the registry.
 func (e *Entry) listen(ctx context.Context) error {
 	s := &e.Settings.Listen
--- a/role/store.go
+++ b/role/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/checkpoint"
 	"chestnutcleat.example/chestnutcleat/event"
 	"chestnutcleat.example/chestnutcleat/keeper"
 	"chestnutcleat.example/chestnutcleat/ledger"
@@ -22,6 +24,8 @@
 	retireInterval = 300 * time.Millisecond
 	// indexMemoryDivisor divides the process's memory to get the budget for the index of the records.
 	indexMemoryDivisor = 3
+	// checkpointFolder is the folder of entry VMs' reports within the data folder.
+	checkpointFolder = "usage"
 )
 
 // Store runs a storage VM.
@@ -53,6 +57,8 @@
 	store.Peers, store.Observer = s.client, s.Observer
 	store.MemoryLimit, store.DiskLimit = int64(s.Settings.MemoryMB)<<20/indexMemoryDivisor, int64(s.Settings.DiskMB)<<20
 	store.Register(s.mux)
+	checkpoints := &checkpoint.Store{Folder: filepath.Join(s.Settings.DataFolder, checkpointFolder)}
+	checkpoints.Register(s.mux)
 	g, ctx := errgroup.WithContext(ctx)
 	s.build(ctx)
 	if err := s.listen(ctx); err != nil {
