--- a/rate/account.go
+++ b/rate/account.go
@@ -141,17 +141,15 @@
 	return total
 }
 
-// shortfall returns the tokens that this VM lacks: one for each waiting request, and those for the demand of prefetchTime, less
-// its own and borrowed ones.
+// shortfall returns the tokens that this VM lacks: one for each waiting request, less its own and borrowed ones.
 func (a *account) shortfall(own float64) float64 {
-	return math.Floor(max(0, float64(a.waiting)+math.Floor(a.demand*prefetchTime.Seconds())-max(0, math.Floor(own))-a.borrowedLeft()))
+	return math.Floor(max(0, float64(a.waiting)-max(0, math.Floor(own))-a.borrowedLeft()))
 }
 
-// lendable returns the whole tokens that this VM can lend, less those for waiting requests and the demand of retainTime. Fractions
-// are neither lent, as they would lie unused at the many VMs that ask for the last tokens, nor kept back, as the last token of each
-// holder would never be lent after its first request.
+// lendable returns the whole tokens that this VM can lend, less those for waiting requests. Fractions are not lent, as they would lie
+// unused at the many VMs that ask for the last tokens.
 func (a *account) lendable(own float64) float64 {
-	return math.Floor(max(0, own-float64(a.waiting)-math.Floor(a.demand*retainTime.Seconds())))
+	return math.Floor(max(0, own-float64(a.waiting)))
 }
 
 // token is a used token of a VM's own share or a borrowed one.
--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -14,12 +14,8 @@
 const (
 	// demandAveragingTime is the time constant over which demand is averaged.
 	demandAveragingTime = 300 * time.Millisecond
-	// prefetchTime is the time for whose expected demand a VM requests tokens in advance.
-	prefetchTime = 100 * time.Millisecond
 	// maxTokenWait is how long a request waits for tokens of other VMs. It allows a round trip within a region to each holder.
 	maxTokenWait = 60 * time.Millisecond
-	// retainTime is the time for whose expected demand a VM keeps tokens when another VM requests some.
-	retainTime = 100 * time.Millisecond
 	// maxRetryAfter bounds the delay after which refused callers are told to retry, as the demand may have ended by then.
 	maxRetryAfter = time.Second
 	// noWaitTime is the time after a futile wait for tokens during which other requests don't wait.
@@ -326,16 +322,11 @@
 	} else {
 		a.demand += 1 / demandAveragingTime.Seconds()
 	}
-	skipWait := now.Sub(a.lastFutileWait) <= noWaitTime
 	if own < lowShare*a.share {
 		a.activity.scarceAt = now
 	}
 	if t, ok := a.take(own, now); ok {
-		d := decision{admitted: true, token: t}
-		if !skipWait {
-			d.request = a.nextRequest(l.Self, a.advance(now), now)
-		}
-		return d
+		return decision{admitted: true, token: t}
 	}
 	d := decision{retry: min(maxRetryAfter, time.Duration(max(1, a.demand*demandAveragingTime.Seconds())/a.perSecond*float64(time.Second)))}
 	d.emptyAnswers = a.emptyAnswers
@@ -346,7 +337,7 @@
 		a.lastFutileWait = now
 		return d
 	}
-	if len(l.vms) > 1 && (waited || !skipWait) {
+	if len(l.vms) > 1 && (waited || now.Sub(a.lastFutileWait) > noWaitTime) {
 		a.waiting++
 		d.answered = l.answered
 		d.request = a.nextRequest(l.Self, own, now)
