Open the share of a VM at once if a recent report says what it had used

Cause: with its former use restored, a VM counted it and opened its share over one window besides, and the report came before the list of VMs, when no share is known.

Change: a report of the last 2 s opens the share at once, with its uses counted and a quarter of a share for customers that it leaves out; it is applied once the VMs are known. An older report opens the share by what it names.

--- a/checkpoint/checkpoint_test.go
+++ b/checkpoint/checkpoint_test.go
@@ -115,6 +115,29 @@
 	}
 }
 
+// A customer below its limit must not be refused because its use was restored: a VM that is restarted has as many tokens as one that
+// knows nothing. Counted on top of a share that opens from nothing, the use left a restarted VM without tokens for seconds.
+func TestRestoredUseRefusesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := vm.NewNetwork(1)
+		n.Delay = time.Millisecond
+		startStore(n, "s", t.TempDir())
+		e := startEntry(t, n, "s")
+		time.Sleep(2 * window)
+		const perSecond = 12 // half of what a window allows
+		is.Equal(e.admit(perSecond, 2*window), 2*perSecond*int(window.Seconds()))
+		e.stop()
+		time.Sleep(300 * time.Millisecond)
+		e = startEntry(t, n, "s")
+		admitted := e.admit(perSecond, window)
+		t.Logf("%d of %d admitted after the start", admitted, perSecond*int(window.Seconds()))
+		is.True(admitted >= perSecond*int(window.Seconds())*95/100)
+		e.stop()
+		synctest.Wait()
+	})
+}
+
 // Reports must be kept by VM, newer ones first, outlast the process, and never leave the folder.
 func TestStore(t *testing.T) {
 	is := is.New(t)
--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -75,6 +75,7 @@
 		a.assignShare(c, l.vms, l.Self)
 		if wasEmpty {
 			a.growShare(now.Sub(l.started))
+			l.restoreAccount(c, a, now)
 		}
 	}
 }
@@ -103,7 +104,7 @@
 		if isNew {
 			// No VM has admitted requests of a new customer, so its share may grow from the start.
 			a.growShare(now.Sub(l.started))
-			a.restore(l.restored[c.ID], now.Sub(l.restoredAt), now)
+			l.restoreAccount(c.ID, a, now)
 		}
 		customers[c.ID] = a
 	}
--- a/rate/usage.go
+++ b/rate/usage.go
@@ -9,6 +9,9 @@
 // reportedShare is the part of a VM's share from which on its use is worth a report.
 const reportedShare = 0.25
 
+// recentReport is the age up to which a report says what a VM had used when its process ended.
+const recentReport = 2 * time.Second
+
 // Usage holds what a VM has used within a window, for each customer that has used much.
 type Usage map[chestnutcleat.CustomerID][]Use
 
@@ -41,15 +44,30 @@
 	l.restored, l.restoredAt = u, now.Add(-age)
 	for c, a := range l.customers {
 		a.advance(now)
-		a.restore(u[c], age, now)
+		l.restoreAccount(c, a, now)
+	}
+}
+
+// restoreAccount counts the restored uses of a customer, if there are any and this VM's share is known. The caller holds l.mu.
+func (l *Limiter) restoreAccount(c chestnutcleat.CustomerID, a *account, now time.Time) {
+	if !l.restoredAt.IsZero() && len(l.vms) > 0 {
+		a.restore(l.restored[c], now.Sub(l.restoredAt), now)
 	}
 }
 
-// restore counts uses of a report of the given age.
+// restore counts the uses of a customer in a report of the given age; a report leaves out those below reportedShare. A share that opens
+// over one window does so because its uses are not known: a recent report opens it at once, an older one by the uses that it names.
 func (a *account) restore(list []Use, age time.Duration, now time.Time) {
+	if len(list) == 0 {
+		list = []Use{{Tokens: reportedShare * a.targetShare}}
+	}
+	if age < recentReport {
+		a.share = a.targetShare
+	}
 	for _, u := range list {
 		if passed := max(0, u.Age) + age; passed < a.used.length {
 			a.used.add(now.Add(-passed), max(0, u.Tokens))
+			a.share = min(a.targetShare, a.share+max(0, u.Tokens))
 		}
 	}
 }
