--- a/rate/activities.go
+++ b/rate/activities.go
@@ -35,11 +35,22 @@
 		a.Programs = slices.Concat(a.Programs, o.Programs)
 		slices.Sort(a.Programs)
 		a.Programs = slices.Compact(a.Programs)
-		a.Rate += max(0, o.Rate)
-		a.Starts += max(0, o.Starts)
-		a.Left += max(0, o.Left)
+		a.Rate += plausible(o.Rate)
+		a.Starts += plausible(o.Starts)
+		a.Left += plausible(o.Left)
 		a.Scarce = a.Scarce || o.Scarce
 		a.VMs += max(0, o.VMs)
 		s[c] = a
 	}
 }
+
+// maxPlausible bounds the numbers that other VMs report.
+const maxPlausible = 1e9
+
+// plausible returns a reported number, or zero for one that no VM can mean, such as one that is not a number.
+func plausible(n float64) float64 {
+	if n >= 0 && n <= maxPlausible {
+		return n
+	}
+	return 0
+}
--- a/rate/programs_test.go
+++ b/rate/programs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -231,6 +232,21 @@
 	}
 }
 
+// Numbers that no VM can mean must cost their report only: one that is not a number would refuse each program.
+func TestImplausibleReports(t *testing.T) {
+	is := is.New(t)
+	good := Activity{Programs: []uint32{1}, Rate: 2, Starts: 3, Left: 4, VMs: 1}
+	sum := Activities{}
+	sum.Add(Activities{customer: good})
+	for _, n := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, math.MaxFloat64} {
+		sum.Add(Activities{customer: {Rate: n, Starts: n, Left: n, VMs: -1}})
+	}
+	is.Equal(sum[customer], good)
+	l := small.newLimiter(0)
+	l.Restore(Usage{customer: {{Tokens: math.NaN()}, {Tokens: math.Inf(1)}, {Age: -time.Hour, Tokens: 1}}}, 0)
+	is.Equal(l.customers[customer].used.total, 1.0)
+}
+
 // A token that was not used must be admitted again, and only once, by the VM whose share it came from or by the one that borrowed it.
 func TestReturnedTokens(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/rate/usage.go
+++ b/rate/usage.go
@@ -66,8 +66,8 @@
 	}
 	for _, u := range list {
 		if passed := max(0, u.Age) + age; passed < a.used.length {
-			a.used.add(now.Add(-passed), max(0, u.Tokens))
-			a.share = min(a.targetShare, a.share+max(0, u.Tokens))
+			a.used.add(now.Add(-passed), plausible(u.Tokens))
+			a.share = min(a.targetShare, a.share+plausible(u.Tokens))
 		}
 	}
 }
