--- a/rate/admission.go
+++ b/rate/admission.go
@@ -43,9 +43,9 @@
 
 // Admit decides on a request.
 func (l *Limiter) Admit(ctx context.Context, q Request) Admission {
-	ok, starts := l.beginRequest(q)
-	if !ok {
-		return Admission{Verdict: TooManyPrograms, Retry: startRetry(l.Random())}
+	starts, retry := l.beginRequest(q)
+	if retry > 0 {
+		return Admission{Verdict: TooManyPrograms, Retry: retry}
 	}
 	d := l.takeToken(ctx, q.Customer)
 	switch {
@@ -59,24 +59,24 @@
 	return Admission{Verdict: OverRate, Retry: d.retry}
 }
 
-// beginRequest counts a request. It returns false if its program may not begin, and whether the program begins with it.
-func (l *Limiter) beginRequest(q Request) (ok, starts bool) {
+// beginRequest counts a request. It returns whether its program begins with it, and the time after which to retry if it may not.
+func (l *Limiter) beginRequest(q Request) (starts bool, retry time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.customers[q.Customer]
 	if a == nil || q.Program == "" {
-		return true, false
+		return false, 0
 	}
 	now, program := time.Now(), q.hash()
 	starts = q.Start && !a.activity.isKnown(program, now)
 	if starts && !a.activity.mayStart(now, l.Random()) {
-		return false, true
+		return true, startRetry(l.Random())
 	}
 	a.activity.begin(program, now)
 	if program.sampled() {
 		l.sample.begin(program, now)
 	}
-	return true, starts
+	return starts, 0
 }
 
 // End records that an admitted request has ended.
--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -37,7 +37,7 @@
 	Window time.Duration
 	// Overage is the fraction of a limit by which operators accept that it is exceeded, as many VMs enforce it together.
 	Overage float64
-	// Random draws from [0, 1).
+	// Random draws from [0, 1). It is called by one goroutine at a time.
 	Random func() float64
 	// RequestTokens sends a request for tokens to another VM and does not wait for the answer.
 	RequestTokens func(to chestnutcleat.VMID, needs Tokens)
--- a/rate/programs_test.go
+++ b/rate/programs_test.go
@@ -50,6 +50,12 @@
 	mostAdmitted int
 }
 
+func (f *testFleet) isCut(i, j int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut[i][j]
+}
+
 func (f *testFleet) report(ctx context.Context) {
 	for chestnutcleat.Sleep(ctx, reportInterval) == nil {
 		reports := make([]Activities, f.vms)
@@ -59,7 +65,7 @@
 		for i := range reports {
 			others := Activities{}
 			for j := range reports {
-				if j != i && !f.cut[i][j] {
+				if j != i && !f.isCut(i, j) {
 					others.Add(reports[j])
 				}
 			}
