Take the version of a stale list from its objects

A storage VM came back with an empty disk at 27.2 s, in the second in which the platform's watches hear nothing before its history is dropped. It announced its new disk as version 410 at 27.35 s; no storage VM ever learned of it, no change of the set began, and the two disks lost at 34.3 s were the second and third of five. Meanwhile an entry VM had started and listed the VMs with a stale read. Such lists are seconds old, but their store revision is the present one; the VM told it as its version, the watchers merged its old objects under that version, and went on watching from there, past 410. Configurations and instances could be lost in the same way.

Ruled out: a slow copy (the change never began), the announcement (it was acknowledged), the delivery between VMs (later versions came).

Change: a stale list has the version of its newest object, and no watch continues from it; a VM that begins to watch lists once more.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -135,11 +135,15 @@
 		wait = min(wait, max(0, time.Until(next)))
 	}
 	m.mu.Unlock()
-	if position > 0 && m.ShouldWatch != nil && !m.ShouldWatch() && !m.probeDue() {
+	known, watches := m.Version() > 0, m.ShouldWatch == nil || m.ShouldWatch()
+	switch {
+	case known && !watches && !m.probeDue():
 		return m.idle(ctx, position)
-	}
-	if position == 0 {
-		return m.list(ctx, m.freshness())
+	case position == 0 && (known || watches):
+		// Only a fresh list tells where a watch continues.
+		return m.list(ctx, chestnutcleat.Fresh)
+	case position == 0:
+		return m.list(ctx, chestnutcleat.Stale)
 	}
 	list, version, err := m.Store.Watch(ctx, m.Kind, position, wait)
 	if errors.Is(err, chestnutcleat.ErrCompacted) {
@@ -167,16 +171,6 @@
 	return m.list(ctx, chestnutcleat.Stale)
 }
 
-// freshness returns the freshness of the initial list. A stale list is enough at the start, since the watch or another VM later
-// delivers the missing changes. A watch whose history was compacted can't resume from a version older than the known one, so it
-// needs a fresh list.
-func (m *Mirror) freshness() chestnutcleat.Freshness {
-	if m.Version() == 0 {
-		return chestnutcleat.Stale
-	}
-	return chestnutcleat.Fresh
-}
-
 // probeDue reports whether it is time to check whether the platform is back.
 func (m *Mirror) probeDue() bool {
 	m.mu.Lock()
@@ -192,10 +186,23 @@
 	if err != nil {
 		return err
 	}
-	m.replace(Snapshot{Version: version, Objects: list})
+	if f == chestnutcleat.Stale {
+		version = newestVersion(list)
+	}
+	m.replace(Snapshot{Version: version, Objects: list}, f)
 	return nil
 }
 
+// newestVersion returns the version up to which a stale list has all changes: that of its newest object, as the version that comes
+// with the list may be newer than its objects. A list without objects has the oldest version, which still counts as known.
+func newestVersion(list []chestnutcleat.StoredObject) chestnutcleat.Version {
+	newest := chestnutcleat.Version(1)
+	for _, o := range list {
+		newest = max(newest, o.Version)
+	}
+	return newest
+}
+
 func (m *Mirror) markUnreachable(err error) {
 	m.mu.Lock()
 	wasUnreachable := m.unreachable
@@ -206,8 +213,8 @@
 	}
 }
 
-// replace applies a complete list from the platform.
-func (m *Mirror) replace(s Snapshot) {
+// replace applies a complete list from the platform. A watch can continue only from a fresh one.
+func (m *Mirror) replace(s Snapshot, f chestnutcleat.Freshness) {
 	m.update(true, func() (changed, reconnected bool) {
 		if s.Version < m.version {
 			// The answer is older than the known state, for example because it was delayed.
@@ -223,7 +230,9 @@
 				next[o.Name] = o
 			}
 		}
-		m.position = s.Version
+		if f == chestnutcleat.Fresh {
+			m.position = s.Version
+		}
 		if m.version > 0 && len(m.retainedUntil) == 0 && m.sameObjects(next) {
 			// Only other kinds changed; a new version of this kind would make all VMs fetch it.
 			return false, reconnected
--- a/objectstore.go
+++ b/objectstore.go
@@ -28,7 +28,7 @@
 const (
 	// Fresh lists include every write that was acknowledged before the call.
 	Fresh Freshness = iota
-	// Stale lists may be seconds old; they cost the platform a tenth of a fresh list.
+	// Stale lists may be seconds older than the version that comes with them; they cost the platform a tenth of a fresh list.
 	Stale
 )
 
