--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -268,7 +268,7 @@
 	case PlatformLoseAnswers:
 		withPlatformFaults(store.Faults{LoseResponses: true})
 	case PlatformStallWatches:
-		withPlatformFaults(store.Faults{StallWatches: true})
+		withPlatformFaults(store.Faults{StallWatches: true, StaleLists: true})
 	case PlatformCompact:
 		f.platform.Compact()
 	case InstanceErrors:
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -30,7 +30,8 @@
 	// ReloadSettings sends SIGHUP to an entry VM.
 	ReloadSettings FaultKind = "reload"
 	// During PlatformDown the platform answers 503, during PlatformLoseAnswers it applies writes but breaks the connection instead
-	// of answering, and during PlatformStallWatches watches get no changes. PlatformCompact drops the platform's history.
+	// of answering, and during PlatformStallWatches watches get no changes and stale lists are as old as the fault.
+	// PlatformCompact drops the platform's history.
 	PlatformDown         FaultKind = "platform-down"
 	PlatformLoseAnswers  FaultKind = "platform-lost"
 	PlatformStallWatches FaultKind = "platform-deaf"
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -40,6 +41,8 @@
 	Status int
 	// StallWatches makes watches report no changes until they time out.
 	StallWatches bool
+	// StaleLists makes lists that may be stale return the objects of the time at which the fault was set, with the present revision.
+	StaleLists bool
 	// LoseResponses closes the connection of writes after they took effect.
 	LoseResponses bool
 }
@@ -53,7 +56,9 @@
 	// compacted is the revision up to which the history was dropped.
 	compacted uint64
 	faults    Faults
-	changed   chan struct{}
+	// staleObjects are the objects that lists return under StaleLists.
+	staleObjects map[string]map[string]Object
+	changed      chan struct{}
 	calls     int
 }
 
@@ -66,7 +71,13 @@
 func (s *Store) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.faults = f
+	s.faults, s.staleObjects = f, nil
+	if f.StaleLists {
+		s.staleObjects = map[string]map[string]Object{}
+		for kind, list := range s.objects {
+			s.staleObjects[kind] = maps.Clone(list)
+		}
+	}
 	s.notifyWatches()
 }
 
@@ -190,8 +201,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	after := r.URL.Query().Get("after")
+	objects := s.objects
+	if s.faults.StaleLists && r.URL.Query().Has("serializable") {
+		objects = s.staleObjects
+	}
 	items := []Object{}
-	for name, o := range s.objects[r.PathValue("kind")] {
+	for name, o := range objects[r.PathValue("kind")] {
 		if name > after {
 			items = append(items, o)
 		}
