--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -59,7 +59,7 @@
 	// staleObjects are the objects that lists return under StaleLists.
 	staleObjects map[string]map[string]Object
 	changed      chan struct{}
-	calls     int
+	calls        int
 }
 
 // New returns an empty store.
