Remove the cache of kept turns

Why it is worth nothing: callers reach any VM, so a VM seldom has the chain of a program; the copy of the own failure domain answers within two milliseconds, and without a quorum of copies no turn can be kept anyway.

Ruled out: that a rule or a fault needs it.

--- a/entry/budget.go
+++ b/entry/budget.go
@@ -117,11 +117,8 @@
 		t.settledTokens = t.usedTokens()
 		extra = append(extra, t.newRecord(ledger.Settle, t.settledTokens))
 	}
-	if _, err := t.Ledger.Persist(ctx, r, extra...); err != nil {
-		return err
-	}
-	t.Turns.Add(t.customerID(), ledger.Turn{ID: t.ID, Previous: t.Previous, Input: t.body, Output: t.output})
-	return nil
+	_, err := t.Ledger.Persist(ctx, r, extra...)
+	return err
 }
 
 // prependChain puts the inputs and outputs of the previous turns before the caller's own input.
@@ -155,24 +152,9 @@
 	return nil
 }
 
-// loadChain returns the stored turns before this one, newest first, from the cache and the ledger.
+// loadChain returns the stored turns before this one, newest first.
 func (t *turn) loadChain() ([]ledger.Turn, error) {
-	chain, missing, err := t.Turns.Chain(t.customerID(), t.Previous)
-	if err != nil || missing == "" {
-		return chain, err
-	}
 	ctx, cancel := context.WithTimeout(t.ctx, recordTimeout)
 	defer cancel()
-	rest, err := t.Ledger.Fetch(ctx, t.customerID(), missing)
-	if errors.Is(err, chestnutcleat.ErrNotFound) && len(chain) > 0 {
-		// The cache holds a later turn of the chain, so the older one was written: it is unavailable, not unknown.
-		err = ledger.ErrNoQuorum
-	}
-	if err != nil {
-		return nil, err
-	}
-	for _, stored := range rest {
-		t.Turns.Add(t.customerID(), stored)
-	}
-	return append(chain, rest...), nil
+	return t.Ledger.Fetch(ctx, t.customerID(), t.Previous)
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -40,7 +40,6 @@
 	Pool      *exchange.Pool
 	Rates     *rate.Limiter
 	Ledger    *ledger.Client
-	Turns     *TurnCache
 	Crashes   *CrashTracker
 	Observer  chestnutcleat.Observer
 	Metrics   *Metrics
--- a/role/entry.go
+++ b/role/entry.go
@@ -40,10 +40,8 @@
 	maxAddressTTLSeconds = 2.5
 	// fleetCheckInterval is the time between updates from the other VMs' reports.
 	fleetCheckInterval = 200 * time.Millisecond
-	// The process's memory is divided by bodyMemoryDivisor and cacheMemoryDivisor to get the budgets for bodies and for cached
-	// turns.
-	bodyMemoryDivisor  = 4
-	cacheMemoryDivisor = 16
+	// bodyMemoryDivisor divides the process's memory to get the budget for bodies.
+	bodyMemoryDivisor = 4
 )
 
 // Entry runs an entry VM.
@@ -128,7 +126,7 @@
 	pool.OnDial = func(chestnutcleat.Address, error) { opened.Inc() }
 	e.handler = &entry.Handler{
 		Codec: platform.Codec{}, Config: e.config.Load, Instances: e.placement, Pool: pool, Rates: e.limiter, Ledger: e.ledger,
-		Turns: &entry.TurnCache{Size: int(size / cacheMemoryDivisor)}, Crashes: &entry.CrashTracker{}, Observer: e.Observer, Metrics: &entry.Metrics{Set: e.Metrics},
+		Crashes: &entry.CrashTracker{}, Observer: e.Observer, Metrics: &entry.Metrics{Set: e.Metrics},
 		Domain: e.Settings.Domain, Memory: &memory.Budget{Limit: size / bodyMemoryDivisor}, Bounds: entry.Bounds{Body: answers.Body, Event: answers.Event, Output: answers.Output},
 	}
 	e.follow(platform.ConfigKind, false, e.configChanged)
