Report the requests that a shutdown interrupts and the turn that a refused one continues

The connections now stay open until the requests have been reported, each by event 706 (at most 50), with its age and route. Events of a request that continues a turn name that turn as "previous", so that refusals in a row of the same turn can be counted. No decision changes; a server whose shutdown ends without all answers is closed by its owner, as both do already.

Test: entry.TestInterruptedRequestsAreReported.

--- a/accept/server.go
+++ b/accept/server.go
@@ -37,14 +37,17 @@
 }
 
 // Shutdown shuts down gracefully: it accepts the connections in the backlog, stops listening, waits until no response is due and
-// closes all connections. If ctx ends first, it closes them with requests in progress and returns an error.
+// closes all connections. If ctx ends first, it returns an error and leaves the connections with requests in progress to Close.
 func (s *Server) Shutdown(ctx context.Context) error {
 	if err := s.listener.startDrain(); err != nil {
 		return fmt.Errorf("stop listening at %s: %w", s.Listener.Addr(), err)
 	}
 	<-s.served
 	s.HTTP.SetKeepAlivesEnabled(false)
-	return errors.Join(s.listener.drainErr, s.awaitResponses(ctx), s.Close())
+	if err := s.awaitResponses(ctx); err != nil {
+		return errors.Join(s.listener.drainErr, err)
+	}
+	return errors.Join(s.listener.drainErr, s.Close())
 }
 
 // awaitResponses waits until no response is due.
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -49,8 +49,9 @@
 	// Bounds limits the answers of instances.
 	Bounds Bounds
 
-	inFlight atomic.Int64
-	draining atomic.Bool
+	inFlight  atomic.Int64
+	draining  atomic.Bool
+	forwarded forwardedCalls
 }
 
 // Drain makes every further response the last one on its connection.
@@ -102,6 +103,8 @@
 		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 		defer cancel()
 		c.ctx = ctx
+		h.forwarded.add(c)
+		defer h.forwarded.remove(c)
 		if c.route.Type == config.Streaming {
 			err = c.serveStream()
 		} else {
@@ -270,10 +273,19 @@
 // log emits an event with the attributes of the request.
 func (c *call) log(id chestnutcleat.EventID, attributes ...any) {
 	if c.Request != nil {
-		attributes = append(attributes, "request", c.ID, "program", c.Program, "age", time.Since(c.Received).Milliseconds(), "runs", c.runs)
+		attributes = append(append(attributes, c.identity()...), "runs", c.runs)
 	}
 	if c.route != nil {
 		attributes = append(attributes, "route", c.route.Name, "customer", c.customerID(), "config", c.table.Number)
 	}
 	c.Observer.Emit(id, attributes...)
 }
+
+// identity returns the attributes that identify the request and the turn that it continues.
+func (c *call) identity() []any {
+	list := []any{"request", c.ID, "program", c.Program, "age", time.Since(c.Received).Milliseconds()}
+	if c.Previous != "" {
+		list = append(list, "previous", c.Previous)
+	}
+	return list
+}
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
 )
 
 // Checks the response to each kind of instance failure: a non-idempotent request runs once, and a request is reported as not
@@ -298,3 +301,20 @@
 		is.Equal(len(h.instances.received()), 6)
 	})
 }
+
+// A shutdown that interrupts requests must name them while they are still known: the count alone, taken after their connections were
+// closed, was 0.
+func TestInterruptedRequestsAreReported(t *testing.T) {
+	runInBubble(t, func(r *receivedRequest, q *http.Request, w io.Writer) bool { return hangUntilClosed(r, w) }, func(is *is.I, h *harness) {
+		events := &recordingObserver{}
+		h.handler.Observer = events
+		ctx, cancel := context.WithTimeout(h.t.Context(), 300*time.Millisecond)
+		defer cancel()
+		go func() { _, _, _ = h.do(ctx, "/kept/", "b", "Chestnutcleat-Request-Id", "r7") }()
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(h.handler.ReportInterrupted(10), 1)
+		is.Equal(events.with(event.RequestInterrupted, "request"), []any{chestnutcleat.RequestID("r7")})
+		time.Sleep(time.Second)
+		is.Equal(h.handler.ReportInterrupted(10), 0)
+	})
+}
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -292,3 +292,35 @@
 	r.disconnected.Store(true)
 	return false
 }
+
+// recordingObserver keeps all events.
+type recordingObserver struct {
+	mu   sync.Mutex
+	list []recordedEvent
+}
+
+type recordedEvent struct {
+	id         chestnutcleat.EventID
+	attributes []any
+}
+
+func (o *recordingObserver) Emit(id chestnutcleat.EventID, attributes ...any) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.list = append(o.list, recordedEvent{id, attributes})
+}
+
+// with returns the values of an attribute in all events with the given id.
+func (o *recordingObserver) with(id chestnutcleat.EventID, name string) []any {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []any
+	for _, e := range o.list {
+		for i := 0; e.id == id && i+1 < len(e.attributes); i += 2 {
+			if e.attributes[i] == name {
+				out = append(out, e.attributes[i+1])
+			}
+		}
+	}
+	return out
+}
--- a/role/shutdown.go
+++ b/role/shutdown.go
@@ -13,6 +13,8 @@
 	drainReserve = 3500 * time.Millisecond
 	// exitReserve is the part of the grace period reserved for the exit of the process.
 	exitReserve = time.Second
+	// maxInterruptedReported is the number of interrupted requests that are reported one by one.
+	maxInterruptedReported = 50
 )
 
 // shutdown waits for Stop, gives callers the time to move to other VMs, drains and closes the servers.
@@ -37,7 +39,8 @@
 	drain, cancel := context.WithDeadline(ctx, started.Add(grace-exitReserve))
 	defer cancel()
 	if err := e.servers[0].Shutdown(drain); err != nil {
-		e.Observer.Emit(event.RequestsInterrupted, "requests", e.handler.InFlight(), "error", err)
+		// Closing the connections ends the requests, so they are reported before.
+		e.Observer.Emit(event.RequestsInterrupted, "requests", e.handler.ReportInterrupted(maxInterruptedReported), "error", err)
 	}
 	e.close()
 }
