Answer requests that have begun on kept connections when a shutdown closes idle ones

What callers saw: a planned stop may close a connection on which a request has just been read, without an answer.

Cause: two goroutines look at one connection. net/http counts it as idle until the whole header has been read, and closes all idle ones at the end of keep-alives; a request whose bytes the connection's own goroutine has read by then is still parsed and passed on, and its answer has nowhere to go. Class: a stop decided on state that is older than what another goroutine has already taken.

Ruled out: closing idle connections later (the same race at another moment); wrapping the response writer to announce the close (hides net/http's own interfaces).

Change: package accept tracks connections by the bytes read from them. The first byte of a request and the close of an idle connection are one atomic change of state, so either the request is answered or none of its bytes were taken.

--- a/accept/listener.go
+++ b/accept/listener.go
@@ -12,17 +12,18 @@
 // listener accepts the connections in its backlog before it closes, as the kernel would reset them.
 type listener struct {
 	*net.TCPListener
+	conns *connections
 	// drained are the connections that were accepted when the listener closed and that Accept has yet to return.
-	drained []net.Conn
+	drained []*net.TCPConn
 	// drainErr is the error of drain.
 	drainErr error
 }
 
 // Accept implements net.Listener. It must not be called concurrently.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.TCPListener.Accept()
+	c, err := l.AcceptTCP()
 	if err == nil {
-		return c, nil
+		return l.conns.add(c), nil
 	}
 	if os.IsTimeout(err) {
 		// Only startDrain sets a deadline.
@@ -33,7 +34,7 @@
 		return nil, err
 	}
 	c, l.drained = l.drained[0], l.drained[1:]
-	return c, nil
+	return l.conns.add(c), nil
 }
 
 // startDrain makes Accept return the connections in the backlog and then net.ErrClosed.
@@ -49,7 +50,7 @@
 	var acceptErr error
 	err = raw.Control(func(fd uintptr) {
 		for {
-			var c net.Conn
+			var c *net.TCPConn
 			if c, acceptErr = acceptNow(int(fd)); c == nil {
 				return
 			}
@@ -60,7 +61,7 @@
 }
 
 // acceptNow accepts a connection without blocking. It returns nil if the backlog is empty.
-func acceptNow(fd int) (net.Conn, error) {
+func acceptNow(fd int) (*net.TCPConn, error) {
 	n, _, err := syscall.Accept4(fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
 	if errors.Is(err, syscall.EAGAIN) {
 		return nil, nil
@@ -70,5 +71,9 @@
 	}
 	f := os.NewFile(uintptr(n), "connection")
 	defer f.Close()
-	return net.FileConn(f)
+	c, err := net.FileConn(f)
+	if err != nil {
+		return nil, fmt.Errorf("accept: %w", err)
+	}
+	return c.(*net.TCPConn), nil
 }
--- a/accept/listener_test.go
+++ b/accept/listener_test.go
@@ -34,7 +34,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			l := &listener{TCPListener: listen(t)}
+			l := &listener{TCPListener: listen(t), conns: newConnections()}
 			for range tt.backlog {
 				c, err := net.Dial("tcp", l.Addr().String())
 				is.NoErr(err)
--- a/accept/server.go
+++ b/accept/server.go
@@ -22,8 +22,9 @@
 
 // NewServer returns a server for a listener. It replaces the ConnState callback of h.
 func NewServer(l *net.TCPListener, h *http.Server) *Server {
-	s := &Server{HTTP: h, Listener: l, listener: &listener{TCPListener: l}, conns: newConnections(), served: make(chan struct{})}
-	h.ConnState = s.conns.track
+	c := newConnections()
+	s := &Server{HTTP: h, Listener: l, listener: &listener{TCPListener: l, conns: c}, conns: c, served: make(chan struct{})}
+	h.ConnState = c.track
 	return s
 }
 
@@ -43,17 +44,19 @@
 		return fmt.Errorf("stop listening at %s: %w", s.Listener.Addr(), err)
 	}
 	<-s.served
+	s.conns.closingIdle.Store(true)
 	s.HTTP.SetKeepAlivesEnabled(false)
+	s.conns.closingIdle.Store(false)
 	if err := s.awaitResponses(ctx); err != nil {
 		return errors.Join(s.listener.drainErr, err)
 	}
 	return errors.Join(s.listener.drainErr, s.Close())
 }
 
-// awaitResponses waits until no response is due.
+// awaitResponses closes the idle connections and waits until no response is due.
 func (s *Server) awaitResponses(ctx context.Context) error {
 	for {
-		count, next := s.conns.pending()
+		count, next := s.conns.closeIdle()
 		if count == 0 {
 			return nil
 		}
@@ -73,4 +76,7 @@
 }
 
 // Close closes the listener and all connections immediately.
-func (s *Server) Close() error { return s.HTTP.Close() }
+func (s *Server) Close() error {
+	defer s.conns.closeAll()
+	return s.HTTP.Close()
+}
--- a/accept/server_test.go
+++ b/accept/server_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -116,7 +118,7 @@
 	finished := make(chan error, 1)
 	go func() { finished <- s.Shutdown(ctx) }()
 	<-s.served
-	for count := 2; count != 1; count, _ = s.conns.pending() {
+	for count := 2; count != 1; count, _ = s.conns.closeIdle() {
 		time.Sleep(firstByteTimeout / 10)
 	}
 	is.True(!hasValue(finished)) // waits for the request in progress
@@ -125,3 +127,69 @@
 	is.True(errors.Is(err, context.Canceled))
 	close(release)
 }
+
+// awaitState waits until a connection of the server has a state.
+func awaitState(t *testing.T, s *Server, state int32) {
+	t.Helper()
+	reached := func() bool {
+		s.conns.mu.Lock()
+		defer s.conns.mu.Unlock()
+		for c := range s.conns.open {
+			if c.state.Load() == state {
+				return true
+			}
+		}
+		return false
+	}
+	for !reached() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// keep sends a request on a new connection, which the server then keeps.
+func keep(t *testing.T, s *Server) *testCaller {
+	t.Helper()
+	c := dial(t, s)
+	if err := c.send(request); err != nil {
+		t.Fatal(err)
+	}
+	if _, last, err := c.readStatus(); err != nil || last {
+		t.Fatalf("response closes the connection: %t, error: %v", last, err)
+	}
+	awaitState(t, s, stateIdle)
+	return c
+}
+
+// A kept connection on which a request has begun must get its response: a shutdown closed it as idle, since net/http counts a
+// connection as active only once the whole header has been read.
+func TestShutdownAnswersOnKeptConnections(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		before int
+	}{
+		{"one byte before", 1},
+		{"half a header before", 20},
+		{"all but the end of the header before", strings.Index(request, "\r\n\r\n") + 3},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			release := make(chan struct{})
+			close(release)
+			s := serve(t, release)
+			c := keep(t, s)
+			is.NoErr(c.send(request[:tt.before]))
+			awaitState(t, s, stateBusy)
+			idle := keep(t, s)
+			finished := make(chan error, 1)
+			go func() { finished <- s.Shutdown(t.Context()) }()
+			_, _, err := idle.readStatus()
+			is.True(errors.Is(err, io.ErrUnexpectedEOF)) // the idle connections have been closed
+			is.NoErr(c.send(request[tt.before:]))
+			code, last, err := c.readStatus()
+			is.NoErr(err)
+			is.Equal(code, http.StatusNoContent)
+			is.True(last) // the caller is told that the connection closes
+			is.NoErr(<-finished)
+		})
+	}
+}
