Refuse requests that a shutdown may interrupt once callers know other VMs

What callers saw: LOST. A stream taken 4.3 s after SIGTERM was cut 2.7 s later in the middle of its answer, as the VM must be gone 8 s after SIGTERM.

Cause: a stopping VM accepted new connections for 4.5 s and closed all connections after 7 s, while a route allows a request 5 s. Nothing compared the time that a request may take with the time that the VM has left. Class: work is accepted without the means to finish it.

Ruled out: storage VMs, replicas, rates and kept turns (no 404 for a turn that the customer had, docs/incidents/requests-cut-at-stop.md); a longer grace (it is the operators'); admitting by how long requests took lately (under load, where streams are cut, it refuses the same ones and promises nothing).

Change: from the moment at which no caller has an address list with this VM any more (0.5 s to tell the other VMs and the lists' life of 2.5 s), the VM stops listening, and on kept connections refuses requests whose deadline is after its end: 503, not run, come back at once elsewhere. What it admits from then on ends in time. Before, requests are admitted as always.

Test: entry.TestDrainRefusesLongRequests; without the check it fails with 200 where 503 is due.

--- /dev/null
+++ b/entry/drain.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// drainRetryAfter is the time after which a caller may try another VM.
+const drainRetryAfter = 10 * time.Millisecond
+
+// drain describes a graceful shutdown of the VM.
+type drain struct {
+	// strictFrom is the time from which no request is admitted whose deadline is after end.
+	strictFrom, end time.Time
+}
+
+// Drain starts the graceful shutdown of the VM, which ends at the given time. Every further response is the last one on its
+// connection. From strictFrom on, when callers have had the time to learn of other VMs, requests that may take longer than until
+// the end are refused.
+func (h *Handler) Drain(strictFrom, end time.Time) {
+	h.drain.Store(&drain{strictFrom: strictFrom, end: end})
+}
+
+// checkDrain returns an error for a request that the shutdown could interrupt.
+func (c *call) checkDrain() error {
+	d := c.drain.Load()
+	if d == nil || time.Now().Before(d.strictFrom) || !c.deadline.After(d.end) {
+		return nil
+	}
+	return problem(chestnutcleat.CodeLeaving, chestnutcleat.NotRun, "the VM shuts down in %v, before the deadline of the request", time.Until(d.end)).WithRetry(drainRetryAfter)
+}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -50,13 +50,10 @@
 	Bounds Bounds
 
 	inFlight  atomic.Int64
-	draining  atomic.Bool
+	drain     atomic.Pointer[drain]
 	forwarded forwardedCalls
 }
 
-// Drain makes every further response the last one on its connection.
-func (h *Handler) Drain() { h.draining.Store(true) }
-
 // InFlight returns the number of requests in progress.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
@@ -93,7 +90,7 @@
 	defer h.inFlight.Add(-1)
 	// net/http ignores Content-Length if Transfer-Encoding is set too. Another server may frame such a message differently and
 	// take what follows for the rest of the body (request smuggling), so RFC 9112, section 6.3, requires closing the connection.
-	if h.draining.Load() || len(r.TransferEncoding) > 0 {
+	if h.drain.Load() != nil || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{Handler: h, w: w, r: r, memory: memory.Reservation{Budget: h.Memory}}
@@ -155,6 +152,9 @@
 	if err := c.readRequestBody(); err != nil {
 		return err
 	}
+	if err := c.checkDrain(); err != nil {
+		return err
+	}
 	c.fingerprint = FingerprintOf(c.customerID(), c.r.Method, c.r.RequestURI, c.body)
 	if c.Crashes.Blocked(c.fingerprint) {
 		return problem(chestnutcleat.CodeCrashing, chestnutcleat.NotRun, "the request is blocked: at least %d instances failed while they ran it", crashThreshold).WithRetry(crashWindow)
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -254,7 +254,7 @@
 // While the VM drains, every response must close its connection.
 func TestDraining(t *testing.T) {
 	runInBubble(t, respondOK, func(is *is.I, h *harness) {
-		h.handler.Drain()
+		h.handler.Drain(time.Now().Add(time.Hour), time.Now().Add(time.Hour))
 		resp, _, err := h.do(h.t.Context(), "/book/", "b")
 		is.NoErr(err)
 		is.Equal(resp.StatusCode, 200)
@@ -262,6 +262,51 @@
 	})
 }
 
+// A VM that shuts down must not take a request that it may have to interrupt: a stream that arrived 4.3 s after SIGTERM was cut 2.7 s
+// later in the middle of its answer.
+func TestDrainRefusesLongRequests(t *testing.T) {
+	const strictAfter, grace = 3 * time.Second, 7 * time.Second
+	tests := []struct {
+		name   string
+		path   string
+		at     time.Duration
+		wait   string
+		status int
+	}{
+		{"callers may still have the old addresses", "/plan/", strictAfter - time.Millisecond, "", 200},
+		{"ends in time by the route's timeout", "/plan/", strictAfter, "", 200},
+		{"may take longer", "/plan/", grace - streamTimeout + time.Millisecond, "", 503},
+		{"not repeatable, may take longer", "/book/", grace - bookTimeout + time.Millisecond, "", 503},
+		{"ends in time by the caller's wait", "/plan/", grace - time.Second, "900", 200},
+		{"caller waits longer than the VM", "/plan/", grace - time.Second, "1100", 503},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			runInBubble(t, func(r *receivedRequest, q *http.Request, w io.Writer) bool {
+				if strings.HasPrefix(q.URL.Path, "/plan/") {
+					writeEvents(q, w, 1, 2, true)
+					return true
+				}
+				return respondOK(r, q, w)
+			}, func(is *is.I, h *harness) {
+				h.handler.Drain(time.Now().Add(strictAfter), time.Now().Add(grace))
+				time.Sleep(tt.at)
+				var pairs []string
+				if tt.wait != "" {
+					pairs = []string{"Chestnutcleat-Deadline-Ms", tt.wait}
+				}
+				resp, _, err := h.do(h.t.Context(), tt.path, "b", pairs...)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, tt.status)
+				is.True(resp.Close)
+				refused := tt.status == 503
+				is.Equal(resp.Header.Get("Retry-After") != "", refused)
+				is.Equal(len(h.instances.received()) == 0, refused)
+			})
+		})
+	}
+}
+
 // Request bodies must stay within the body limit and the memory limit.
 func TestLargeBody(t *testing.T) {
 	runInBubble(t, respondOK, func(is *is.I, h *harness) {
--- a/role/entry.go
+++ b/role/entry.go
@@ -242,7 +242,12 @@
 			list = append(list, p.Summary)
 		}
 	}
-	return addressesFor(domain, list), min(maxAddressTTLSeconds, e.settings().MaxAddressTTL)
+	return addressesFor(domain, list), e.addressTTL().Seconds()
+}
+
+// addressTTL returns how long callers may cache a list of addresses.
+func (e *Entry) addressTTL() time.Duration {
+	return time.Duration(min(maxAddressTTLSeconds, e.settings().MaxAddressTTL) * float64(time.Second))
 }
 
 // configChanged applies a newer configuration.
--- a/role/shutdown.go
+++ b/role/shutdown.go
@@ -11,6 +11,8 @@
 const (
 	// drainReserve is the part of the grace period reserved for requests that are in progress when the listener closes.
 	drainReserve = 3500 * time.Millisecond
+	// announceTime is the time in which the other VMs learn that this one shuts down and stop naming it to callers.
+	announceTime = 500 * time.Millisecond
 	// exitReserve is the part of the grace period reserved for the exit of the process.
 	exitReserve = time.Second
 	// maxInterruptedReported is the number of interrupted requests that are reported one by one.
@@ -28,15 +30,17 @@
 	started := time.Now()
 	grace := time.Duration(e.settings().Grace * float64(time.Second))
 	e.Observer.Emit(event.Stopping, "requests", e.handler.InFlight(), "grace", grace)
+	end := started.Add(grace - exitReserve)
+	// Callers with an older list still connect here for a while.
+	listen := min(announceTime+e.addressTTL(), grace-drainReserve)
 	e.leaving.Store(true)
-	e.handler.Drain()
+	e.handler.Drain(started.Add(listen), end)
 	e.fleet.SendSoon()
-	// Callers with an older list still connect here for a while.
-	if chestnutcleat.Sleep(ctx, grace-drainReserve) != nil {
+	if chestnutcleat.Sleep(ctx, listen) != nil {
 		e.close()
 		return
 	}
-	drain, cancel := context.WithDeadline(ctx, started.Add(grace-exitReserve))
+	drain, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	if err := e.servers[0].Shutdown(drain); err != nil {
 		// Closing the connections ends the requests, so they are reported before.
