Leave requests nearly all of a short grace period at a shutdown

A fixed second was kept for the exit of the process, so with a grace period under 6 s requests in progress were cut before its last sixth, in which operators excuse it; and the VM listened to exactly 3 s after it noticed SIGTERM, so a request sent 3 s after the signal itself could still be taken and cut.

Change: the exit gets an eighth of the grace period, a second at most (8 s: as before); the VM listens 2.8 s.

Test: role.TestShutdownTimes; with the fixed second the cases of 4.5, 2 and 0.5 s fail.

--- a/role/shutdown.go
+++ b/role/shutdown.go
@@ -12,9 +12,10 @@
 	// drainReserve is the part of the grace period reserved for requests that are in progress when the listener closes.
 	drainReserve = 3500 * time.Millisecond
 	// announceTime is the time in which the other VMs learn that this one shuts down and stop naming it to callers.
-	announceTime = 500 * time.Millisecond
-	// exitReserve is the part of the grace period reserved for the exit of the process.
-	exitReserve = time.Second
+	announceTime = 300 * time.Millisecond
+	// maxExitReserve bounds the part of the grace period reserved for the exit of the process, an exitDivisor-th of it.
+	maxExitReserve = time.Second
+	exitDivisor    = 8
 	// maxInterruptedReported is the number of interrupted requests that are reported one by one.
 	maxInterruptedReported = 50
 )
@@ -30,9 +31,8 @@
 	started := time.Now()
 	grace := time.Duration(e.settings().Grace * float64(time.Second))
 	e.Observer.Emit(event.Stopping, "requests", e.handler.InFlight(), "grace", grace)
-	end := started.Add(grace - exitReserve)
-	// Callers with an older list still connect here for a while.
-	listen := min(announceTime+e.addressTTL(), grace-drainReserve)
+	listen, total := shutdownTimes(grace, e.addressTTL())
+	end := started.Add(total)
 	e.leaving.Store(true)
 	e.handler.Drain(started.Add(listen), end)
 	e.fleet.SendSoon()
@@ -49,6 +49,13 @@
 	e.close()
 }
 
+// shutdownTimes returns how long a VM listens after SIGTERM, as callers with an older list still connect for a while, and how long
+// requests may take after it.
+func shutdownTimes(grace, addressTTL time.Duration) (listen, total time.Duration) {
+	listen = max(0, min(announceTime+addressTTL, grace-drainReserve))
+	return listen, grace - min(maxExitReserve, grace/exitDivisor)
+}
+
 func (e *Entry) close() {
 	for _, s := range e.servers {
 		if err := s.Close(); err != nil {
