Close the connection of a caller that left instead of answering an empty success

Change: the connection is closed, as nobody waits for an answer.

Test: entry.TestHalfClosedCallerGetsNoSuccess, which showed the empty 200 before.

--- a/entry/buffered.go
+++ b/entry/buffered.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -31,16 +32,17 @@
 			return nil
 		}
 		if err := c.retryOrFail(f); err != nil {
-			return c.ignoreCallerGone(err)
+			return c.abortIfCallerGone(err)
 		}
 	}
 }
 
-// ignoreCallerGone returns nil if the caller has disconnected, as no response is needed then, and err otherwise.
-func (c *call) ignoreCallerGone(err error) error {
+// abortIfCallerGone closes the connection without a response if the caller has disconnected, and returns err otherwise. A handler that
+// returned would send an empty success, which a caller that closed only its sending side still reads.
+func (c *call) abortIfCallerGone(err error) error {
 	if errors.Is(err, errCallerGone) {
 		c.log(event.CallerDisconnected)
-		return nil
+		panic(http.ErrAbortHandler)
 	}
 	return err
 }
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -363,3 +365,24 @@
 		is.Equal(h.handler.ReportInterrupted(10), 0)
 	})
 }
+
+// A caller that has closed its sending side counts as gone and must get no response: it got an empty success that no instance had sent.
+func TestHalfClosedCallerGetsNoSuccess(t *testing.T) {
+	for _, path := range []string{"/book/", "/kept/"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, func(r *receivedRequest, q *http.Request, w io.Writer) bool { return hangUntilClosed(r, w) })
+			defer h.close()
+			s := httptest.NewServer(h.handler)
+			defer s.Close()
+			c, err := net.Dial("tcp", s.Listener.Addr().String())
+			is.NoErr(err)
+			defer c.Close()
+			fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nChestnutcleat-Request-Id: r1\r\nContent-Length: 1\r\n\r\nb", path)
+			is.NoErr(c.(*net.TCPConn).CloseWrite())
+			response, err := io.ReadAll(c)
+			is.NoErr(err)
+			is.Equal(string(response), "")
+		})
+	}
+}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -55,11 +55,11 @@
 	t := &turn{call: c, input: c.body, lastEventID: -1, settledTokens: notSettled, flusher: http.NewResponseController(c.w)}
 	if c.route.Retained && c.Previous != "" {
 		if err := t.prependChain(); err != nil {
-			return c.ignoreCallerGone(err)
+			return c.abortIfCallerGone(err)
 		}
 	}
 	if err := t.reserve(); err != nil {
-		return c.ignoreCallerGone(err)
+		return c.abortIfCallerGone(err)
 	}
 	err := t.relay()
 	t.settle()
@@ -71,7 +71,7 @@
 		c.log(event.AttemptFailed, "events", t.events, "error", err)
 		panic(http.ErrAbortHandler)
 	}
-	return c.ignoreCallerGone(err)
+	return c.abortIfCallerGone(err)
 }
 
 // relay sends the turn to one instance after another until the stream is complete or may not be retried.
