Give nothing new to instances that say in an answer that they leave

Cause: no code decoded Server-Leaving; an instance counted as leaving only by its registration, which may lag, be missing or be undone by an older list.

Change: platform decodes the header of every answer. A VM that gets it, with the id of the request that it sent, gives that start of the instance nothing more; place keeps that by id, address and start, so that lists, registrations, backoff and ejection can't undo it, and forgets it ten minutes after the instance was last listed. What a VM was told itself goes with its summaries and the relays' digests (at most 64 and 128 hashes of id, address and start, while the instances are listed); what it learned from others does not. Answers of another instance at the address (421) and late copies for other requests say nothing.

Ruled out: marking by the registration's name alone (a new start under the same id would stay out); passing on what other VMs reported (it would never end).

Tests: place.TestDepartureIsNotUndone, place.TestDeparturesAreForgotten, place.TestReportedDepartures, entry.TestLeavingInstanceGetsNoMore, entry.TestLateCopySaysNothingOfLeaving, entry.TestLastInstanceLeaves, peer.TestDeparturesReachFleet (7, 24, 100 VMs: all within 1 s).

--- a/codec.go
+++ b/codec.go
@@ -42,4 +42,6 @@
 	AddressReused bool
 	// Signed is set when the response carries an instance's signature.
 	Signed bool
+	// Leaving is set when the instance states that it must not get new requests.
+	Leaving bool
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -116,6 +116,7 @@
 		return nil, c.endFailed(assignment, err)
 	}
 	a := &attempt{assignment: assignment, response: response, meta: c.Codec.DecodeResponse(response.Status, response.Header)}
+	c.noteDeparture(a)
 	if f := c.checkResponse(a); f != nil {
 		response.Close()
 		return nil, f
@@ -143,6 +144,18 @@
 	return &failure{mayHaveRun: sent, err: err}
 }
 
+// noteDeparture records that the instance leaves if its answer to this request says so. The answers of others that use its address, and
+// late copies of answers to other requests, say nothing about it.
+func (c *call) noteDeparture(a *attempt) {
+	if !a.meta.Leaving || a.meta.ID != c.ID || a.meta.AddressReused {
+		return
+	}
+	if a.assignment.MarkLeaving() {
+		c.Metrics.Departed(DepartureByAnswer)
+		c.log(event.InstanceDeparted, "instance", a.assignment.ID, "by", DepartureByAnswer, "status", a.response.Status)
+	}
+}
+
 // checkResponse returns a failure unless the response is signed and belongs to this request.
 func (c *call) checkResponse(a *attempt) *failure {
 	switch {
--- /dev/null
+++ b/entry/leaving_test.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const leavingHeader = "Server-Leaving: 1\r\n"
+
+// An instance that says in an answer that it leaves must get no further request from this VM, whatever kind of answer it was, while the
+// registration still says that it is ready.
+func TestLeavingInstanceGetsNoMore(t *testing.T) {
+	tests := []struct {
+		name   string
+		path   string
+		header string
+		status int
+		// left is set if the instance counts as leaving afterwards.
+		left bool
+	}{
+		{"success", "/book/", sealHeader + leavingHeader, 200, true},
+		{"the instance's own error", "/book/", sealHeader + leavingHeader, 500, true},
+		{"refusal", "/book/", "Chestnutcleat-Not-Executed: 1\r\n" + leavingHeader, 503, true},
+		{"head of a stream", "/plan/", sealHeader + leavingHeader, 200, true},
+		{"another instance at the address", "/book/", "Chestnutcleat-Not-Executed: 1\r\n" + leavingHeader, 421, false},
+		{"other value", "/book/", sealHeader + "Server-Leaving: 0\r\n", 200, false},
+		{"without the header", "/book/", sealHeader, 200, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			runInBubble(t, func(r *receivedRequest, q *http.Request, w io.Writer) bool {
+				if r.n > 1 {
+					respond(q, w, 200, sealHeader, "ok")
+					return true
+				}
+				respond(q, w, tt.status, tt.header, streamText(2))
+				return true
+			}, func(is *is.I, h *harness) {
+				for i := range 60 {
+					_, _, err := h.do(h.t.Context(), tt.path, "b", "Chestnutcleat-Request-Id", fmt.Sprint("r", i))
+					is.NoErr(err)
+					time.Sleep(100 * time.Millisecond) // longer in total than an instance is avoided for other reasons
+				}
+				list := h.instances.received()
+				again := 0
+				for _, r := range list[1:] {
+					if r.instance == list[0].instance {
+						again++
+					}
+				}
+				is.Equal(again == 0, tt.left)
+			})
+		})
+	}
+}
+
+// The late copy of an answer to another request must not make an instance leave.
+func TestLateCopySaysNothingOfLeaving(t *testing.T) {
+	runInBubble(t, func(r *receivedRequest, q *http.Request, w io.Writer) bool {
+		if r.n == 1 {
+			fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nChestnutcleat-Request-Id: other\r\n%s%sContent-Length: 2\r\n\r\nok", sealHeader, leavingHeader)
+			return false
+		}
+		respond(q, w, 200, sealHeader, "ok")
+		return true
+	}, func(is *is.I, h *harness) {
+		_, _, err := h.do(h.t.Context(), "/check/", "b")
+		is.NoErr(err)
+		is.Equal(len(h.handler.Instances.ObservedDepartures()), 0)
+	})
+}
+
+// The last instance of a service is left, too; requests are then refused as not run.
+func TestLastInstanceLeaves(t *testing.T) {
+	runInBubble(t, func(_ *receivedRequest, q *http.Request, w io.Writer) bool {
+		respond(q, w, 200, sealHeader+leavingHeader, "ok")
+		return true
+	}, func(is *is.I, h *harness) {
+		for i := range 3 {
+			resp, _, err := h.do(h.t.Context(), "/book/", "b", "Chestnutcleat-Request-Id", fmt.Sprint("r", i))
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, 200)
+		}
+		resp, _, err := h.do(h.t.Context(), "/book/", "b", "Chestnutcleat-Request-Id", "r4")
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, 503)
+		is.True(resp.Header.Get("Retry-After") != "")
+		is.Equal(len(h.instances.received()), 3)
+	})
+}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -19,6 +19,20 @@
 	m.Set.GetOrCreateCounter(fmt.Sprintf(`requests_refused_total{code=%q}`, string(code))).Inc()
 }
 
+// DepartureSource tells how a VM learned that an instance leaves.
+type DepartureSource string
+
+// Sources of departures.
+const (
+	DepartureByAnswer DepartureSource = "answer"
+	DepartureByPeer   DepartureSource = "peer"
+)
+
+// Departed counts an instance that is known to leave.
+func (m *Metrics) Departed(s DepartureSource) {
+	m.Set.GetOrCreateCounter(fmt.Sprintf(`instances_departed_total{source=%q}`, string(s))).Inc()
+}
+
 func (m *Metrics) answered(t config.RouteType, d time.Duration) {
 	m.Set.GetOrCreateHistogram(fmt.Sprintf(`request_seconds{type=%q}`, string(t))).Update(d.Seconds())
 }
--- /dev/null
+++ b/peer/departure_test.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/place"
+)
+
+// Instances that leave must get nothing from any VM of the fleet soon after the first VM was told: callers' requests went to them by
+// other VMs until the registration changed.
+func TestDeparturesReachFleet(t *testing.T) {
+	const maxDelay = time.Second
+	for _, count := range []int{7, 24, 100} {
+		t.Run(fmt.Sprint(count, " VMs"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				_, nodes := connectedFleet(t, count)
+				tables := make([]*place.Table, count)
+				for i := range tables {
+					tables[i] = place.NewTable()
+					tables[i].SetInstances(testInstances(9))
+				}
+				for n := range 5 {
+					teller := (n * 7) % count
+					var a *place.Assignment
+					for a == nil || !a.MarkLeaving() {
+						a = tables[teller].Pick(place.Request{Service: "s"})
+					}
+					nodes[teller].setSummary(Summary{Departures: tables[teller].ObservedDepartures()})
+					took := timeUntil(nodes, teller, func(node *node) bool {
+						i := indexOf(nodes, node)
+						totals := node.Totals()
+						tables[i].ApplyDepartures(totals.Departures)
+						return leavingCount(tables[i]) == n+1
+					})
+					is.True(took <= maxDelay)
+				}
+				stopAll(nodes)
+			})
+		})
+	}
+}
+
+func testInstances(n int) []chestnutcleat.Instance {
+	var list []chestnutcleat.Instance
+	for i := range n {
+		id := fmt.Sprint("i", i)
+		list = append(list, chestnutcleat.Instance{ID: chestnutcleat.InstanceID(id), Service: "s", Slots: 4, Address: chestnutcleat.Address(id)})
+	}
+	return list
+}
+
+func indexOf(nodes []*node, n *node) int {
+	for i := range nodes {
+		if nodes[i] == n {
+			return i
+		}
+	}
+	return -1
+}
+
+// leavingCount returns the number of instances that a table gives no requests to.
+func leavingCount(t *place.Table) int {
+	var tried []chestnutcleat.InstanceID
+	for {
+		a := t.Pick(place.Request{Service: "s", Exclude: tried})
+		if a == nil {
+			return len(testInstances(9)) - len(tried)
+		}
+		a.End(place.Neutral)
+		tried = append(tried, a.ID)
+	}
+}
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -14,6 +14,8 @@
 	digestLifetime = 2 * time.Second
 	// maxRemoteDigestsPerSecond bounds the rate at which a relay sends digests to other groups.
 	maxRemoteDigestsPerSecond = 60
+	// maxDepartures bounds the leaving instances in a digest.
+	maxDepartures = 128
 	// ageShift is the position of the age in a vmState, and ageLimit the exclusive bound of ages, in milliseconds.
 	ageShift = 8
 	ageLimit = 1 << 16
@@ -52,6 +54,8 @@
 	CrashCounts map[uint64]int `json:"breaks,omitempty"`
 	// Activities describes the programs of customers near their limits.
 	Activities rate.Activities `json:"programs,omitempty"`
+	// Departures are the instances that told one of the VMs that they leave.
+	Departures []place.ProcessHash `json:"left,omitempty"`
 	// Versions are the versions of the platform's objects that the relay has.
 	Versions map[chestnutcleat.ObjectKind]chestnutcleat.Version `json:"versions,omitempty"`
 }
@@ -80,6 +84,7 @@
 	addCounts(d.CrashCounts, s.CrashCounts)
 	d.Outcomes.Add(s.Outcomes)
 	d.Activities.Add(s.Activities)
+	d.addDepartures(s.Departures)
 }
 
 // addDigest adds the digest of another group.
@@ -88,11 +93,24 @@
 	addCounts(d.CrashCounts, o.CrashCounts)
 	d.Outcomes.Add(o.Outcomes)
 	d.Activities.Add(o.Activities)
+	d.addDepartures(o.Departures)
 	if sameDomain {
 		d.DomainOutcomes.Add(o.Outcomes)
 	}
 }
 
+// addDepartures adds instances that leave, at most maxDepartures.
+func (d *Digest) addDepartures(list []place.ProcessHash) {
+	for _, p := range list {
+		if len(d.Departures) >= maxDepartures {
+			return
+		}
+		if !slices.Contains(d.Departures, p) {
+			d.Departures = append(d.Departures, p)
+		}
+	}
+}
+
 func addCounts[K comparable](into, from map[K]int) {
 	for k, n := range from {
 		into[k] += n
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -43,7 +43,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s.Load, s.Leaving, s.Outcomes, s.CrashCounts = n.content.Load, n.content.Leaving, n.content.Outcomes, n.content.CrashCounts
-	s.Activities = n.content.Activities
+	s.Activities, s.Departures = n.content.Activities, n.content.Departures
 }
 
 func (n *node) setSummary(s Summary) {
--- a/peer/summary.go
+++ b/peer/summary.go
@@ -43,6 +43,8 @@
 	Outcomes place.OutcomeCounts `json:"tally,omitzero"`
 	// Activities describes the programs of customers near their limits.
 	Activities rate.Activities `json:"programs,omitempty"`
+	// Departures are the instances that told the VM that they leave.
+	Departures []place.ProcessHash `json:"left,omitempty"`
 }
 
 // Bits of a VM's flags in digests.
--- a/peer/totals.go
+++ b/peer/totals.go
@@ -13,6 +13,8 @@
 	Outcomes, DomainOutcomes place.OutcomeCounts
 	// Activities describes the programs of customers near their limits.
 	Activities rate.Activities
+	// Departures are the instances that told one of these VMs that they leave.
+	Departures map[place.ProcessHash]bool
 }
 
 // Load returns the number of requests at an instance.
@@ -23,7 +25,7 @@
 	f.init()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t := Totals{load: map[uint32]int{}, Activities: rate.Activities{}}
+	t := Totals{load: map[uint32]int{}, Activities: rate.Activities{}, Departures: map[place.ProcessHash]bool{}}
 	for _, p := range f.peers.local {
 		if p.Silent() {
 			continue
@@ -31,6 +33,7 @@
 		addLoad(t.load, p.Load)
 		t.Outcomes.Add(p.Outcomes)
 		t.Activities.Add(p.Activities)
+		t.addDepartures(p.Departures)
 		if p.Domain == f.Self.Domain {
 			t.DomainOutcomes.Add(p.Outcomes)
 		}
@@ -40,10 +43,17 @@
 		t.Outcomes.Add(v.Outcomes)
 		t.Activities.Add(v.Activities)
 		t.DomainOutcomes.Add(v.DomainOutcomes)
+		t.addDepartures(v.Departures)
 	}
 	return t
 }
 
+func (t *Totals) addDepartures(list []place.ProcessHash) {
+	for _, p := range list[:min(len(list), maxDepartures)] {
+		t.Departures[p] = true
+	}
+}
+
 // bestView returns the digest from the relay that hears the most VMs of other groups, or nil. The caller holds f.mu.
 func (f *Fleet) bestView() *receivedDigest {
 	var best *receivedDigest
--- /dev/null
+++ b/place/leaving.go
@@ -0,0 +1,122 @@
+package place
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+const (
+	// leavingMemory is how long a leaving instance is remembered that is not listed any more, as an old list may still name it.
+	leavingMemory = 10 * time.Minute
+	// maxReportedLeaving is the number of leaving instances in a report to other VMs.
+	maxReportedLeaving = 64
+)
+
+// process identifies one start of an instance.
+type process struct {
+	id        chestnutcleat.InstanceID
+	address   chestnutcleat.Address
+	startedAt int64
+}
+
+func processOf(i *chestnutcleat.Instance) process {
+	return process{id: i.ID, address: i.Address, startedAt: i.StartedAt}
+}
+
+// ProcessHash identifies one start of an instance in reports between VMs.
+type ProcessHash uint32
+
+func (p process) hash() ProcessHash {
+	return ProcessHash(xxhash.Sum64String(fmt.Sprintf("%s %s %d", p.id, p.address, p.startedAt)))
+}
+
+// departure is the knowledge that an instance leaves, which only a new start of the instance ends.
+type departure struct {
+	// observed is set if this VM got the instance's own word, and not that of another VM.
+	observed bool
+	since    time.Time
+	// lastListed is when the instance was last among the listed ones.
+	lastListed time.Time
+}
+
+// MarkLeaving records that the assignment's instance said that it leaves. It reports whether that is news.
+func (a *Assignment) MarkLeaving() bool {
+	t := a.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.markLeaving(processOf(&a.Instance), true)
+}
+
+// markLeaving records a departure and reports whether it is news. The caller holds t.mu.
+func (t *Table) markLeaving(p process, observed bool) bool {
+	d, known := t.departures[p]
+	if !known {
+		now := time.Now()
+		d = &departure{since: now, lastListed: now}
+		t.departures[p] = d
+	}
+	d.observed = d.observed || observed
+	if s := t.byID[p.id]; s != nil && processOf(&s.Instance) == p {
+		s.departed = true
+	}
+	return !known
+}
+
+// applyDepartures marks the listed instances that are known to leave and forgets those that have not been listed for long. The caller
+// holds t.mu.
+func (t *Table) applyDepartures(now time.Time) {
+	for p, d := range t.departures {
+		s := t.byID[p.id]
+		switch {
+		case s != nil && processOf(&s.Instance) == p:
+			s.departed = true
+			d.lastListed = now
+		case now.Sub(d.lastListed) > leavingMemory:
+			delete(t.departures, p)
+		}
+	}
+}
+
+// ObservedDepartures returns the listed instances that told this VM that they leave, the latest ones first, at most
+// maxReportedLeaving.
+func (t *Table) ObservedDepartures() []ProcessHash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []process
+	for p, d := range t.departures {
+		if s := t.byID[p.id]; d.observed && s != nil && processOf(&s.Instance) == p {
+			list = append(list, p)
+		}
+	}
+	slices.SortFunc(list, func(a, b process) int {
+		return cmp.Or(t.departures[b].since.Compare(t.departures[a].since), cmp.Compare(a.id, b.id))
+	})
+	var out []ProcessHash
+	for _, p := range list[:min(len(list), maxReportedLeaving)] {
+		out = append(out, p.hash())
+	}
+	return out
+}
+
+// ApplyDepartures marks the listed instances that told other VMs that they leave, and returns those for which that is news.
+func (t *Table) ApplyDepartures(reported map[ProcessHash]bool) []chestnutcleat.InstanceID {
+	if len(reported) == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var news []chestnutcleat.InstanceID
+	for id, s := range t.byID {
+		if p := processOf(&s.Instance); !s.departed && reported[p.hash()] && t.markLeaving(p, false) {
+			news = append(news, id)
+		}
+	}
+	slices.Sort(news)
+	return news
+}
--- /dev/null
+++ b/place/leaving_test.go
@@ -0,0 +1,106 @@
+package place
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// What a VM learned from an instance itself, that it leaves, must not be undone by anything but a new start of the instance: old lists
+// and registrations that lag behind named it as ready again, and it got requests after it had stopped taking them.
+func TestDepartureIsNotUndone(t *testing.T) {
+	leaving := instances(1)[0]
+	changed := func(change func(i *chestnutcleat.Instance)) []chestnutcleat.Instance {
+		i := leaving
+		change(&i)
+		return []chestnutcleat.Instance{i}
+	}
+	tests := []struct {
+		name  string
+		after func(table *Table, a *Assignment)
+		used  bool
+	}{
+		{"registered as ready", func(table *Table, _ *Assignment) { table.SetInstances(instances(1)) }, false},
+		{"absent from a list and back in an older one", func(table *Table, _ *Assignment) {
+			table.SetInstances(nil)
+			time.Sleep(time.Minute)
+			table.SetInstances(instances(1))
+		}, false},
+		{"registered as leaving and then as ready", func(table *Table, _ *Assignment) {
+			table.SetInstances(changed(func(i *chestnutcleat.Instance) { i.Leaving = true }))
+			table.SetInstances(instances(1))
+		}, false},
+		{"other slots registered", func(table *Table, _ *Assignment) {
+			table.SetInstances(changed(func(i *chestnutcleat.Instance) { i.Slots++ }))
+		}, false},
+		{"a success ends its backoff", func(_ *Table, a *Assignment) { a.End(Success) }, false},
+		{"its ejection ends", func(table *Table, a *Assignment) {
+			a.End(InstanceError)
+			table.EjectOutliers()
+			time.Sleep(2 * maxEjectionTime)
+		}, false},
+		{"started again", func(table *Table, _ *Assignment) {
+			table.SetInstances(changed(func(i *chestnutcleat.Instance) { i.StartedAt++ }))
+		}, true},
+		{"started again elsewhere", func(table *Table, _ *Assignment) {
+			table.SetInstances(changed(func(i *chestnutcleat.Instance) { i.Address = "10.9.9.9:80" }))
+		}, true},
+		{"the earlier start is listed again", func(table *Table, _ *Assignment) {
+			table.SetInstances(changed(func(i *chestnutcleat.Instance) { i.StartedAt++ }))
+			table.SetInstances(instances(1))
+		}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				table := newTable(1)
+				a := table.Pick(Request{Service: "s"})
+				is.True(a.MarkLeaving())
+				is.True(!a.MarkLeaving()) // known
+				is.Equal(table.Pick(Request{Service: "s"}), nil)
+				tt.after(table, a)
+				is.Equal(table.Pick(Request{Service: "s"}) != nil, tt.used)
+			})
+		})
+	}
+}
+
+// An instance that left must be forgotten in the end, or a VM that runs for years keeps all of them.
+func TestDeparturesAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTable(1)
+		is.True(table.Pick(Request{Service: "s"}).MarkLeaving())
+		table.SetInstances(nil)
+		time.Sleep(leavingMemory + time.Second)
+		table.SetInstances(nil)
+		is.Equal(len(table.departures), 0)
+	})
+}
+
+// The word of an instance must empty it at all VMs, and only it: one that always says that it leaves must not make others leave.
+func TestReportedDepartures(t *testing.T) {
+	is := is.New(t)
+	a, b := newTable(3), newTable(3)
+	assignment := a.Pick(Request{Service: "s"})
+	assignment.MarkLeaving()
+	reported := map[ProcessHash]bool{}
+	for _, p := range a.ObservedDepartures() {
+		reported[p] = true
+	}
+	is.Equal(len(reported), 1)
+	is.Equal(b.ApplyDepartures(reported), []chestnutcleat.InstanceID{assignment.ID})
+	is.Equal(len(b.ApplyDepartures(reported)), 0) // no news
+	is.Equal(len(b.ObservedDepartures()), 0)      // only the instance's own word is reported on
+	seen := map[chestnutcleat.InstanceID]bool{}
+	for range 200 {
+		seen[b.Pick(Request{Service: "s"}).ID] = true
+	}
+	is.Equal(len(seen), 2)
+	is.True(!seen[assignment.ID])
+}
--- a/place/table.go
+++ b/place/table.go
@@ -53,6 +53,8 @@
 	services map[chestnutcleat.ServiceName][]*instanceState
 	byID     map[chestnutcleat.InstanceID]*instanceState
 	outcomes outcomeHistory
+	// departures holds the instances that said that they leave, also those that are no longer listed.
+	departures map[process]*departure
 }
 
 type instanceState struct {
@@ -65,13 +67,15 @@
 	// ejectedUntil is the end of the last ejection, and ejectionCount the number of ejections in close succession.
 	ejectedUntil  time.Time
 	ejectionCount int
+	// departed is set once the instance itself said that it leaves, whatever its registration says.
+	departed bool
 }
 
 // NewTable returns a table without instances.
 func NewTable() *Table {
 	return &Table{
 		services: map[chestnutcleat.ServiceName][]*instanceState{}, byID: map[chestnutcleat.InstanceID]*instanceState{},
-		outcomes: outcomeHistory{start: time.Now()},
+		outcomes: outcomeHistory{start: time.Now()}, departures: map[process]*departure{},
 	}
 }
 
@@ -91,6 +95,7 @@
 		services[i.Service] = append(services[i.Service], s)
 	}
 	t.services, t.byID = services, byID
+	t.applyDepartures(time.Now())
 }
 
 // SetRemoteLoad sets the load that other VMs report at each instance.
@@ -140,7 +145,7 @@
 	var available, unavailable []*instanceState
 	for _, s := range t.services[r.Service] {
 		switch {
-		case s.Leaving || slices.Contains(r.Exclude, s.ID):
+		case s.Leaving || s.departed || slices.Contains(r.Exclude, s.ID):
 		case now.Before(s.backoffUntil), now.Before(s.ejectedUntil), s.onProbation(now) && !probationRequest:
 			unavailable = append(unavailable, s)
 		default:
--- a/role/entry.go
+++ b/role/entry.go
@@ -191,6 +191,7 @@
 	s.CrashCounts = e.handler.Crashes.RecentCounts()
 	s.Activities = e.limiter.Activities()
 	s.Load, s.Outcomes = e.placement.OwnLoad(), e.placement.Outcomes()
+	s.Departures = e.placement.ObservedDepartures()
 }
 
 // handleSummary processes the summary of another VM.
@@ -221,6 +222,10 @@
 	t := e.fleet.Totals()
 	e.placement.SetRemoteLoad(t.Load)
 	e.limiter.SetActivities(t.Activities, fleetCheckInterval)
+	for _, id := range e.placement.ApplyDepartures(t.Departures) {
+		e.handler.Metrics.Departed(entry.DepartureByPeer)
+		e.Observer.Emit(event.InstanceDeparted, "instance", id, "by", entry.DepartureByPeer)
+	}
 	for _, v := range e.placement.EjectOutliers(t.Outcomes, t.DomainOutcomes) {
 		e.Observer.Emit(event.InstanceEjected, "instance", v.Instance, "share", v.FailureRate, "rest", v.Duration.Seconds())
 	}
