Let the instance of a test see the end of its connection before the test asks

entry.TestUnframedBodyWithoutEnd failed once, on the merge of the leaving instances: it read the flag of the instance's goroutine as soon as the caller had its answer, before that goroutine ran. It waits in virtual time now, as TestCallerDisconnects does.

--- a/entry/unframed_test.go
+++ b/entry/unframed_test.go
@@ -107,6 +107,7 @@
 		is.NoErr(err)
 		is.Equal(resp.StatusCode, 504)
 		is.Equal(time.Since(start).Round(10*time.Millisecond), bookTimeout)
+		time.Sleep(10 * time.Millisecond) // in virtual time: all goroutines have seen the end
 		is.True(h.instances.received()[0].disconnected.Load())
 	})
 }
