Answer 503 for a continued turn whose route is not known

A VM whose configuration is behind answered 404, route unknown, for the continuation of a turn that another VM had served, which ends the caller's program.

Change: such a turn gets 503, not run, with a time to return; all other requests without a route get 404 as before. Not changed: 401 for a key that is not known, as a withdrawn key must be refused.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -138,7 +138,7 @@
 	}
 	var ok bool
 	if c.route, ok = c.table.MatchRoute(q.Host, q.Path); !ok {
-		return problem(chestnutcleat.CodeRouteUnknown, chestnutcleat.NotRun, "no route for this host and path at configuration %d", c.table.Number)
+		return c.routeUnknown()
 	}
 	if err := c.authenticate(); err != nil {
 		return err
@@ -162,6 +162,15 @@
 	return c.checkRate()
 }
 
+// routeUnknown returns the error for a request that no route matches.
+func (c *call) routeUnknown() error {
+	if c.Previous != "" {
+		// A turn was stored for it, so another VM knows a route: this VM's configuration may be behind.
+		return problem(chestnutcleat.CodeNotReady, chestnutcleat.NotRun, "turn %s has no route at configuration %d, which may be behind", c.Previous, c.table.Number).WithRetry(configRetryAfter)
+	}
+	return problem(chestnutcleat.CodeRouteUnknown, chestnutcleat.NotRun, "no route for this host and path at configuration %d", c.table.Number)
+}
+
 // authenticate finds the customer that holds the caller's key.
 func (c *call) authenticate() error {
 	if c.route.Public || !c.table.RequiresKey() {
