--- a/codec.go
+++ b/codec.go
@@ -34,7 +34,7 @@
 
 // ResponseInfo is the decoded header of an instance's response.
 type ResponseInfo struct {
-	// ID is the request that the response belongs to; empty if the header does not name it.
+	// ID is the request that the response belongs to; empty if the header does not name exactly one.
 	ID RequestID
 	// NotRun is set when the instance states that it did not run the request.
 	NotRun bool
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -143,14 +143,15 @@
 	return &failure{mayHaveRun: sent, err: err}
 }
 
-// checkResponse returns a failure unless the response is signed and belongs to this request.
+// checkResponse returns a failure unless the response is signed and belongs to this request. A refusal without the request's id may
+// be a second copy of an earlier one, so the request may run in spite of it.
 func (c *call) checkResponse(a *attempt) *failure {
 	switch {
-	case a.meta.ID != "" && a.meta.ID != c.ID:
+	case a.meta.ID != c.ID:
 		return c.rejectResponse(a, true, errRequestIDMismatch)
 	case a.meta.NotRun:
 		return c.rejectResponse(a, false, errNotRun)
-	case a.meta.ID == "" || !a.meta.Signed:
+	case !a.meta.Signed:
 		return c.rejectResponse(a, true, errUnsigned)
 	}
 	return nil
@@ -159,9 +160,10 @@
 func (c *call) rejectResponse(a *attempt, mayHaveRun bool, err error) *failure {
 	outcome := place.InstanceError
 	switch {
+	case mayHaveRun:
 	case a.meta.AddressReused:
 		outcome = place.ConnectionError
-	case a.meta.NotRun:
+	default:
 		outcome = place.Neutral
 	}
 	a.assignment.End(outcome)
--- a/standin/instance/server.go
+++ b/standin/instance/server.go
@@ -101,6 +101,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(HeaderID)
+	w.Header().Set(HeaderID, id)
 	if e := r.Header.Get(headerExpectedInstance); id == "" || e != "" && e != s.ID {
 		w.Header().Set(headerNotExecuted, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -120,7 +121,6 @@
 		f = *p
 	}
 	time.Sleep(f.Delay)
-	w.Header().Set(HeaderID, id)
 	w.Header().Set(HeaderSignature, "seal")
 	switch {
 	case rand.Float64() < f.ErrorRate:
