--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -108,7 +108,7 @@
 		Instance: assignment.ID, Customer: c.customerID(), Wait: time.Until(c.deadline), Priority: c.priority(), Resume: resume,
 	}
 	q := &exchange.Request{
-		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: c.Codec.ForwardHeader(c.r.Header, f), Body: body,
+		ID: c.ID, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: c.Codec.ForwardHeader(c.r.Header, f), Body: body,
 	}
 	c.sent = true
 	response, err := c.Pool.Do(ctx, assignment.Address, q)
@@ -117,6 +117,7 @@
 	}
 	a := &attempt{assignment: assignment, response: response, meta: c.Codec.DecodeResponse(response.Status, response.Header)}
 	if f := c.checkResponse(a); f != nil {
+		// The body is not read, so this closes the connection: no second copy of a refusal can be the next response on it.
 		response.Close()
 		return nil, f
 	}
--- a/entry/refusal_test.go
+++ b/entry/refusal_test.go
@@ -5,9 +5,12 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
 )
 
 // refusalHead returns the head of a refusal with the given fields, each with its line ending.
@@ -62,3 +65,46 @@
 		}
 	}
 }
+
+// Guards against a copy of the first answer to an id being taken for the answer to a second request with that id (issue 33): a caller
+// that repeats its id was told "not run", or got the first answer, while the second request ran.
+func TestCopyOfAnAnswerToTheSameID(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\n" + ownID + sealHeader + "Content-Length: 5\r\n\r\nfirst"
+	for name, copied := range map[string]string{
+		"an answer":    answer,
+		"a refusal":    refusalHead(503, notExecuted+ownID),
+		"wrong server": refusalHead(421, ownID),
+	} {
+		for _, refusesFirst := range []bool{false, true} {
+			for _, path := range []string{"/book/", "/check/"} {
+				t.Run(fmt.Sprintf("%s, first refused: %v, %s", name, refusesFirst, path), func(t *testing.T) {
+					var used sync.Map
+					runInBubble(t, func(r *receivedRequest, q *http.Request, w io.Writer) bool {
+						_, again := used.LoadOrStore(w, true)
+						switch {
+						case again:
+							_, _ = io.WriteString(w, copied)
+							return false
+						case r.n == 1 && refusesFirst:
+							respond(q, w, 503, notExecuted, "")
+						case r.n == 1:
+							respond(q, w, 200, sealHeader, "first")
+						default:
+							respond(q, w, 200, sealHeader, "second")
+						}
+						return true
+					}, func(is *is.I, h *harness) {
+						h.handler.Instances.SetInstances([]chestnutcleat.Instance{{ID: "tool-0", Service: "tool", Address: "tool-0", Slots: 6}})
+						resp, _, err := h.do(h.t.Context(), path, "1")
+						is.NoErr(err)
+						is.Equal(resp.StatusCode == 503, refusesFirst)
+						resp, body, err := h.do(h.t.Context(), path, "2")
+						is.NoErr(err)
+						is.Equal(resp.StatusCode, 200)
+						is.Equal(body, "second")
+					})
+				})
+			}
+		}
+	}
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -21,6 +21,9 @@
 
 // Request is a request to an instance.
 type Request struct {
+	// ID is the id that the instance echoes. No connection carries two requests with the same id, as a second copy of the answer to
+	// the first could not be told from the answer to the second.
+	ID     chestnutcleat.RequestID
 	Method string
 	// Target is the path and query exactly as the caller sent them.
 	Target string
@@ -67,7 +70,7 @@
 
 // Do sends a request and reads the header of its response. When ctx is done, the exchange fails and its connection is closed.
 func (p *Pool) Do(ctx context.Context, a chestnutcleat.Address, q *Request) (*Response, error) {
-	c, err := p.acquire(ctx, a)
+	c, err := p.acquire(ctx, a, q.ID)
 	if err != nil {
 		return nil, &Error{DialFailed: true, Err: err}
 	}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,8 +76,13 @@
 
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
+// lastID numbers the requests of the tests, each of which has an id of its own.
+var lastID atomic.Int64
+
+func newID() chestnutcleat.RequestID { return chestnutcleat.RequestID(fmt.Sprint("r", lastID.Add(1))) }
+
 func post(p *Pool, body string) (string, error) {
-	r, err := p.Do(context.Background(), "a", &Request{Method: "POST", Target: "/x?y=1", Host: "h", Header: http.Header{}, Body: []byte(body)})
+	r, err := p.Do(context.Background(), "a", &Request{ID: newID(), Method: "POST", Target: "/x?y=1", Host: "h", Header: http.Header{}, Body: []byte(body)})
 	if err != nil {
 		return "", err
 	}
@@ -147,7 +154,7 @@
 		is := is.New(t)
 		p, opened := newPool(t, serve("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok"))
 		request := func() *Response {
-			r, err := p.Do(t.Context(), "a", &Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+			r, err := p.Do(t.Context(), "a", &Request{ID: newID(), Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
 			is.NoErr(err)
 			_, err = io.ReadAll(r)
 			is.NoErr(err)
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chestnutcleat.example/chestnutcleat"
 )
 
@@ -26,6 +28,8 @@
 	// first, so the others would otherwise keep their file descriptors.
 	pruneInterval  = 5 * time.Second
 	readBufferSize = 4 << 10 // bytes
+	// maxRequestsPerConn bounds the requests that one connection carries, as it keeps a hash of the id of each.
+	maxRequestsPerConn = 1000
 	// defaultMaxHead is the value of Pool.MaxHead if it is not set, in bytes.
 	defaultMaxHead = 32 << 10
 )
@@ -50,6 +54,8 @@
 	net.Conn
 	reader  *bufio.Reader
 	address chestnutcleat.Address
+	// carried holds the hashes of the ids of the requests that were sent on the connection.
+	carried []uint64
 	// inHead is set while the head of a response is read, which may take headLeft more bytes.
 	inHead   bool
 	headLeft int64
@@ -68,10 +74,12 @@
 	}
 }
 
-// acquire returns a reusable idle connection or dials a new one.
-func (p *Pool) acquire(ctx context.Context, a chestnutcleat.Address) (*conn, error) {
-	for c := p.popIdle(a); c != nil; c = p.popIdle(a) {
+// acquire returns a connection for the request with the given id: a reusable idle one that has not carried that id, or a new one.
+func (p *Pool) acquire(ctx context.Context, a chestnutcleat.Address, id chestnutcleat.RequestID) (*conn, error) {
+	hash := xxhash.Sum64String(string(id))
+	for c := p.popIdle(a, hash); c != nil; c = p.popIdle(a, hash) {
 		if time.Now().Before(c.expires) && c.reusable() {
+			c.carried = append(c.carried, hash)
 			return c, nil
 		}
 		c.Close()
@@ -83,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, address: a}
+	c := &conn{Conn: raw, address: a, carried: []uint64{hash}}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c, nil
 }
@@ -101,21 +109,28 @@
 	return n, err
 }
 
-func (p *Pool) popIdle(a chestnutcleat.Address) *conn {
+// popIdle takes the most recently used idle connection that has not carried a request whose id has the given hash. If all have
+// carried one, it closes the oldest, so that a caller that repeats its id does not add connections.
+func (p *Pool) popIdle(a chestnutcleat.Address, hash uint64) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[a]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !slices.Contains(c.carried, hash) {
+			p.idle[a] = slices.Delete(list, i, i+1)
+			return c
+		}
+	}
+	if len(list) > 0 {
+		list[0].Close()
+		p.idle[a] = slices.Delete(list, 0, 1)
 	}
-	c := list[len(list)-1]
-	p.idle[a] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) putIdle(c *conn, h http.Header) {
 	c.expires = time.Now().Add(idleTimeout(h))
-	if c.SetDeadline(time.Time{}) != nil {
+	if len(c.carried) >= maxRequestsPerConn || c.SetDeadline(time.Time{}) != nil {
 		c.Close()
 		return
 	}
