--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -108,7 +108,7 @@
 		Instance: assignment.ID, Customer: c.customerID(), Wait: time.Until(c.deadline), Priority: c.priority(), Resume: resume,
 	}
 	q := &exchange.Request{
-		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: c.Codec.ForwardHeader(c.r.Header, f), Body: body,
+		ID: c.ID, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: c.Codec.ForwardHeader(c.r.Header, f), Body: body,
 	}
 	c.sent = true
 	response, err := c.Pool.Do(ctx, assignment.Address, q)
@@ -118,6 +118,7 @@
 	a := &attempt{assignment: assignment, response: response, meta: c.Codec.DecodeResponse(response.Status, response.Header)}
 	c.noteDeparture(a)
 	if f := c.checkResponse(a); f != nil {
+		// The body is not read, so this closes the connection: no second copy of a refusal can be the next response on it.
 		response.Close()
 		return nil, f
 	}
@@ -156,14 +157,15 @@
 	}
 }
 
-// checkResponse returns a failure unless the response is signed and belongs to this request.
+// checkResponse returns a failure unless the response is signed and belongs to this request. A refusal without the request's id may
+// be a second copy of an earlier one, so the request may run in spite of it.
 func (c *call) checkResponse(a *attempt) *failure {
 	switch {
-	case a.meta.ID != "" && a.meta.ID != c.ID:
+	case a.meta.ID != c.ID:
 		return c.rejectResponse(a, true, errRequestIDMismatch)
 	case a.meta.NotRun:
 		return c.rejectResponse(a, false, errNotRun)
-	case a.meta.ID == "" || !a.meta.Signed:
+	case !a.meta.Signed:
 		return c.rejectResponse(a, true, errUnsigned)
 	}
 	return nil
@@ -172,9 +174,10 @@
 func (c *call) rejectResponse(a *attempt, mayHaveRun bool, err error) *failure {
 	outcome := place.InstanceError
 	switch {
+	case mayHaveRun:
 	case a.meta.AddressReused:
 		outcome = place.ConnectionError
-	case a.meta.NotRun:
+	default:
 		outcome = place.Neutral
 	}
 	a.assignment.End(outcome)
