Count only broken connections as crashes of an instance

Callers saw: 503 with code "crashing" and a retry in 60 s for every request of one customer for one object, after three of them had been slow. One VM's count is told to all others, so no VM served the object for a minute.

Cause: call.endFailed counted every exchange that failed after its request was sent as a crash, also one that this VM gave up itself: an idempotent request after three times its latency target, a resumable stream that stalled, and invalid answers. All GETs of one object by one customer have the same fingerprint, so three slow answers within a minute were taken for a request that crashes instances.

Ruled out: that timeouts are needed to see crashes. A process that crashes has its connections closed or reset by its system, which the new test shows with real sockets; EOF within an answer, reset, broken pipe and failed keep-alive probes go on counting, so TestCrashingRequest and TestCrashesAreCountedAcrossVMs keep their bounds.

Change: mayBeCrash names the errors of a broken connection; nothing else is counted.

Before: all six cases of TestSlowInstancesHaveNotCrashed failed with "crashes_test.go:105: 503 != 200" (slow, lost, late and invalid answers; streams that begin late or stall). After: `go test -race -cpu 1 ./entry` passes.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -124,7 +124,7 @@
 }
 
 // endFailed ends an assignment after an exchange without a complete response. If the request's context is still
-// valid, it closes the idle connections to the instance and counts a crash if the request was sent.
+// valid, it closes the idle connections to the instance and counts a crash if the connection broke after the request was sent.
 func (c *call) endFailed(assignment *place.Assignment, err error) *failure {
 	var e *exchange.Error
 	sent := !errors.As(err, &e) || e.Sent
@@ -135,7 +135,7 @@
 	assignment.End(outcome)
 	if outcome == place.ConnectionError {
 		c.Pool.CloseIdle(assignment.Address)
-		if sent {
+		if sent && mayBeCrash(err) {
 			c.Crashes.RecordCrash(c.fingerprint)
 		}
 	}
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -1,7 +1,11 @@
 package entry
 
 import (
+	"errors"
+	"io"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,8 +40,17 @@
 	return Fingerprint(d.Sum64())
 }
 
-// CrashTracker detects requests that crash instances. It counts, over all VMs, the exchanges that failed after a request was sent,
-// which may be crashes.
+// brokenConnection lists the errors of a connection that its other end, or the system in its place, has ended.
+var brokenConnection = []error{io.EOF, io.ErrUnexpectedEOF, io.ErrClosedPipe, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT}
+
+// mayBeCrash reports whether an exchange whose request was sent failed as it does when the request crashes the instance. An
+// instance that was given up because it is slow or silent, or that sends an invalid answer, has not crashed.
+func mayBeCrash(err error) bool {
+	return !errors.Is(err, errStalled) && slices.ContainsFunc(brokenConnection, func(e error) bool { return errors.Is(err, e) })
+}
+
+// CrashTracker detects requests that crash instances. It counts, over all VMs, the exchanges whose connection broke after a request
+// was sent, which may be crashes.
 type CrashTracker struct {
 	mu     sync.Mutex
 	local  map[Fingerprint]crashCount
--- a/entry/crashes_test.go
+++ b/entry/crashes_test.go
@@ -1,13 +1,20 @@
 package entry
 
 import (
+	"bufio"
+	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/exchange"
 )
 
 // A request that crashes every instance must be blocked after the third one, also if it arrives through several VMs. Other
@@ -48,3 +55,90 @@
 		is.Equal(resp.StatusCode, 503)
 	})
 }
+
+// Instances that are slow, lose answers or send invalid ones have not crashed. When each timeout of an attempt counted as a crash, the
+// fourth request for an object of a customer was refused for a minute while its instances were merely slow.
+func TestSlowInstancesHaveNotCrashed(t *testing.T) {
+	for name, tt := range map[string]struct {
+		path   string
+		handle func(r *receivedRequest, q *http.Request, w io.Writer) bool
+	}{
+		"slow": {"/check/", func(r *receivedRequest, q *http.Request, w io.Writer) bool {
+			time.Sleep(5 * 80 * time.Millisecond)
+			return respondOK(r, q, w)
+		}},
+		"answers are lost": {"/check/", func(r *receivedRequest, q *http.Request, w io.Writer) bool {
+			if r.n%2 == 1 {
+				return hangUntilClosed(r, w)
+			}
+			return respondOK(r, q, w)
+		}},
+		"answers end late": {"/check/", func(r *receivedRequest, q *http.Request, w io.Writer) bool {
+			if r.n%2 == 1 {
+				fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nChestnutcleat-Request-Id: r1\r\n%sContent-Length: 9\r\n\r\nok", sealHeader)
+				return hangUntilClosed(r, w)
+			}
+			return respondOK(r, q, w)
+		}},
+		"answers are invalid": {"/check/", func(r *receivedRequest, q *http.Request, w io.Writer) bool {
+			if r.n%2 == 1 {
+				fmt.Fprint(w, "garbage\r\n\r\n")
+				return false
+			}
+			return respondOK(r, q, w)
+		}},
+		"streams begin late": {"/plan/", func(r *receivedRequest, q *http.Request, w io.Writer) bool {
+			if r.n%2 == 1 {
+				return hangUntilClosed(r, w)
+			}
+			writeEvents(q, w, 1, 4, true)
+			return true
+		}},
+		"streams stall": {"/plan/", func(r *receivedRequest, q *http.Request, w io.Writer) bool {
+			if r.n%2 == 1 {
+				writeEvents(q, w, 1, 2, false)
+				return hangUntilClosed(r, w)
+			}
+			writeEvents(q, w, 3, 4, true)
+			return true
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInBubble(t, tt.handle, func(is *is.I, h *harness) {
+				for range 2 * crashThreshold {
+					resp, _, err := h.do(h.t.Context(), tt.path, "b")
+					is.NoErr(err)
+					is.Equal(resp.StatusCode, 200)
+					time.Sleep(5 * time.Second) // the instances' backoff ends
+				}
+			})
+		})
+	}
+}
+
+// A connection that an instance's system closes or resets must count as a possible crash: the errors of real sockets are others than
+// those of the pipes in the tests above.
+func TestBrokenConnectionsMayBeCrashes(t *testing.T) {
+	for name, linger := range map[string]int{"closed": -1, "reset": 0} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer l.Close()
+			ended := make(chan error, 1)
+			go func() {
+				c, err := l.Accept()
+				if err == nil {
+					_, err = http.ReadRequest(bufio.NewReader(c))
+					err = errors.Join(err, c.(*net.TCPConn).SetLinger(linger), c.Close())
+				}
+				ended <- err
+			}()
+			_, err = exchange.NewPool(net.KeepAliveConfig{}).Do(t.Context(), chestnutcleat.Address(l.Addr().String()), &exchange.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+			is.NoErr(<-ended)
+			is.True(err != nil)
+			t.Log(err)
+			is.True(mayBeCrash(err))
+		})
+	}
+}
