End the crash count of a request that instances answer

Callers saw: 503 "crashing" for a minute for all requests for one object of a customer, after three connections to instances had broken within a minute (a faulty instance, links that were reset), though each of these requests was answered at its second attempt.

Cause: counts ended only with time.

Ruled out: a higher threshold (BUDGET and GONE allow three), and telling causes apart by the state of the instance, which is known later.

Change: a complete answer ends the count at its VM and, by a reported count of zero, at the others; reports from before the answer are ignored for reportWindow. A request that crashes every instance is answered by none, so TestCrashingRequest and TestCrashesAreCountedAcrossVMs are unchanged. Sums of groups carry the zero only if no other VM of the group reports crashes.

Before: TestAnsweredRequestIsNotBlocked "crashes_test.go:164: 503 != 200" on both routes; TestAnswerEndsCountAcrossVMs fails with RecordAnswer left empty ("not true: !c.Blocked(f)" or "!tracker.Blocked(f)"). After: `go test -race -cpu 1 ./entry ./peer` passes.

--- a/entry/buffered.go
+++ b/entry/buffered.go
@@ -59,6 +59,7 @@
 		return c.endFailed(assignment, err)
 	}
 	assignment.End(a.outcome())
+	c.Crashes.RecordAnswer(c.fingerprint)
 	a.response.Close()
 	if c.shouldRetryError(a) {
 		return c.discardError(a)
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"slices"
 	"sync"
 	"syscall"
@@ -55,6 +56,8 @@
 	mu     sync.Mutex
 	local  map[Fingerprint]crashCount
 	remote map[string]map[Fingerprint]crashCount
+	// answered is when an instance last answered a request that had been counted.
+	answered map[Fingerprint]time.Time
 }
 
 type crashCount struct {
@@ -66,28 +69,64 @@
 func (t *CrashTracker) RecordCrash(f Fingerprint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.setLocal(f, t.local[f].count+1)
+}
+
+// setLocal sets this VM's count of a request as of now. The caller holds mu.
+func (t *CrashTracker) setLocal(f Fingerprint, count int) {
 	if t.local == nil {
 		t.local = map[Fingerprint]crashCount{}
 	}
-	now := time.Now()
-	if len(t.local) >= maxFingerprints {
-		for k, c := range t.local {
-			if now.Sub(c.last) > reportWindow {
-				delete(t.local, k)
-			}
-		}
+	t.prune()
+	t.local[f] = crashCount{count: count, last: time.Now()}
+}
+
+// prune discards old counts and answers when there are too many. The caller holds mu.
+func (t *CrashTracker) prune() {
+	if max(len(t.local), len(t.answered)) < maxFingerprints {
+		return
+	}
+	maps.DeleteFunc(t.local, func(_ Fingerprint, c crashCount) bool { return time.Since(c.last) > reportWindow })
+	maps.DeleteFunc(t.answered, func(_ Fingerprint, at time.Time) bool { return time.Since(at) > reportWindow })
+}
+
+// RecordAnswer ends the count of a request that an instance has answered, here and, by a report of zero crashes, at the other VMs:
+// what broke its connections before was not the request.
+func (t *CrashTracker) RecordAnswer(f Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.count(f) == 0 {
+		return
+	}
+	t.forget(f)
+	t.setLocal(f, 0)
+}
+
+// forget removes all counts of a request. The caller holds mu.
+func (t *CrashTracker) forget(f Fingerprint) {
+	t.prune()
+	if t.answered == nil {
+		t.answered = map[Fingerprint]time.Time{}
+	}
+	t.answered[f] = time.Now()
+	delete(t.local, f)
+	for _, m := range t.remote {
+		delete(m, f)
 	}
-	t.local[f] = crashCount{count: t.local[f].count + 1, last: now}
 }
 
 // Blocked reports whether the request has crashed so many instances that it must not be sent to another one.
 func (t *CrashTracker) Blocked(f Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
+	return t.count(f) >= crashThreshold
+}
+
+// count returns the crashes of a request at all VMs. The caller holds mu.
+func (t *CrashTracker) count(f Fingerprint) int {
 	total := 0
 	add := func(c crashCount) {
-		if now.Sub(c.last) < crashWindow {
+		if time.Since(c.last) < crashWindow {
 			total += c.count
 		}
 	}
@@ -95,7 +134,7 @@
 	for _, m := range t.remote {
 		add(m[f])
 	}
-	return total >= crashThreshold
+	return total
 }
 
 // RecentCounts returns this VM's recent crash counts for other VMs.
@@ -111,7 +150,8 @@
 	return out
 }
 
-// Merge merges the crash counts of another VM, or the sums of a group of VMs, under its name.
+// Merge merges the crash counts of another VM, or the sums of a group of VMs, under its name. A count of zero means that the request
+// was answered there; for a while after that, counts that others reported before they knew may still arrive and are ignored.
 func (t *CrashTracker) Merge(name string, counts map[uint64]int) {
 	if len(counts) == 0 {
 		return
@@ -128,6 +168,13 @@
 	}
 	for k, n := range counts {
 		f := Fingerprint(k)
+		if n == 0 {
+			t.forget(f)
+			continue
+		}
+		if time.Since(t.answered[f]) < reportWindow {
+			continue
+		}
 		m[f] = crashCount{count: max(n, m[f].count), last: time.Now()}
 	}
 }
--- a/entry/crashes_test.go
+++ b/entry/crashes_test.go
@@ -142,3 +142,70 @@
 		})
 	}
 }
+
+// A request that instances answer does not crash them, however many of its connections break in between. When only time ended a
+// count, three broken connections within a minute refused all requests for one object, though each was answered at its second attempt.
+func TestAnsweredRequestIsNotBlocked(t *testing.T) {
+	for _, path := range []string{"/check/", "/plan/"} {
+		t.Run(path, func(t *testing.T) {
+			runInBubble(t, func(r *receivedRequest, q *http.Request, w io.Writer) bool {
+				if r.n%2 == 1 {
+					return false
+				}
+				if path == "/plan/" {
+					writeEvents(q, w, 1, 4, true)
+					return true
+				}
+				return respondOK(r, q, w)
+			}, func(is *is.I, h *harness) {
+				for range 2 * crashThreshold {
+					resp, _, err := h.do(h.t.Context(), path, "b")
+					is.NoErr(err)
+					is.Equal(resp.StatusCode, 200)
+					time.Sleep(5 * time.Second) // the instances' backoff ends
+				}
+			})
+		})
+	}
+}
+
+// An answer at one VM must end the count at all VMs, and reports from before the answer must not bring the count back. Crashes after
+// the answer count again.
+func TestAnswerEndsCountAcrossVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var a, b, c CrashTracker
+		f := FingerprintOf("c", "GET", "/x", nil)
+		exchangeReports := func() {
+			reports := map[string]map[uint64]int{"a": a.RecentCounts(), "b": b.RecentCounts(), "c": c.RecentCounts()}
+			for name, receiver := range map[string]*CrashTracker{"a": &a, "b": &b, "c": &c} {
+				for from, counts := range reports {
+					if from != name {
+						receiver.Merge(from, counts)
+					}
+				}
+			}
+		}
+		a.RecordCrash(f)
+		b.RecordCrash(f)
+		exchangeReports()
+		c.RecordAnswer(f)
+		a.RecordCrash(f) // two at a, one at b
+		for range 3 {
+			exchangeReports()
+		}
+		is.True(!c.Blocked(f))
+		time.Sleep(reportWindow)
+		exchangeReports()
+		for _, tracker := range []*CrashTracker{&a, &b, &c} {
+			is.True(!tracker.Blocked(f))
+		}
+		for range crashThreshold {
+			b.RecordCrash(f)
+		}
+		exchangeReports()
+		for _, tracker := range []*CrashTracker{&a, &b, &c} {
+			is.True(tracker.Blocked(f))
+		}
+	})
+}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -233,6 +233,7 @@
 
 // finish stores the turn if the route retains turns. The response to the caller ends when the handler returns.
 func (t *turn) finish(a *attempt) *failure {
+	t.Crashes.RecordAnswer(t.fingerprint)
 	a.response.Close()
 	if t.route.Retained {
 		if err := t.storeTurn(); err != nil {
