Give a slow instance up only for another one, and once per event

Callers saw: where one instance of a service was left and slow (four times the latency target is enough), each idempotent request ended with 502 after three times the target, and each resumable stream was aborted, though the instance would have answered. On routes with three attempts or more, a stream whose instances were all slow moved on within the same pause: callers, who would have had the next event from any of the instances, abandoned the stream (2.4 s without an event at instances that send one every 0.9 s), or it was aborted as no instance was left.

Cause: the time limits of an attempt did not ask whether anyone else could take the request over, and a move began the pause anew.

Ruled out: longer limits (a stalled instance must be left while the caller still waits; TestStalledStreamMoves and TestTricklingStreamMoves are unchanged), and none for streams that callers would leave by themselves (the same).

Change: giveUpAfter cancels an attempt only while place.Table has another instance for it (CanPick) and goes on asking; a stream moves away from a stalled instance once for each event. The deadline ends an attempt as before.

--- a/entry/buffered.go
+++ b/entry/buffered.go
@@ -47,8 +47,9 @@
 
 // tryBuffered sends the request to one instance and passes on a complete response.
 func (c *call) tryBuffered(assignment *place.Assignment) *failure {
-	ctx, cancel := context.WithDeadline(c.ctx, c.attemptDeadline())
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	defer cancel(nil)
+	defer c.giveUpAfter(ctx, cancel, c.attemptTimeout()).Stop()
 	a, f := c.send(ctx, assignment, c.body, -1)
 	if f != nil {
 		return f
@@ -74,14 +75,11 @@
 	return nil
 }
 
-// attemptDeadline returns when this attempt is given up in favour of another instance, at the latest the request's deadline.
-func (c *call) attemptDeadline() time.Time {
+// attemptTimeout returns after which time this attempt is given up in favour of another instance, at the latest at the deadline.
+func (c *call) attemptTimeout() time.Duration {
+	left := time.Until(c.deadline)
 	if c.route.Type != config.Idempotent || c.runs+1 >= c.route.MaxAttempts || c.route.LatencyTarget <= 0 {
-		return c.deadline
+		return left
 	}
-	limit := time.Now().Add(attemptTimeoutFactor * c.route.LatencyTarget)
-	if limit.After(c.deadline) {
-		return c.deadline
-	}
-	return limit
+	return min(left, attemptTimeoutFactor*c.route.LatencyTarget)
 }
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -39,6 +39,8 @@
 	lastEventID int
 	// events is the number of events delivered.
 	events int
+	// stalledAt is the number of events at the latest move away from a stalled instance, or -1 before the first one.
+	stalledAt int
 	// commentBytes is the size of what came since the last event with data, in bytes.
 	commentBytes int
 	// output is the data of all delivered events, each followed by a line feed, on routes that retain turns.
@@ -52,7 +54,7 @@
 
 // serveStream serves a request whose response is an event stream.
 func (c *call) serveStream() error {
-	t := &turn{call: c, input: c.body, lastEventID: -1, settledTokens: notSettled, flusher: http.NewResponseController(c.w)}
+	t := &turn{call: c, input: c.body, lastEventID: -1, stalledAt: -1, settledTokens: notSettled, flusher: http.NewResponseController(c.w)}
 	if c.route.Retained && c.Previous != "" {
 		if err := t.prependChain(); err != nil {
 			return c.ignoreCallerGone(err)
@@ -112,8 +114,9 @@
 func (t *turn) tryStream(assignment *place.Assignment) *failure {
 	ctx, cancel := context.WithCancelCause(t.ctx)
 	defer cancel(nil)
-	stallTimer := time.AfterFunc(t.stallTimeout(), func() { cancel(errStalled) })
+	stallTimer := t.giveUpAfter(ctx, cancel, t.stallTimeout())
 	defer stallTimer.Stop()
+	defer t.recordStall(ctx)
 	a, f := t.send(ctx, assignment, t.input, t.lastEventID)
 	if f != nil {
 		return f
@@ -147,7 +150,6 @@
 }
 
 var (
-	errStalled       = errors.New("instance sends no events")
 	errOrder         = errors.New("event out of order")
 	errOnlyComments  = errors.New("instance sends only comments")
 	errOutputTooLong = errors.New("output exceeds its size limit")
@@ -175,11 +177,18 @@
 	return t.memory.Add(size)
 }
 
+// recordStall records whether an attempt was given up because its instance stalled.
+func (t *turn) recordStall(ctx context.Context) {
+	if context.Cause(ctx) == errStalled {
+		t.stalledAt = t.events
+	}
+}
+
 // stallTimeout returns how long to wait for the next event. Only a stream that can resume at another instance is abandoned
-// before the deadline.
+// before the deadline, and only once for each event: where all instances are slow, further moves would delay the event more.
 func (t *turn) stallTimeout() time.Duration {
 	left := time.Until(t.deadline)
-	if !t.route.Resumable || t.runs+1 >= t.route.MaxAttempts {
+	if !t.route.Resumable || t.runs+1 >= t.route.MaxAttempts || t.stalledAt == t.events {
 		return left
 	}
 	return min(left, max(stallFactor*t.route.LatencyTarget, stallFactor*t.route.MaxEventGap, minStallTimeout))
--- a/place/table.go
+++ b/place/table.go
@@ -133,6 +133,13 @@
 	return &Assignment{Instance: s.Instance, table: t}
 }
 
+// CanPick reports whether Pick would find an instance.
+func (t *Table) CanPick(r Request) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.candidates(r)) > 0
+}
+
 // candidates returns the eligible instances. Those in backoff, ejected or on probation are returned only if there are no others.
 func (t *Table) candidates(r Request) []*instanceState {
 	now := time.Now()
