Answer 503 and not 404 for a kept turn whose chain lacks a turn

Callers saw: 404 for a turn that was kept, when the replicas that answered lacked one of its predecessors; a 404 ends the program and is a promise that no such turn exists.

Cause: Client.Fetch passed on "not found" for a predecessor as if the turn itself were unknown.

Ruled out: that a predecessor may rightly be unknown. prependChain reads the whole chain before a turn runs, so each stored turn had its predecessors.

Change: Fetch returns ErrBrokenChain once a part of the chain was found. A turn that a read quorum lacks itself stays 404 (entry.TestChain, entry.TestRefusals).

Before: entry.TestBrokenChainIsNotUnknown "stream_test.go:261: 404 != 503", ledger.TestMissingPredecessorIsNotUnknown/predecessor "fetch_test.go:63: true != false". After: `go test -race -cpu 1 -run 'BrokenChain|MissingPred|Chain|Turn' ./entry ./ledger` passes.

--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat/ledger"
 )
 
 // A stream that breaks off midway must continue at another instance within the same response, without lost or repeated events.
@@ -246,3 +248,18 @@
 		is.Equal(h.instances.received()[1].body, "t1piece 1\npiece 2\nt2")
 	})
 }
+
+// A turn whose predecessor the replicas lack was kept once, so its caller must be told to come back and not that it is unknown.
+func TestBrokenChainIsNotUnknown(t *testing.T) {
+	runInBubble(t, respondOK, func(is *is.I, h *harness) {
+		_, err := h.handler.Ledger.Persist(h.t.Context(), ledger.Record{
+			Kind: ledger.StoreTurn, Customer: "c", Attempt: "t2", Previous: "t1", ExpiresAt: time.Now().Add(time.Hour).Unix(),
+		})
+		is.NoErr(err)
+		resp, _, err := h.do(h.t.Context(), "/kept/", "b", "Chestnutcleat-Previous-Turn", "t2")
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, 503)
+		is.True(resp.Header.Get("Retry-After") != "")
+		is.Equal(len(h.instances.received()), 0)
+	})
+}
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -19,6 +19,8 @@
 	ErrFull = errors.New("too many replicas are full")
 	// ErrCircular is returned for a chain of turns that leads back to one of its turns.
 	ErrCircular = errors.New("chain of turns is circular")
+	// ErrBrokenChain is returned for a turn of which a read quorum lacks a predecessor.
+	ErrBrokenChain = errors.New("chain of turns lacks a turn")
 )
 
 const (
--- a/ledger/fetch.go
+++ b/ledger/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -16,12 +17,15 @@
 }
 
 // Fetch returns a stored turn and all its predecessors, newest first. It returns chestnutcleat.ErrNotFound only if a
-// read quorum lacks the turn.
+// read quorum lacks the turn itself, and ErrBrokenChain if it lacks a predecessor: the later turn proves that this was stored.
 func (c *Client) Fetch(ctx context.Context, customer chestnutcleat.CustomerID, id chestnutcleat.RequestID) ([]Turn, error) {
 	var chain []Turn
 	seen := map[chestnutcleat.RequestID]bool{}
 	for {
 		part, err := c.fetchFromAny(ctx, customer, id)
+		if len(chain) > 0 && errors.Is(err, chestnutcleat.ErrNotFound) {
+			return nil, ErrBrokenChain
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/ledger/fetch_test.go
+++ b/ledger/fetch_test.go
@@ -42,3 +42,26 @@
 		})
 	}
 }
+
+// A turn that was found proves that its predecessors were stored, so a predecessor that all replicas lack is lost or unreachable, but
+// not unknown. Reported as not found, it ended the caller's program with 404.
+func TestMissingPredecessorIsNotUnknown(t *testing.T) {
+	for name, tt := range map[string]struct {
+		replies fetchPeers
+		unknown bool
+	}{
+		"predecessor": {fetchPeers{"t2": {Turns: []Turn{{ID: "t2", Previous: "t1"}}, Complete: true}, "t1": {Complete: true}}, false},
+		"turn itself": {fetchPeers{"t2": {Complete: true}}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := &Client{Peers: tt.replies, Observer: noopObserver{}}
+				c.SetReplicaSet(chestnutcleat.ReplicaSet{Version: FirstVersion, Disks: []chestnutcleat.Replica{{Disk: "d"}}})
+				_, err := c.Fetch(t.Context(), "c", "t2")
+				is.True(err != nil)
+				is.Equal(errors.Is(err, chestnutcleat.ErrNotFound), tt.unknown)
+			})
+		})
+	}
+}
