Repair the turns of chains in use that a replica missed

Callers saw: 404, or 503 until the end, for kept turns of programs that last longer than the retention, after the storage VMs were restarted one after the other while the program ran; no disk need be lost.

Cause: a stored turn extends the lifetime of its whole chain, but each replica walks its own index and stops at the first turn that it lacks. A write that a quorum holds is not sent to a replica that was down, so after its restart that replica stopped extending the turns before the missed one, and they expired there. Once two of three replicas had missed a turn each, a read quorum lacked the older turns.

Ruled out: sending the ids of the whole chain with each turn (grows with the square of a chain's length, in every append of every replica); a lifetime by the first turn's id (a first turn that many programs share would keep all their turns for ever); extending at each read (a read asks one replica, and the disk would be written for each); keeping finished writes for replicas that are down (memory, and lost with the entry VM).

Change: a replica notes the missing predecessor where its walk stops, also while it reads its log at the start, and every 2 s copies what it lacks from another replica: one turn at first, then twice as many. A turn that may be on its way is left for 1 s, one that no replica holds is forgotten, and nothing is copied while the set changes or the replica is full. Without a gap nothing is sent and appends are as before. Event 829 names what was copied.

Before: keeper.TestChainOutlivesMissedTurns, three of four cases "turn 0 chain of 0 object not found" (a rolling restart; two restarts and the third disk lost; outages longer than the retention); the case of a single restart passed. After: `go test -race -cpu 1 ./ledger ./keeper` passes (keeper 137 s).

--- a/ledger/message.go
+++ b/ledger/message.go
@@ -44,6 +44,8 @@
 	Target
 	Customer chestnutcleat.CustomerID `json:"c"`
 	Turn     chestnutcleat.RequestID  `json:"t"`
+	// Limit is the most turns to return; zero means as many as fit.
+	Limit int `json:"l,omitempty"`
 }
 
 // FetchReply holds the turns that the replica has, newest first.
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"maps"
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
@@ -50,6 +51,8 @@
 type state struct {
 	programs map[programKey]*programState
 	turns    map[turnKey]*turnState
+	// gaps are turns that are missing although a later one of their chain is held.
+	gaps     map[turnKey]gap
 	replicas chestnutcleat.ReplicaSet
 	// complete is set once the replica has all records of earlier versions of the set.
 	complete bool
@@ -63,7 +66,7 @@
 
 func newState() *state {
 	return &state{
-		programs: map[programKey]*programState{}, turns: map[turnKey]*turnState{}, live: map[int]int64{},
+		programs: map[programKey]*programState{}, turns: map[turnKey]*turnState{}, gaps: map[turnKey]gap{}, live: map[int]int64{},
 		internedCustomers: map[chestnutcleat.CustomerID]chestnutcleat.CustomerID{},
 	}
 }
@@ -113,6 +116,7 @@
 	case t == nil:
 		t = &turnState{previous: r.Previous}
 		s.turns[k] = t
+		delete(s.gaps, k)
 		s.memory += turnMemory(k, t)
 	case t.previous != r.Previous:
 		// The first turn with an id stands, as later turns may continue it.
@@ -123,9 +127,16 @@
 	t.loc = loc
 	s.addLive(loc)
 	// A later turn extends the lifetime of its whole chain.
-	for t != nil && t.expiresAt < r.ExpiresAt {
+	for t.expiresAt < r.ExpiresAt {
 		t.expiresAt = r.ExpiresAt
-		t = s.turns[turnKey{r.Customer, t.previous}]
+		if t.previous == "" {
+			return
+		}
+		before := turnKey{k.customer, t.previous}
+		if t = s.turns[before]; t == nil {
+			s.noteGap(before, r.ExpiresAt)
+			return
+		}
 	}
 }
 
@@ -200,6 +211,7 @@
 			delete(s.turns, k)
 		}
 	}
+	maps.DeleteFunc(s.gaps, func(_ turnKey, g gap) bool { return now.Unix() > g.expiresAt })
 }
 
 // allRecords returns the records that another replica needs to rebuild the state; those of turns have no input and output.
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -132,8 +132,11 @@
 	vm.Handle(m, methodJoin, s.join)
 }
 
-// Run commits records and runs maintenance until ctx is done.
+// Run commits records, runs maintenance and repairs gaps until ctx is done.
 func (s *Store) Run(ctx context.Context) error {
+	var repair sync.WaitGroup
+	repair.Go(func() { s.repair(ctx) })
+	defer repair.Wait()
 	t := time.NewTicker(maintenanceInterval)
 	defer t.Stop()
 	for {
@@ -241,12 +244,15 @@
 	return r, nil
 }
 
-// fetch returns a turn and as many of its predecessors as fit.
+// fetch returns a turn and as many of its predecessors as fit or are wanted.
 func (s *Store) fetch(_ context.Context, q FetchRequest) (FetchReply, error) {
 	if check, ok, err := s.checkTarget(q.Target); !ok {
 		return FetchReply{VersionCheck: check}, err
 	}
 	chain, complete := s.locateChain(q.Customer, q.Turn)
+	if q.Limit > 0 {
+		chain = chain[:min(q.Limit, len(chain))]
+	}
 	r := FetchReply{Complete: complete}
 	size := 0
 	for _, loc := range chain {
