Keep the load of an instance whose entry lapses

Callers saw: refusals of full instances at their first choice, after entries of instances had vanished and returned (missed heartbeats, an outage of the platform longer than the retention), for as long as the instance lived.

Cause: place.Table dropped the state of an instance that was not listed. An instance that came back in the same incarnation began with a load of zero while it still ran this VM's requests, so it was given more than it has slots; the end of the old requests then took its load below zero for good, and the VM kept counting that many slots too many.

Ruled out: that running requests are started again when the entry vanishes. A restarted instance still inherits nothing (TestRestartedInstance).

Change: the state stays until the last request at the instance ends; an instance that is not listed gets no new requests, and its load is still reported to other VMs.

Before: place.TestLoadOutlivesLapsedEntry "lapse_test.go:23: map[] != map[i0:3]", and with only its last check "map[] != map[i0:1]" (a load of -2 and one request); place.TestGoneInstanceIsForgotten "1 != 2". After: `go test -race -cpu 1 ./place` and the entry test pass.

--- a/place/table.go
+++ b/place/table.go
@@ -51,12 +51,15 @@
 type Table struct {
 	mu       sync.Mutex
 	services map[chestnutcleat.ServiceName][]*instanceState
+	// byID has the listed instances and those that still run requests of this VM.
 	byID     map[chestnutcleat.InstanceID]*instanceState
 	outcomes outcomeHistory
 }
 
 type instanceState struct {
 	chestnutcleat.Instance
+	// listed is set unless the instance has vanished from the list.
+	listed bool
 	// ownLoad is the number of requests that this VM has at the instance, remoteLoad that of all other VMs.
 	ownLoad, remoteLoad int
 	connectionFailures  int
@@ -75,7 +78,8 @@
 	}
 }
 
-// SetInstances replaces the list of instances; the state of instances that remain is kept.
+// SetInstances replaces the list of instances. The state of instances that remain, or that still run requests, is kept: one whose
+// entry lapsed may return.
 func (t *Table) SetInstances(list []chestnutcleat.Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -86,10 +90,16 @@
 		if s == nil || s.StartedAt != i.StartedAt || s.Address != i.Address {
 			s = &instanceState{hash: xxhash.Sum64String(string(i.ID))}
 		}
-		s.Instance = i
+		s.Instance, s.listed = i, true
 		byID[i.ID] = s
 		services[i.Service] = append(services[i.Service], s)
 	}
+	for id, s := range t.byID {
+		if byID[id] == nil && s.ownLoad > 0 {
+			s.listed = false
+			byID[id] = s
+		}
+	}
 	t.services, t.byID = services, byID
 }
 
@@ -258,6 +268,9 @@
 		return
 	}
 	s.ownLoad--
+	if !s.listed && s.ownLoad == 0 {
+		delete(t.byID, s.ID)
+	}
 	if outcome != Neutral {
 		t.outcomes.record(s.Service, s.ID, outcome != Success)
 	}
