Give up a VM's share of rates before others may use it

Callers saw: nothing; operators see more requests than a customer's limit.

Cause: the first VM of a majority removes the object of a VM that was silent for 30 s, and the others divide its share. The removed VM itself always counted itself among the holders (trackFleet), so, cut off from the others but not from callers and instances, or woken after a freeze, it went on admitting requests with a share that others used too. rate.TestRateLimitHolds ("a VM removed and back") passed as its removed VM takes the list without itself, which the role never did.

Ruled out: removal itself (it is conditional on the object's version and only made by a VM that hears more than half), and borrowed tokens (TestLateLoan).

Change: a VM uses its share only while its object is listed, once it was, and while it was in touch within the last 25 s: it hears half of the VMs or one that reaches the platform, or the platform answered it. Without its share it borrows tokens; the share grows again over one window. The cost: of a fleet of which less than half is heard, in an outage of the platform longer than 25 s, the VMs refuse customers with limits.

--- a/role/entry.go
+++ b/role/entry.go
@@ -58,6 +58,8 @@
 	checkpoint *checkpoint.Client
 	handler    *entry.Handler
 	leaving    atomic.Bool
+	// share is this VM's claim to a share of rates; only trackFleet uses it.
+	share shareClaim
 	// servers are the HTTP servers for callers, readiness and the registry.
 	servers []*accept.Server
 	// undecodable holds the versions of instances' objects that could not be decoded, so that each is reported once.
@@ -210,7 +212,7 @@
 	for chestnutcleat.Sleep(ctx, fleetCheckInterval) == nil {
 		e.applyTotals()
 		if e.mirrors[fleetKind].Version() > 0 {
-			e.limiter.SetVMs(append(e.fleet.VMs(), e.self.VM))
+			e.limiter.SetVMs(e.shareHolders())
 		}
 	}
 	return nil
--- /dev/null
+++ b/role/share.go
@@ -0,0 +1,75 @@
+package role
+
+import (
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// shareExpiry is how long a VM uses its share of rates without a sign that it would learn of the removal of its object. It is shorter
+// than memberExpiry, after which other VMs may remove the object and use the share.
+const shareExpiry = memberExpiry - 5*time.Second
+
+// shareClaim decides whether this VM may use its share of rates.
+type shareClaim struct {
+	// confirmedAt is when the VM was last in touch with the platform or with other VMs that would tell it of changes there.
+	confirmedAt time.Time
+	// wasListed is set once this VM's object was listed.
+	wasListed bool
+}
+
+// holds reports whether the VM may use its share now: its object is listed, or not listed yet, and others can't have removed it
+// unnoticed. lastInTouch is when the VM was last in touch.
+func (c *shareClaim) holds(listed bool, lastInTouch time.Time) bool {
+	if lastInTouch.After(c.confirmedAt) {
+		c.confirmedAt = lastInTouch
+	}
+	c.wasListed = c.wasListed || listed
+	return (listed || !c.wasListed) && time.Since(c.confirmedAt) < shareExpiry
+}
+
+// shareHolders returns the VMs that share the rates, without this one while it may not use its share.
+func (e *Entry) shareHolders() []chestnutcleat.VMID {
+	holders := e.fleet.VMs()
+	if e.share.holds(e.isListed(), e.lastInTouch()) {
+		holders = append(holders, e.self.VM)
+	}
+	return holders
+}
+
+// isListed reports whether this VM's object is at the platform, as far as is known.
+func (b *base) isListed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.memberVersions[b.self.VM] > 0
+}
+
+// lastInTouch returns when this VM could last learn of changes at the platform: now, if it hears a VM that reaches the platform or at
+// least half of the VMs, as those that remove objects hear more than half; else when the platform answered it last.
+func (b *base) lastInTouch() time.Time {
+	heard := 1
+	for p := range b.fleet.All() {
+		if p.Silent() {
+			continue
+		}
+		heard++
+		if !p.PlatformUnreachable {
+			return time.Now()
+		}
+	}
+	if 2*heard >= b.fleet.Count()+1 {
+		return time.Now()
+	}
+	return b.lastContact()
+}
+
+// lastContact returns when the platform or, with something new, another VM answered last.
+func (b *base) lastContact() time.Time {
+	var last time.Time
+	for _, m := range b.mirrors {
+		if age := m.Age(); age >= 0 && time.Now().Add(-age).After(last) {
+			last = time.Now().Add(-age)
+		}
+	}
+	return last
+}
