Treat an idle stream of the older interface as slow and not as a crash

Callers saw: a call whose engines sent nothing for 30 s twice ended as "crashes-upstreams", and so did all calls with the same body, as its fingerprint had crashed two upstreams. A stream that must not be repeated, and the last attempt of any other, were cut after 30 s of silence although nobody else could serve them.

Cause: caller's StreamIdleTimeout cancels the attempt, and the error of the cancelled connection is of kind Broken, which IsCrash takes for a crash. The timeout did not ask whether a further attempt may follow.

Ruled out: time limits of calls and deadlines (release and fail ask for c.ctx.Err; TestHangingUpstream), requests without a stream (no limit by attempt), and the count itself (program.Suspects is cleared by an answer).

Change: upstream.Idle is a kind of its own; the timeout applies only while another attempt may follow.

Before: TestIdleStreamIsNoCrash "outcome_test.go:215: true != false", TestSlowStreamLasts/m and /once "outcome_test.go:233: not true: ... [DONE]". After: `go test -race -cpu 1 ./caller ./upstream ./engine` passes.

--- a/caller/chatexchange.go
+++ b/caller/chatexchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -81,7 +82,8 @@
 func (x *chatExchange) stream(ctx context.Context, client engine.Client, r engine.Request) result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	idle := time.AfterFunc(x.c.h.StreamIdleTimeout, func() { cancel(errStreamIdle) })
+	timeout := x.idleTimeout()
+	idle := time.AfterFunc(timeout, func() { cancel(errStreamIdle) })
 	defer idle.Stop()
 	if r.Prefix != "" {
 		x.resumes++
@@ -89,18 +91,18 @@
 	x.finishReason, x.usage = "", nil
 	s, err := client.Stream(ctx, r)
 	if err != nil {
-		return result{err: asUpstreamError(err), answer: x.partialAnswer()}
+		return result{err: streamError(ctx, err), answer: x.partialAnswer()}
 	}
 	// The result is known before the stream is closed; an error of Close does not change it.
 	defer func() { _ = s.Close() }()
 	for {
-		idle.Reset(x.c.h.StreamIdleTimeout)
+		idle.Reset(timeout)
 		ev, err := s.Next()
 		if errors.Is(err, io.EOF) {
 			return x.streamResult()
 		}
 		if err != nil {
-			return result{err: asUpstreamError(err), answer: x.partialAnswer()}
+			return result{err: streamError(ctx, err), answer: x.partialAnswer()}
 		}
 		if limitReached := x.handleEvent(ev); limitReached {
 			x.finishReason = engine.FinishLength
@@ -109,6 +111,26 @@
 	}
 }
 
+// idleTimeout returns how long to wait for the next event. Where no further attempt may follow, only the end of the call's time ends a
+// stream: a late answer is better than none.
+func (x *chatExchange) idleTimeout() time.Duration {
+	if !x.c.call.Repeatable || len(x.c.avoid)+1 >= x.c.h.MaxAttempts {
+		return math.MaxInt64
+	}
+	return x.c.h.StreamIdleTimeout
+}
+
+// streamError converts the error of a stream. One that was given up for its silence is not broken, as after a crash.
+func streamError(ctx context.Context, err error) *upstream.Error {
+	e := asUpstreamError(err)
+	if context.Cause(ctx) != errStreamIdle {
+		return e
+	}
+	idle := *e
+	idle.Kind, idle.Err = upstream.Idle, errors.Join(errStreamIdle, e.Err)
+	return &idle
+}
+
 // handleEvent passes one event to the caller and reports whether the output exceeded its limit.
 func (x *chatExchange) handleEvent(ev engine.Completion) bool {
 	if ev.Usage != nil {
--- a/caller/outcome_test.go
+++ b/caller/outcome_test.go
@@ -199,6 +199,44 @@
 	})
 }
 
+// A stream that was given up as its engine was silent is no crash: two of them ended the call, and all others with its body, as a
+// request that crashes upstreams.
+func TestIdleStreamIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t)
+	s.handler.StreamIdleTimeout = 100 * time.Millisecond
+	for _, e := range s.engines {
+		e.SetFaults(standinengine.Faults{Hang: true, Requests: 1})
+	}
+	is.True(strings.Contains(s.chat(t, chatBody("m", "hello", true)).body, "[DONE]"))
+	is.NoErr(s.handler.Drain(t.Context()))
+	is.True(len(s.settled) > 1)
+	for _, q := range s.settled {
+		is.Equal(q.Crashed, false)
+	}
+	for _, q := range s.released {
+		is.Equal(q.Crashed, false)
+	}
+	is.Equal(s.released[0].Failed, true)
+}
+
+// A slow but sound stream must not be cut where no further attempt may follow: it ended without an answer that it would have had.
+func TestSlowStreamLasts(t *testing.T) {
+	for _, model := range []string{"m", "once"} {
+		t.Run(model, func(t *testing.T) {
+			is := is.New(t)
+			s := startSystem(t)
+			s.handler.StreamIdleTimeout = 100 * time.Millisecond
+			for _, e := range s.engines {
+				e.SetFaults(standinengine.Faults{Latency: chestnutcleat.Duration(300 * time.Millisecond)})
+			}
+			is.True(strings.Contains(s.chat(t, chatBody(model, "hello", true)).body, "[DONE]"))
+			is.NoErr(s.handler.Drain(t.Context()))
+			is.Equal(s.settled[len(s.settled)-1].Answer.Outcome, chestnutcleat.Done)
+		})
+	}
+}
+
 // A crash must be reported to the owners of the program and the upstream, or the crashing request would be sent to the next one.
 func TestCrashIsReported(t *testing.T) {
 	is := is.New(t)
--- a/upstream/error.go
+++ b/upstream/error.go
@@ -11,6 +11,8 @@
 	Connect ErrorKind = "connect"
 	// Broken means that the connection failed before the whole response was read.
 	Broken ErrorKind = "broken"
+	// Idle means that the exchange was given up, as the upstream sent nothing for too long.
+	Idle ErrorKind = "idle"
 	// Mismatched means that the response carries the id of another request.
 	Mismatched ErrorKind = "crossed"
 	// Malformed means that the response violates the protocol.
