--- a/place/leaving.go
+++ b/place/leaving.go
@@ -62,19 +62,26 @@
 		t.departures[p] = d
 	}
 	d.observed = d.observed || observed
-	if s := t.byID[p.id]; s != nil && processOf(&s.Instance) == p {
+	if s := t.listed(p); s != nil {
 		s.departed = true
 	}
 	return !known
 }
 
+// listed returns the state of a start of an instance, or nil if it is not listed. The caller holds t.mu.
+func (t *Table) listed(p process) *instanceState {
+	if s := t.byID[p.id]; s != nil && s.listed && processOf(&s.Instance) == p {
+		return s
+	}
+	return nil
+}
+
 // applyDepartures marks the listed instances that are known to leave and forgets those that have not been listed for long. The caller
 // holds t.mu.
 func (t *Table) applyDepartures(now time.Time) {
 	for p, d := range t.departures {
-		s := t.byID[p.id]
-		switch {
-		case s != nil && processOf(&s.Instance) == p:
+		switch s := t.listed(p); {
+		case s != nil:
 			s.departed = true
 			d.lastListed = now
 		case now.Sub(d.lastListed) > leavingMemory:
@@ -90,7 +97,7 @@
 	defer t.mu.Unlock()
 	var list []process
 	for p, d := range t.departures {
-		if s := t.byID[p.id]; d.observed && s != nil && processOf(&s.Instance) == p {
+		if d.observed && t.listed(p) != nil {
 			list = append(list, p)
 		}
 	}
--- a/place/table.go
+++ b/place/table.go
@@ -51,6 +51,7 @@
 type Table struct {
 	mu       sync.Mutex
 	services map[chestnutcleat.ServiceName][]*instanceState
+	// byID has the listed instances and those that still run requests of this VM.
 	byID     map[chestnutcleat.InstanceID]*instanceState
 	outcomes outcomeHistory
 	// departures holds the instances that said that they leave, also those that are no longer listed.
@@ -59,6 +60,8 @@
 
 type instanceState struct {
 	chestnutcleat.Instance
+	// listed is set unless the instance has vanished from the list.
+	listed bool
 	// ownLoad is the number of requests that this VM has at the instance, remoteLoad that of all other VMs.
 	ownLoad, remoteLoad int
 	connectionFailures  int
@@ -79,7 +82,8 @@
 	}
 }
 
-// SetInstances replaces the list of instances; the state of instances that remain is kept.
+// SetInstances replaces the list of instances. The state of instances that remain, or that still run requests, is kept: one whose
+// entry lapsed may return.
 func (t *Table) SetInstances(list []chestnutcleat.Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -90,10 +94,16 @@
 		if s == nil || s.StartedAt != i.StartedAt || s.Address != i.Address {
 			s = &instanceState{hash: xxhash.Sum64String(string(i.ID))}
 		}
-		s.Instance = i
+		s.Instance, s.listed = i, true
 		byID[i.ID] = s
 		services[i.Service] = append(services[i.Service], s)
 	}
+	for id, s := range t.byID {
+		if byID[id] == nil && s.ownLoad > 0 {
+			s.listed = false
+			byID[id] = s
+		}
+	}
 	t.services, t.byID = services, byID
 	t.applyDepartures(time.Now())
 }
@@ -138,6 +148,13 @@
 	return &Assignment{Instance: s.Instance, table: t}
 }
 
+// CanPick reports whether Pick would find an instance.
+func (t *Table) CanPick(r Request) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.candidates(r)) > 0
+}
+
 // candidates returns the eligible instances. Those in backoff, ejected or on probation are returned only if there are no others.
 func (t *Table) candidates(r Request) []*instanceState {
 	now := time.Now()
@@ -256,6 +273,9 @@
 		return
 	}
 	s.ownLoad--
+	if !s.listed && s.ownLoad == 0 {
+		delete(t.byID, s.ID)
+	}
 	if outcome != Neutral {
 		t.outcomes.record(s.Service, s.ID, outcome != Success)
 	}
