Let a turn that comes late live as long as its chain

A predecessor that a replica got after its successor kept its own lifetime, although records may be applied in any order, so a replica that got it late dropped it early. Change: the lifetime that its successors noted for the gap is the turn's. Test: ledger.TestLatePredecessorLivesAsLongAsItsChain, which failed for orders in which a successor comes first.

--- a/ledger/state.go
+++ b/ledger/state.go
@@ -112,10 +112,13 @@
 func (s *state) applyTurn(r *Record, loc location) {
 	k := turnKey{s.intern(r.Customer), r.Attempt}
 	t := s.turns[k]
+	until := r.ExpiresAt
 	switch {
 	case t == nil:
 		t = &turnState{previous: r.Previous}
 		s.turns[k] = t
+		// A later turn of the chain that came first has extended the lifetime of this one.
+		until = max(until, s.gaps[k].expiresAt)
 		delete(s.gaps, k)
 		s.memory += turnMemory(k, t)
 	case t.previous != r.Previous:
@@ -127,14 +130,14 @@
 	t.loc = loc
 	s.addLive(loc)
 	// A later turn extends the lifetime of its whole chain.
-	for t.expiresAt < r.ExpiresAt {
-		t.expiresAt = r.ExpiresAt
+	for t.expiresAt < until {
+		t.expiresAt = until
 		if t.previous == "" {
 			return
 		}
 		before := turnKey{k.customer, t.previous}
 		if t = s.turns[before]; t == nil {
-			s.noteGap(before, r.ExpiresAt)
+			s.noteGap(before, until)
 			return
 		}
 	}
--- a/ledger/state_test.go
+++ b/ledger/state_test.go
@@ -111,3 +111,27 @@
 	s.apply(turnRecord("a", ""), location{offset: 4, bytes: 10}) // moved by a compaction
 	is.Equal(s.chainLocations("c", "a"), []location{{offset: 4, bytes: 10}})
 }
+
+// A turn must live as long as the later turns of its chain, also if its replica gets it after them: it kept its own, shorter life.
+func TestLatePredecessorLivesAsLongAsItsChain(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	var records []*Record
+	for i, id := range []string{"1", "2", "3"} {
+		previous := ""
+		if i > 0 {
+			previous = string(records[i-1].Attempt)
+		}
+		r := turnRecord(id, previous)
+		r.ExpiresAt = start.Add(time.Duration(i) * time.Minute).Unix()
+		records = append(records, r)
+	}
+	for _, order := range [][]int{{0, 1, 2}, {2, 1, 0}, {2, 0, 1}, {1, 0, 2}, {0, 2, 1}, {1, 2, 0}} {
+		s := newState()
+		for _, i := range order {
+			s.apply(records[i], location{offset: int64(i)})
+		}
+		s.expire(start.Add(90 * time.Second))
+		is.Equal(s.chainLocations("c", "3"), []location{{offset: 2}, {offset: 1}, {offset: 0}})
+	}
+}
