Tell turns of different chains apart when counting crashes

Three turns of different chains with the same new input that broke off blocked every turn of that customer with that input for a minute (503 six times in a row), although an instance sees a different prompt for each chain.

Change: the fingerprint of a request includes the stored turn that it continues. Retries of one turn keep their fingerprint.

--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -26,14 +26,15 @@
 	maxFingerprints = 4096
 )
 
-// Fingerprint is a hash of a request's customer, method, target and body.
+// Fingerprint is a hash of a request's customer, method, target and body, and of the stored turn that it continues: its input for the
+// instance begins with that turn's.
 type Fingerprint uint64
 
 // FingerprintOf returns the fingerprint of a request.
-func FingerprintOf(c chestnutcleat.CustomerID, method, target string, body []byte) Fingerprint {
+func FingerprintOf(c chestnutcleat.CustomerID, method, target string, previous chestnutcleat.RequestID, body []byte) Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
-	for _, part := range []string{string(c), method, target} {
+	for _, part := range []string{string(c), method, target, string(previous)} {
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -155,7 +155,7 @@
 	if err := c.checkDrain(); err != nil {
 		return err
 	}
-	c.fingerprint = FingerprintOf(c.customerID(), c.r.Method, c.r.RequestURI, c.body)
+	c.fingerprint = FingerprintOf(c.customerID(), c.r.Method, c.r.RequestURI, c.Previous, c.body)
 	if c.Crashes.Blocked(c.fingerprint) {
 		return problem(chestnutcleat.CodeCrashing, chestnutcleat.NotRun, "the request is blocked: at least %d instances failed while they ran it", crashThreshold).WithRetry(crashWindow)
 	}
