Log the software version of attempts and what a take-up resumes

Callers saw text of two software versions joined in one stream, and no log line told at which version an attempt ran, nor which attempt a take-up resumes. platform decodes a registration's version (of another type: no instance to use; missing: its own version) and the header Resumes (several: an unknown attempt). Lines on requests have version, resumes and last; event 871 says that a caller takes a stream up. Nothing decides by them yet.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -271,6 +271,9 @@
 func (c *call) log(id chestnutcleat.EventID, attributes ...any) {
 	if c.Request != nil {
 		attributes = append(attributes, "request", c.ID, "program", c.Program, "age", time.Since(c.Received).Milliseconds(), "runs", c.runs)
+		if c.TakesUp() {
+			attributes = append(attributes, "resumes", c.Resumes, "last", c.Resume)
+		}
 	}
 	if c.route != nil {
 		attributes = append(attributes, "route", c.route.Name, "customer", c.customerID(), "config", c.table.Number)
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -53,6 +53,9 @@
 // serveStream serves a request whose response is an event stream.
 func (c *call) serveStream() error {
 	t := &turn{call: c, input: c.body, lastEventID: -1, settledTokens: notSettled, flusher: http.NewResponseController(c.w)}
+	if c.TakesUp() {
+		c.log(event.StreamTakenUp)
+	}
 	if c.route.Retained && c.Previous != "" {
 		if err := t.prependChain(); err != nil {
 			return c.ignoreCallerGone(err)
@@ -227,7 +230,7 @@
 	t.copyHeader(a).Del("Content-Length")
 	t.w.WriteHeader(a.response.Status)
 	_, _ = t.w.Write(body)
-	t.log(event.Answered, "status", a.response.Status, "instance", a.assignment.ID, "bytes", len(body))
+	t.log(event.Answered, "status", a.response.Status, "instance", a.assignment.ID, "version", a.assignment.Version, "bytes", len(body))
 	return nil
 }
 
@@ -244,6 +247,6 @@
 		t.w.WriteHeader(http.StatusOK)
 	}
 	t.Metrics.streamed(t.timeToFirstEvent, time.Since(t.Received))
-	t.log(event.Answered, "status", http.StatusOK, "instance", a.assignment.ID, "events", t.events, "first", t.timeToFirstEvent.Milliseconds())
+	t.log(event.Answered, "status", http.StatusOK, "instance", a.assignment.ID, "version", a.assignment.Version, "events", t.events, "first", t.timeToFirstEvent.Milliseconds())
 	return nil
 }
--- a/event/system.go
+++ b/event/system.go
@@ -42,5 +42,6 @@
 	InstanceEjected            = add(861, Warning, "instance ejected because of its failure rate", "Check the instance; it is tried again after the ejection time.")
 	ObjectsCopyFailed          = add(862, Warning, "newer objects could not be copied from another VM", "Check the link to the VM that is named; the next VM that reports them is asked.")
 	UsageRestored              = add(863, Info, "use of customers' rates before the start was restored", "")
+	StreamTakenUp              = add(871, Info, "caller takes a stream up again", "")
 	LogLinesDropped            = add(857, Warning, "log lines dropped", "Lines came faster than they could be written; see the metrics.")
 )
--- a/instance.go
+++ b/instance.go
@@ -6,12 +6,17 @@
 // ServiceName names a group of instances that do the same work.
 type ServiceName string
 
+// SoftwareVersion is a version of the software that instances run; versions have no order.
+type SoftwareVersion string
+
 // Instance is one running process of an upstream.
 type Instance struct {
 	ID      InstanceID    `json:"id"`
 	Service ServiceName   `json:"service"`
 	Address Address       `json:"address"`
 	Domain  FailureDomain `json:"domain"`
+	// Version is the version of the instance's software; a registration without one has the empty version.
+	Version SoftwareVersion `json:"version,omitempty"`
 	// Slots is the number of requests that the instance runs concurrently.
 	Slots int `json:"slots"`
 	// Leaving is set when the instance must not get new requests.
--- a/request.go
+++ b/request.go
@@ -30,12 +30,18 @@
 	Previous RequestID
 	// Resume is the id of the last event that the caller received; zero for none.
 	Resume int
+	// Resumes is the earlier attempt of the caller that brought the stream's first event, if the caller takes a stream up again;
+	// empty if it names none.
+	Resumes RequestID
 	// Affinity names the object that the request is about; empty for none.
 	Affinity string
 	// Prefix lists the parts of the prompt that it shares with other prompts, in order.
 	Prefix []PromptPart
 }
 
+// TakesUp reports whether the request takes a stream up again after an event that the caller has.
+func (r *Request) TakesUp() bool { return r.Resume > 0 || r.Resumes != "" }
+
 // PromptPart is a part of a prompt that an engine's prefix cache may hold.
 type PromptPart struct {
 	ID     string
