Show streams joined from two software versions in tests

Callers got streams whose text is joined from two software versions. The stand-in for instances now serves a settable version whose text differs, and goes on with any stream after the event that it is told, whichever version began it; its registration has the version.

--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -178,6 +178,7 @@
 		{Name: "check", Host: "h", Prefix: "/check/", Type: config.Idempotent, Timeout: 1200 * time.Millisecond, LatencyTarget: 80 * time.Millisecond, Targets: target, MaxAttempts: 2},
 		{Name: "book", Host: "h", Prefix: "/book/", Type: config.NonIdempotent, Timeout: bookTimeout, LatencyTarget: 200 * time.Millisecond, Targets: target, MaxAttempts: 2},
 		{Name: "plan", Host: "h", Prefix: "/plan/", Type: config.Streaming, Timeout: streamTimeout, LatencyTarget: 200 * time.Millisecond, MaxEventGap: 250 * time.Millisecond, Targets: model, MaxAttempts: 2, Resumable: true},
+		{Name: "once", Host: "h", Prefix: "/plan/moves/once/", Type: config.Streaming, Timeout: streamTimeout, LatencyTarget: 200 * time.Millisecond, MaxEventGap: 250 * time.Millisecond, Targets: model, MaxAttempts: 1, Resumable: true},
 		{Name: "kept", Host: "h", Prefix: "/kept/", Type: config.Streaming, Timeout: streamTimeout, LatencyTarget: 200 * time.Millisecond, MaxEventGap: 250 * time.Millisecond, Targets: model, MaxAttempts: 2, Retained: true, Retention: time.Minute},
 		{Name: "open", Host: "h", Prefix: "/open/", Type: config.Idempotent, Timeout: time.Second, Targets: target, MaxAttempts: 1, Public: true},
 	}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
@@ -79,7 +80,7 @@
 		if a == nil || !a.Complete {
 			return
 		}
-		previous, history = a.ID, history+input+instance.Output(a.ID)
+		previous, history = a.ID, history+input+instance.Output(instance.StreamName(path, a.ID), a.Result.Version)
 		if !c.callTool(ctx, id, turn) || chestnutcleat.Sleep(ctx, time.Duration(c.random.Int64N(int64(maxThinkTime)))) != nil {
 			return
 		}
@@ -115,6 +116,7 @@
 		if !c.mayRetry(last) {
 			return last, tokens
 		}
+		last.takeUp(&req)
 		if chestnutcleat.Sleep(ctx, min(max(last.RetryAfter, minRetryDelay), time.Second)) != nil {
 			return last, tokens
 		}
@@ -122,6 +124,17 @@
 	return last, tokens
 }
 
+// takeUp makes the next request take up the stream of an attempt that broke off, where streams can be resumed.
+func (a *attempt) takeUp(next *program.Request) {
+	if a.Events == 0 || !strings.HasPrefix(a.Path, instance.PathResumable) {
+		return
+	}
+	if next.LastEvent == 0 {
+		next.Resumes, next.Version = a.ID, a.Result.Version
+	}
+	next.LastEvent += a.Events
+}
+
 // mayRetry reports whether a caller may send a request again. It also records refusals that violate a guarantee.
 func (c *caller) mayRetry(a *attempt) bool {
 	switch {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -102,6 +102,9 @@
 	return f, nil
 }
 
+// version returns the software version of an instance: two versions of each service run side by side.
+func version(i int) string { return fmt.Sprint("v", 1+i/domainCount%2) }
+
 func domain(i int) string { return fmt.Sprint("domain-", i%domainCount) }
 
 // serveStandin serves the handler of a stand-in.
@@ -122,6 +125,7 @@
 	if inst.listener, err = f.serveStandin(inst.Server); err != nil {
 		return err
 	}
+	inst.SetVersion(version(len(f.standinInstances)))
 	f.standinInstances[id] = inst
 	f.register(inst, instance.StateReady)
 	return nil
@@ -130,7 +134,7 @@
 // register writes an instance's registration to the platform.
 func (f *fleet) register(inst *standinInstance, state string) {
 	service, _, _ := strings.Cut(inst.ID, "-")
-	f.platform.Set("servers", inst.ID, instance.Registration(service, inst.listener.Addr().String(), inst.domain, state, inst.startedAt))
+	f.platform.Set("servers", inst.ID, instance.Registration(service, inst.Version(), inst.listener.Addr().String(), inst.domain, state, inst.startedAt))
 }
 
 // updateConfig changes the configuration at the platform, as an operator does.
--- a/standin/instance/config.go
+++ b/standin/instance/config.go
@@ -90,6 +90,8 @@
 )
 
 // Registration returns the object by which an instance is registered at the platform.
-func Registration(service, address, domain, state string, startedAt int64) any {
-	return map[string]any{"service": service, "address": address, "zone": domain, "slots": 16, "state": state, "born": startedAt}
+func Registration(service, version, address, domain, state string, startedAt int64) any {
+	return map[string]any{
+		"service": service, "version": version, "address": address, "zone": domain, "slots": 16, "state": state, "born": startedAt,
+	}
 }
--- a/standin/instance/server.go
+++ b/standin/instance/server.go
@@ -35,6 +35,8 @@
 // Run is the execution of a request by an instance.
 type Run struct {
 	Instance, Path, Customer, Body string
+	// Version is the software version that ran it.
+	Version string
 	// LastEventID is the last event that the client has from an earlier run; -1 for a run from the start.
 	LastEventID int
 	// At is the start time.
@@ -81,6 +83,8 @@
 	DuplicateRate float64
 	// EndlessRate is the fraction that gets bytes until the connection is closed, in the header, the body or an event.
 	EndlessRate float64
+	// BreakAfter is the number of events of a run after which a stream's connection is closed within the next event; zero breaks none.
+	BreakAfter int
 	// Delay is a delay before each response and each event.
 	Delay time.Duration
 }
@@ -90,9 +94,19 @@
 
 // Server is an instance of a service.
 type Server struct {
-	ID     string
-	Log    *Log
-	faults atomic.Pointer[Faults]
+	ID      string
+	Log     *Log
+	faults  atomic.Pointer[Faults]
+	version atomic.Value
+}
+
+// SetVersion replaces the software version, for the requests that arrive from now on.
+func (s *Server) SetVersion(v string) { s.version.Store(v) }
+
+// Version returns the software version, which is empty until one is set.
+func (s *Server) Version() string {
+	v, _ := s.version.Load().(string)
+	return v
 }
 
 // SetFaults replaces the injected faults.
@@ -110,7 +124,7 @@
 	if err != nil {
 		return
 	}
-	run := Run{Instance: s.ID, Path: r.URL.Path, Customer: r.Header.Get(headerCustomer), Body: string(body), LastEventID: -1, At: time.Now()}
+	run := Run{Instance: s.ID, Version: s.Version(), Path: r.URL.Path, Customer: r.Header.Get(headerCustomer), Body: string(body), LastEventID: -1, At: time.Now()}
 	if n, err := strconv.Atoi(r.Header.Get(headerLastEventID)); err == nil {
 		run.LastEventID = n
 	}
@@ -130,7 +144,7 @@
 	case rand.Float64() < f.EndlessRate:
 		writeEndlessly(w, id)
 	case strings.HasPrefix(r.URL.Path, StreamPrefix):
-		writeStream(w, r, id, run.LastEventID, f.Delay)
+		writeStream(w, r, StreamName(r.URL.Path, id), run, f)
 	case rand.Float64() < f.DuplicateRate:
 		writeTwice(w, id, Answer(id, run.Body))
 	default:
@@ -138,16 +152,23 @@
 	}
 }
 
-// writeStream sends the events of a request after event last.
-func writeStream(w http.ResponseWriter, r *http.Request, id string, last int, delay time.Duration) {
+// writeStream sends the events of a stream after the last one that the client has.
+func writeStream(w http.ResponseWriter, r *http.Request, name string, run Run, f Faults) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	c := http.NewResponseController(w)
-	for n := max(1, last+1); n <= EventCount(id); n++ {
-		time.Sleep(eventInterval + delay)
+	first := max(1, run.LastEventID+1)
+	for n := first; n <= EventCount(name); n++ {
+		time.Sleep(eventInterval + f.Delay)
 		if r.Context().Err() != nil {
 			return
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventData(id, n))
+		if f.BreakAfter > 0 && n-first == f.BreakAfter {
+			fmt.Fprintf(w, "id: %d\nda", n)
+			// The error is ignored: the connection ends in any case.
+			_ = c.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventData(name, run.Version, n))
 		if c.Flush() != nil {
 			return
 		}
--- a/standin/program/client.go
+++ b/standin/program/client.go
@@ -34,6 +34,10 @@
 	Program, Previous      string
 	TokenBudget, MaxTokens int
 	Timeout                time.Duration
+	// LastEvent, Resumes and Version are set to take a stream up again: the number of events received, the attempt that brought the
+	// first one, and the software version that wrote them.
+	LastEvent        int
+	Resumes, Version string
 }
 
 // Result is the outcome of an attempt.
@@ -44,6 +48,8 @@
 	Complete bool
 	// Events is the number of events received.
 	Events int
+	// Version is the software version that wrote them.
+	Version string
 	// RetryAfter is the value of the header Retry-After, if there is one.
 	RetryAfter time.Duration
 	// Mismatch says why a success is not the correct response to the request; it is empty otherwise.
@@ -149,6 +155,10 @@
 	h.Set("Authorization", "Bearer "+c.Key)
 	h.Set(instance.HeaderID, req.ID)
 	h.Set("Chestnutcleat-Deadline-Ms", strconv.FormatInt(req.Timeout.Milliseconds(), 10))
+	if req.LastEvent > 0 {
+		h.Set("Last-Event-Id", strconv.Itoa(req.LastEvent))
+		h.Set("Resumes", req.Resumes)
+	}
 	if req.Program == "" {
 		return
 	}
@@ -177,6 +187,8 @@
 
 func (r *Result) readStream(req *Request, body io.Reader) {
 	events := sse.Reader{R: bufio.NewReader(body)}
+	name := instance.StreamName(req.Path, req.ID)
+	r.Version = req.Version
 	for {
 		e, err := events.Next()
 		if err == io.EOF {
@@ -187,13 +199,17 @@
 			return
 		}
 		r.Events++
-		if e.ID != r.Events || string(e.Data) != instance.EventData(req.ID, r.Events) {
-			r.Mismatch = fmt.Sprintf("event %d has the wrong id %d or data %q", r.Events, e.ID, e.Data)
+		n := req.LastEvent + r.Events
+		if n == 1 {
+			r.Version = instance.EventVersion(string(e.Data))
+		}
+		if e.ID != n || string(e.Data) != instance.EventData(name, r.Version, n) {
+			r.Mismatch = fmt.Sprintf("event %d has the wrong id %d or data %q; version %q began the stream", n, e.ID, e.Data, r.Version)
 			return
 		}
 	}
 	r.Complete = true
-	if r.Events != instance.EventCount(req.ID) {
-		r.Mismatch = fmt.Sprintf("stream ended without an error after %d of %d events", r.Events, instance.EventCount(req.ID))
+	if n := req.LastEvent + r.Events; n != instance.EventCount(name) {
+		r.Mismatch = fmt.Sprintf("stream ended without an error after %d of %d events", n, instance.EventCount(name))
 	}
 }
