Keep a stream at the software version that began it

Cause: no attempt knew its version. Now the instance is picked first, and a ledger record Begin (service, version, number of the try) goes to the replicas in the same append as the reservation, or beside the request where there is no budget; the first event waits for it. Once an event was delivered, only instances of its version go on. A take-up reads the version at a read quorum by the header Resumes; the highest try wins and two versions under one try are unknown. What no record names may go on only if this VM has followed the registrations for as long as records last and saw one version. All else is refused at once: 503, cannot-resume, not run. An instance whose registration changed since the pick begins nothing.

Ruled out: the version in each VM's memory (lost with all VMs), hashing the id over VMs (needs the first VM to be alive).

Failed before: versions in one response 2, want 1; [v2], want [v1]; status 200, want 503.

--- a/config/table.go
+++ b/config/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"chestnutcleat.example/chestnutcleat"
 )
@@ -13,6 +14,7 @@
 	Config
 	routesByHost   map[string][]*Route
 	customersByKey map[string]*Customer
+	loaded         time.Time
 }
 
 // NewTable returns the index of a configuration.
@@ -21,6 +23,7 @@
 		Config:         c,
 		routesByHost:   map[string][]*Route{},
 		customersByKey: map[string]*Customer{},
+		loaded:         time.Now(),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -38,6 +41,9 @@
 	return t
 }
 
+// Age returns the time since the table was made.
+func (t *Table) Age() time.Duration { return time.Since(t.loaded) }
+
 // MatchRoute returns the route of the host with the longest matching path prefix.
 func (t *Table) MatchRoute(host, path string) (*Route, bool) {
 	for _, r := range t.routesByHost[host] {
@@ -57,6 +63,11 @@
 // RequiresKey reports whether requests need a key, which is so if there are any customers.
 func (t *Table) RequiresKey() bool { return len(t.Customers) > 0 }
 
+// LeadsTo reports whether the route sends requests to a service.
+func (r *Route) LeadsTo(s chestnutcleat.ServiceName) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == s && (t.Weight > 0 || len(r.Targets) == 1) })
+}
+
 // PickService picks a service by the weights of the route's targets; draw is uniform in [0, 1).
 func (r *Route) PickService(draw float64) chestnutcleat.ServiceName {
 	total := 0
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -86,7 +86,7 @@
 	if len(c.tried) >= maxInstancesTried {
 		return nil, c.noInstance("too many instances were tried")
 	}
-	assignment := c.Instances.Pick(place.Request{Service: c.service, Key: key, Exclude: c.tried, Domain: c.Domain})
+	assignment := c.Instances.Pick(place.Request{Service: c.service, Version: c.version, Key: key, Exclude: c.tried, Domain: c.Domain})
 	if assignment == nil {
 		return nil, c.noInstance("no instance is left")
 	}
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -8,6 +8,7 @@
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/ledger"
+	"chestnutcleat.example/chestnutcleat/place"
 )
 
 const (
@@ -44,15 +45,12 @@
 }
 
 // reserve reserves the turn's output limit from its program's token budget.
-func (t *turn) reserve() error {
-	if !t.hasBudget() {
-		return nil
-	}
-	fits, pending, err := t.tryReserve()
+func (t *turn) reserve(assignment *place.Assignment) error {
+	fits, pending, err := t.tryReserve(assignment)
 	if err == nil && !fits && pending {
 		// A concurrent attempt is not settled yet. If both withdraw their reservations, one of them may fit on the retry.
 		if chestnutcleat.Sleep(t.ctx, time.Duration(rand.Int64N(int64(maxReserveBackoff)))) == nil {
-			fits, _, err = t.tryReserve()
+			fits, _, err = t.tryReserve(assignment)
 		}
 	}
 	if err != nil {
@@ -65,12 +63,16 @@
 	return nil
 }
 
-// tryReserve writes the reservation and checks it against the other attempts of the program; pending is set if some of them
+// tryReserve writes the reservation, together with the software version of a stream, and checks it against the other attempts of the program; pending is set if some of them
 // are not settled yet.
-func (t *turn) tryReserve() (fits, pending bool, err error) {
+func (t *turn) tryReserve(assignment *place.Assignment) (fits, pending bool, err error) {
 	ctx, cancel := context.WithTimeout(t.ctx, recordTimeout)
 	defer cancel()
-	others, err := t.Ledger.TryWrite(ctx, t.newRecord(ledger.Reserve, t.Output))
+	var along []*ledger.Write
+	if w := t.newBegin(assignment); w != nil {
+		along = append(along, w)
+	}
+	others, err := t.Ledger.TryWrite(ctx, t.newRecord(ledger.Reserve, t.Output), along...)
 	if err != nil {
 		return false, false, err
 	}
@@ -91,7 +93,7 @@
 
 // settle replaces the reservation by the tokens delivered to the caller, unless storeTurn has done so.
 func (t *turn) settle() {
-	if t.hasBudget() && t.usedTokens() != t.settledTokens {
+	if t.reserved && t.usedTokens() != t.settledTokens {
 		t.Ledger.WriteAsync(t.newRecord(ledger.Settle, t.usedTokens()))
 	}
 }
@@ -112,10 +114,10 @@
 	defer cancel()
 	r := t.newRecord(ledger.StoreTurn, 0)
 	r.Program, r.Previous, r.Input, r.Output = "", t.Previous, t.body, t.output
-	var extra []ledger.Record
+	var extra []*ledger.Write
 	if t.hasBudget() {
 		t.settledTokens = t.usedTokens()
-		extra = append(extra, t.newRecord(ledger.Settle, t.settledTokens))
+		extra = append(extra, ledger.NewWrite(t.newRecord(ledger.Settle, t.settledTokens)))
 	}
 	_, err := t.Ledger.Persist(ctx, r, extra...)
 	return err
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -70,7 +70,9 @@
 	route    *config.Route
 	customer *config.Customer
 	service  chestnutcleat.ServiceName
-	body     []byte
+	// version is the software version that must serve the request; nil for any.
+	version *chestnutcleat.SoftwareVersion
+	body    []byte
 	// memory is what the bodies of the request and its answer take.
 	memory memory.Reservation
 	// admission is the rate limiter's admission of the request, nil without one.
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -11,6 +11,7 @@
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/event"
+	"chestnutcleat.example/chestnutcleat/ledger"
 	"chestnutcleat.example/chestnutcleat/place"
 	"chestnutcleat.example/chestnutcleat/sse"
 )
@@ -44,7 +45,13 @@
 	// output is the data of all delivered events, each followed by a line feed, on routes that retain turns.
 	output []byte
 	// settledTokens is the number of tokens that storeTurn settled the reservation with, or notSettled.
-	settledTokens    chestnutcleat.Tokens
+	settledTokens chestnutcleat.Tokens
+	// reserved is set once the reservation is written.
+	reserved bool
+	// beginTries is the number of Begin records, begunAt the software version in the last one, and beginning its write until it is waited for.
+	beginTries       int
+	begunAt          chestnutcleat.SoftwareVersion
+	beginning        *ledger.Write
 	headerSent       bool
 	flusher          *http.ResponseController
 	timeToFirstEvent time.Duration
@@ -53,17 +60,14 @@
 // serveStream serves a request whose response is an event stream.
 func (c *call) serveStream() error {
 	t := &turn{call: c, input: c.body, lastEventID: -1, settledTokens: notSettled, flusher: http.NewResponseController(c.w)}
-	if c.TakesUp() {
-		c.log(event.StreamTakenUp)
+	if err := t.locate(); err != nil {
+		return c.ignoreCallerGone(err)
 	}
 	if c.route.Retained && c.Previous != "" {
 		if err := t.prependChain(); err != nil {
 			return c.ignoreCallerGone(err)
 		}
 	}
-	if err := t.reserve(); err != nil {
-		return c.ignoreCallerGone(err)
-	}
 	err := t.relay()
 	t.settle()
 	if err == nil {
@@ -82,6 +86,13 @@
 	for {
 		assignment, err := t.pick(t.affinityKey())
 		if err != nil {
+			if t.TakesUp() && !t.sent {
+				return t.refuseTakeUp(refusedInstances, err)
+			}
+			return err
+		}
+		if err := t.record(assignment); err != nil {
+			assignment.End(place.Neutral)
 			return err
 		}
 		f := t.tryStream(assignment)
@@ -125,6 +136,7 @@
 	if a.response.Status != http.StatusOK {
 		return t.relayBuffered(a)
 	}
+	started := false
 	events := sse.Reader{R: bufio.NewReaderSize(a.response, streamBufferSize), MaxBytes: t.Bounds.Event, Reserve: t.memory.Add}
 	for {
 		e, err := events.Next()
@@ -142,6 +154,12 @@
 			// Only events with data are progress. Comments do not reset the timer.
 			stallTimer.Reset(t.stallTimeout())
 		}
+		if e.Data != nil && !started {
+			if f := t.startStream(a); f != nil {
+				return f
+			}
+			started = true
+		}
 		if err := t.deliver(a, e); err != nil {
 			assignment.End(place.Neutral)
 			return &failure{mayHaveRun: true, err: err}
--- a/event/system.go
+++ b/event/system.go
@@ -43,5 +43,7 @@
 	ObjectsCopyFailed          = add(862, Warning, "newer objects could not be copied from another VM", "Check the link to the VM that is named; the next VM that reports them is asked.")
 	UsageRestored              = add(863, Info, "use of customers' rates before the start was restored", "")
 	StreamTakenUp              = add(871, Info, "caller takes a stream up again", "")
+	TakeUpRefused              = add(872, Info, "stream not taken up again", "")
+	StreamNotRecorded          = add(873, Warning, "stream began without a record of its software version", "Check the storage VMs; if the stream breaks off, its caller can't take it up again.")
 	LogLinesDropped            = add(857, Warning, "log lines dropped", "Lines came faster than they could be written; see the metrics.")
 )
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -170,25 +170,46 @@
 	})
 }
 
+// Write is a record that may be waited for after it was sent.
+type Write struct{ pending *pendingWrite }
+
+// NewWrite returns a write of a record, which is sent later.
+func NewWrite(r Record) *Write {
+	return &Write{pending: newPendingWrite(r, time.Now().Add(asyncWriteTimeout))}
+}
+
+// Wait returns nil once a write quorum holds the record. The write goes on if ctx ends.
+func (w *Write) Wait(ctx context.Context) error {
+	select {
+	case <-w.pending.done:
+		return w.pending.err
+	case <-ctx.Done():
+		return errors.Join(ErrNoQuorum, ctx.Err())
+	}
+}
+
+// Send sends a write without waiting for the result.
+func (c *Client) Send(w *Write) error { return c.enqueue(w.pending) }
+
 // TryWrite is like Persist, but fails at once while no write quorum answers.
-func (c *Client) TryWrite(ctx context.Context, r Record) ([]Attempt, error) {
+func (c *Client) TryWrite(ctx context.Context, r Record, along ...*Write) ([]Attempt, error) {
 	if !c.Writable() {
 		return nil, ErrNoQuorum
 	}
-	return c.Persist(ctx, r)
+	return c.Persist(ctx, r, along...)
 }
 
 // Persist returns once a write quorum holds the record; for a Reserve record it returns the other attempts of the
-// program. The extra records are sent along without waiting for their result.
-func (c *Client) Persist(ctx context.Context, r Record, extra ...Record) ([]Attempt, error) {
+// program. The other writes are sent in the same append; their results are not waited for.
+func (c *Client) Persist(ctx context.Context, r Record, along ...*Write) ([]Attempt, error) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(asyncWriteTimeout)
 	}
 	w := newPendingWrite(r, deadline)
 	all := []*pendingWrite{w}
-	for _, b := range extra {
-		all = append(all, newPendingWrite(b, time.Now().Add(asyncWriteTimeout)))
+	for _, other := range along {
+		all = append(all, other.pending)
 	}
 	if err := c.enqueue(all...); err != nil {
 		return nil, err
--- a/ledger/fetch.go
+++ b/ledger/fetch.go
@@ -81,7 +81,7 @@
 			if a.err == nil && a.reply.Complete {
 				missing[a.replica.Disk] = true
 			}
-			if quorumLacks(&set, missing) {
+			if hasReadQuorums(&set, missing) {
 				return nil, chestnutcleat.ErrNotFound
 			}
 			timer.Reset(0)
@@ -89,14 +89,14 @@
 	}
 }
 
-// quorumLacks reports whether a read quorum of the current set and, during a change, of the next one lacks a turn.
-func quorumLacks(set *chestnutcleat.ReplicaSet, missing map[chestnutcleat.DiskID]bool) bool {
-	lacks := func(d chestnutcleat.DiskID) bool { return missing[d] }
-	if !set.HasReadQuorum(lacks) {
+// hasReadQuorums reports whether the given disks are a read quorum of the current set and, during a change, of the next one.
+func hasReadQuorums(set *chestnutcleat.ReplicaSet, disks map[chestnutcleat.DiskID]bool) bool {
+	has := func(d chestnutcleat.DiskID) bool { return disks[d] }
+	if !set.HasReadQuorum(has) {
 		return false
 	}
 	next := chestnutcleat.ReplicaSet{Disks: set.NextDisks}
-	return len(set.NextDisks) == 0 || next.HasReadQuorum(lacks)
+	return len(set.NextDisks) == 0 || next.HasReadQuorum(has)
 }
 
 // readOrder sorts replicas: reachable ones before unreachable ones, and within these this VM's failure domain first.
@@ -121,24 +121,30 @@
 
 func (c *Client) fetchFrom(ctx context.Context, replica chestnutcleat.Replica, set chestnutcleat.ReplicaSet, customer chestnutcleat.CustomerID, id chestnutcleat.RequestID) (FetchReply, error) {
 	q := FetchRequest{Target: Target{Disk: replica.Disk, Version: set.Version}, Customer: customer, Turn: id}
-	// One round may find the replica's set outdated and update it; the next one fetches.
+	return read[FetchReply](ctx, c, replica, &set, methodFetch, q)
+}
+
+// read calls a replica with a request that is made for the given set.
+func read[R interface{ check() VersionCheck }](ctx context.Context, c *Client, replica chestnutcleat.Replica, set *chestnutcleat.ReplicaSet, m chestnutcleat.Method, q any) (R, error) {
+	var none R
+	// One round may find the replica's set outdated and update it; the next one reads.
 	for range 2 {
-		var r FetchReply
-		if err := c.Peers.Call(ctx, replica.Address, methodFetch, q, &r); err != nil {
-			return FetchReply{}, err
+		var r R
+		if err := c.Peers.Call(ctx, replica.Address, m, q, &r); err != nil {
+			return none, err
 		}
-		switch {
-		case r.Newer != nil:
-			c.SetReplicaSet(*r.Newer)
-			return FetchReply{}, ErrNoQuorum
-		case r.Behind:
+		switch v := r.check(); {
+		case v.Newer != nil:
+			c.SetReplicaSet(*v.Newer)
+			return none, ErrNoQuorum
+		case v.Behind:
 			var a AdoptReply
-			if err := c.Peers.Call(ctx, replica.Address, methodAdopt, AdoptRequest{Disk: replica.Disk, ReplicaSet: set}, &a); err != nil {
-				return FetchReply{}, err
+			if err := c.Peers.Call(ctx, replica.Address, methodAdopt, AdoptRequest{Disk: replica.Disk, ReplicaSet: *set}, &a); err != nil {
+				return none, err
 			}
 		default:
 			return r, nil
 		}
 	}
-	return FetchReply{}, ErrNoQuorum
+	return none, ErrNoQuorum
 }
--- a/ledger/message.go
+++ b/ledger/message.go
@@ -9,6 +9,7 @@
 	methodAdopt  chestnutcleat.Method = "ledger/adopt"
 	methodDump   chestnutcleat.Method = "ledger/dump"
 	methodJoin   chestnutcleat.Method = "ledger/join"
+	methodOrigin chestnutcleat.Method = "ledger/origin"
 )
 
 // Target names the disk that a request is for and the version of the replica set that its sender knows.
@@ -25,6 +26,8 @@
 	Behind bool `json:"b,omitempty"`
 }
 
+func (c VersionCheck) check() VersionCheck { return c }
+
 // AppendRequest writes records to a replica.
 type AppendRequest struct {
 	Target
@@ -34,7 +37,7 @@
 // AppendReply holds the other attempts of the program of each Reserve record, in the order of the request.
 type AppendReply struct {
 	VersionCheck
-	// Full is set if the replica has no room and rejected the Reserve records.
+	// Full is set if the replica has no room and rejected the Reserve and Begin records.
 	Full     bool        `json:"f,omitempty"`
 	Attempts [][]Attempt `json:"a,omitempty"`
 }
@@ -54,6 +57,21 @@
 	Complete bool `json:"w,omitempty"`
 }
 
+// OriginRequest asks at which software version the stream of an attempt began.
+type OriginRequest struct {
+	Target
+	Customer chestnutcleat.CustomerID `json:"c"`
+	Attempt  chestnutcleat.RequestID  `json:"a"`
+}
+
+// OriginReply holds the origins that the replica has for the highest try; two of them contradict each other.
+type OriginReply struct {
+	VersionCheck
+	Origins []Origin `json:"o,omitempty"`
+	// Complete is as in FetchReply.
+	Complete bool `json:"w,omitempty"`
+}
+
 // AdoptRequest sends a replica set to one of its members.
 type AdoptRequest struct {
 	Disk       chestnutcleat.DiskID     `json:"d"`
--- /dev/null
+++ b/ledger/origin.go
@@ -0,0 +1,226 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// ErrContradiction is returned for an attempt whose records name several origins of its stream.
+var ErrContradiction = errors.New("records name several origins of the stream")
+
+const (
+	// originOverheadBytes estimates the memory of an index entry of a stream, excluding its ids.
+	originOverheadBytes = 320
+	// maxOrigins is the number of origins that are kept of an attempt: two are enough to know that they contradict each other.
+	maxOrigins = 2
+	// originRetryDelay is the time between two rounds of reading an origin while too few replicas answer.
+	originRetryDelay = 25 * time.Millisecond
+)
+
+// streamState is the index entry of an attempt that began a stream.
+type streamState struct {
+	// origins are those of the highest try.
+	origins   []originState
+	expiresAt int64
+}
+
+// originState is an origin and the location of its latest record.
+type originState struct {
+	Origin
+	loc location
+}
+
+// mergeOrigin adds an origin to those of the highest try; it returns the index of the origin in the list, or -1 if the list needs no
+// record of it.
+func mergeOrigin(list []originState, o Origin) ([]originState, int) {
+	if len(list) > 0 && list[0].Try > o.Try {
+		return list, -1
+	}
+	if len(list) > 0 && list[0].Try < o.Try {
+		list = nil
+	}
+	i := slices.IndexFunc(list, func(known originState) bool { return known.Origin == o })
+	if i < 0 && len(list) < maxOrigins {
+		list, i = append(list, originState{Origin: o}), len(list)
+	}
+	return list, i
+}
+
+func (r *Record) origin() Origin { return Origin{Service: r.Service, Software: r.Software, Try: r.Try} }
+
+func (s *state) applyBegin(r *Record, loc location) {
+	k := turnKey{s.intern(r.Customer), r.Attempt}
+	b := s.streams[k]
+	if b == nil {
+		b = &streamState{}
+		s.streams[k] = b
+		s.memory += streamMemory(k)
+	}
+	b.expiresAt = max(b.expiresAt, r.ExpiresAt)
+	list, i := mergeOrigin(b.origins, r.origin())
+	if i < 0 {
+		return
+	}
+	replaced := list[i].loc
+	list[i].loc = loc
+	if len(b.origins) > 0 && b.origins[0].Try < r.Try {
+		s.removeOrigins(b)
+	} else if replaced != (location{}) {
+		s.removeLive(replaced)
+	}
+	b.origins = list
+	s.addLive(loc)
+}
+
+// removeOrigins takes the records of all origins of a stream out of the count of live bytes.
+func (s *state) removeOrigins(b *streamState) {
+	for _, o := range b.origins {
+		s.removeLive(o.loc)
+	}
+}
+
+func (s *state) expireStreams(now time.Time) {
+	for k, b := range s.streams {
+		if now.Unix() > b.expiresAt {
+			s.removeOrigins(b)
+			s.memory -= streamMemory(k)
+			delete(s.streams, k)
+		}
+	}
+}
+
+func streamMemory(k turnKey) int64 { return int64(originOverheadBytes + len(k.turn)) }
+
+func (o originState) record(k turnKey, expiresAt int64) Record {
+	return Record{
+		Kind: Begin, Customer: k.customer, Attempt: k.turn, Service: o.Service, Software: o.Software, Try: o.Try, ExpiresAt: expiresAt,
+	}
+}
+
+// streamRecords returns the records of all streams.
+func (s *state) streamRecords() []Record {
+	var list []Record
+	for k, b := range s.streams {
+		for _, o := range b.origins {
+			list = append(list, o.record(k, b.expiresAt))
+		}
+	}
+	return list
+}
+
+// containsBegin reports whether applying a Begin record of another replica would change nothing.
+func (s *state) containsBegin(r *Record) bool {
+	b := s.streams[turnKey{r.Customer, r.Attempt}]
+	if b == nil || b.expiresAt < r.ExpiresAt {
+		return false
+	}
+	if b.origins[0].Try != r.Try {
+		return b.origins[0].Try > r.Try
+	}
+	return len(b.origins) == maxOrigins || b.origins[0].Origin == r.origin()
+}
+
+// liveBegin is liveRecord for Begin records.
+func (s *state) liveBegin(r *Record, loc location) (Record, bool) {
+	k := turnKey{r.Customer, r.Attempt}
+	b := s.streams[k]
+	if b == nil {
+		return Record{}, false
+	}
+	for _, o := range b.origins {
+		if o.loc == loc {
+			return o.record(k, b.expiresAt), true
+		}
+	}
+	return Record{}, false
+}
+
+// findOrigins returns the origins that this replica has of an attempt's stream.
+func (s *Store) findOrigins(_ context.Context, q OriginRequest) (OriginReply, error) {
+	if check, ok, err := s.checkTarget(q.Target); !ok {
+		return OriginReply{VersionCheck: check}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := OriginReply{Complete: s.state.complete}
+	if b := s.state.streams[turnKey{q.Customer, q.Attempt}]; b != nil {
+		for _, o := range b.origins {
+			r.Origins = append(r.Origins, o.Origin)
+		}
+	}
+	return r, nil
+}
+
+// FindOrigin returns the origin of an attempt's stream, as a read quorum knows it. It returns chestnutcleat.ErrNotFound only if a
+// read quorum lacks the attempt, and ErrContradiction if the records of the highest try don't agree.
+func (c *Client) FindOrigin(ctx context.Context, customer chestnutcleat.CustomerID, id chestnutcleat.RequestID) (Origin, error) {
+	for {
+		o, err := c.findOriginOnce(ctx, customer, id)
+		if !errors.Is(err, ErrNoQuorum) && !errors.Is(err, ErrNoReplicaSet) {
+			return o, err
+		}
+		// The replica set may have changed, or a replica may be about to answer again.
+		if chestnutcleat.Sleep(ctx, originRetryDelay) != nil {
+			return Origin{}, err
+		}
+	}
+}
+
+// findOriginOnce asks all replicas at once. A positive answer of one replica is not enough, as it may have an older try only.
+func (c *Client) findOriginOnce(ctx context.Context, customer chestnutcleat.CustomerID, id chestnutcleat.RequestID) (Origin, error) {
+	set := c.ReplicaSet()
+	if set.Version == 0 {
+		return Origin{}, ErrNoReplicaSet
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		disk  chestnutcleat.DiskID
+		reply OriginReply
+		err   error
+	}
+	all := set.All()
+	answers := make(chan result, len(all))
+	for _, replica := range all {
+		go func() {
+			q := OriginRequest{Target: Target{Disk: replica.Disk, Version: set.Version}, Customer: customer, Attempt: id}
+			r, err := read[OriginReply](ctx, c, replica, &set, methodOrigin, q)
+			answers <- result{replica.Disk, r, err}
+		}()
+	}
+	answered := map[chestnutcleat.DiskID]bool{}
+	var origins []originState
+	for range all {
+		select {
+		case <-ctx.Done():
+			return Origin{}, ErrNoQuorum
+		case a := <-answers:
+			if a.err != nil {
+				continue
+			}
+			for _, o := range a.reply.Origins {
+				origins, _ = mergeOrigin(origins, o)
+			}
+			answered[a.disk] = a.reply.Complete
+			if hasReadQuorums(&set, answered) {
+				return agreed(origins)
+			}
+		}
+	}
+	return Origin{}, ErrNoQuorum
+}
+
+// agreed returns the only origin of a list.
+func agreed(list []originState) (Origin, error) {
+	switch len(list) {
+	case 0:
+		return Origin{}, chestnutcleat.ErrNotFound
+	case 1:
+		return list[0].Origin, nil
+	}
+	return Origin{}, ErrContradiction
+}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -17,8 +17,13 @@
 	Adopt
 	// Complete marks a replica that has all records of earlier versions of the set.
 	Complete
+	// Begin names the service and the software version at which a stream begins.
+	Begin
 )
 
+// needsRoom reports whether a full replica rejects records of the kind, as they come before anything has run.
+func (k Kind) needsRoom() bool { return k == Reserve || k == Begin }
+
 // Record is one entry of a replica's log.
 type Record struct {
 	Kind     Kind                     `json:"k"`
@@ -35,6 +40,18 @@
 	ExpiresAt int64 `json:"u,omitempty"`
 	// ReplicaSet is set in Adopt records.
 	ReplicaSet *chestnutcleat.ReplicaSet `json:"s,omitempty"`
+	// Service, Software and Try are set in Begin records. A record with a higher Try replaces those of the same attempt with a lower one.
+	Service  chestnutcleat.ServiceName     `json:"e,omitempty"`
+	Software chestnutcleat.SoftwareVersion `json:"w,omitempty"`
+	Try      int                           `json:"n,omitempty"`
+}
+
+// Origin is the service and the software version at which an attempt's stream began.
+type Origin struct {
+	Service  chestnutcleat.ServiceName     `json:"e"`
+	Software chestnutcleat.SoftwareVersion `json:"w"`
+	// Try is the number of the instance within the attempt, from 1.
+	Try int `json:"n"`
 }
 
 // Turn is a stored turn.
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -50,6 +50,8 @@
 type state struct {
 	programs map[programKey]*programState
 	turns    map[turnKey]*turnState
+	// streams has the attempts that began a stream which may go on elsewhere.
+	streams  map[turnKey]*streamState
 	replicas chestnutcleat.ReplicaSet
 	// complete is set once the replica has all records of earlier versions of the set.
 	complete bool
@@ -63,7 +65,7 @@
 
 func newState() *state {
 	return &state{
-		programs: map[programKey]*programState{}, turns: map[turnKey]*turnState{}, live: map[int]int64{},
+		programs: map[programKey]*programState{}, turns: map[turnKey]*turnState{}, streams: map[turnKey]*streamState{}, live: map[int]int64{},
 		internedCustomers: map[chestnutcleat.CustomerID]chestnutcleat.CustomerID{},
 	}
 }
@@ -75,6 +77,8 @@
 		s.applyAttempt(r, loc)
 	case StoreTurn:
 		s.applyTurn(r, loc)
+	case Begin:
+		s.applyBegin(r, loc)
 	case Adopt:
 		if r.ReplicaSet != nil && r.ReplicaSet.Version > s.replicas.Version {
 			s.replicas = *r.ReplicaSet
@@ -180,7 +184,7 @@
 	return list
 }
 
-// expire removes programs and turns whose lifetime has ended.
+// expire removes programs, turns and streams whose lifetime has ended.
 func (s *state) expire(now time.Time) {
 	for k, p := range s.programs {
 		if now.Unix() <= p.expiresAt {
@@ -200,11 +204,12 @@
 			delete(s.turns, k)
 		}
 	}
+	s.expireStreams(now)
 }
 
 // allRecords returns the records that another replica needs to rebuild the state; those of turns have no input and output.
 func (s *state) allRecords() []Record {
-	list := make([]Record, 0, len(s.turns))
+	list := s.streamRecords()
 	for k, p := range s.programs {
 		for id, a := range p.attempts {
 			list = append(list, a.record(k, id, p.expiresAt))
@@ -243,6 +248,8 @@
 		v := *r
 		v.ExpiresAt = t.expiresAt
 		return v, true
+	case Begin:
+		return s.liveBegin(r, loc)
 	}
 	return Record{}, false
 }
@@ -273,6 +280,8 @@
 	case StoreTurn:
 		t := s.turns[turnKey{r.Customer, r.Attempt}]
 		return t != nil && t.expiresAt >= r.ExpiresAt
+	case Begin:
+		return s.containsBegin(r)
 	}
 	return false
 }
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -130,6 +130,7 @@
 	vm.Handle(m, methodAdopt, s.adopt)
 	vm.Handle(m, methodDump, s.dump)
 	vm.Handle(m, methodJoin, s.join)
+	vm.Handle(m, methodOrigin, s.findOrigins)
 }
 
 // Run commits records and runs maintenance until ctx is done.
@@ -221,7 +222,7 @@
 	records := pointers(q.Records)
 	r := AppendReply{Full: s.Full()}
 	if r.Full {
-		records = slices.DeleteFunc(records, func(v *Record) bool { return v.Kind == Reserve })
+		records = slices.DeleteFunc(records, func(v *Record) bool { return v.Kind.needsRoom() })
 	}
 	if err := s.write(ctx, records); err != nil {
 		return AppendReply{}, err
--- a/place/table.go
+++ b/place/table.go
@@ -32,6 +32,8 @@
 // Request describes a request that needs an instance.
 type Request struct {
 	Service chestnutcleat.ServiceName
+	// Version is the software version that the instance must have; nil for any.
+	Version *chestnutcleat.SoftwareVersion
 	// Key keeps requests with the same key at one instance; if it is empty, the choice depends on free slots.
 	Key string
 	// Exclude lists instances to exclude, as this request was offered to them before.
@@ -53,6 +55,7 @@
 	services map[chestnutcleat.ServiceName][]*instanceState
 	byID     map[chestnutcleat.InstanceID]*instanceState
 	outcomes outcomeHistory
+	versions versionHistory
 }
 
 type instanceState struct {
@@ -79,6 +82,7 @@
 func (t *Table) SetInstances(list []chestnutcleat.Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.versions.note(t.byID, time.Now())
 	services := map[chestnutcleat.ServiceName][]*instanceState{}
 	byID := make(map[chestnutcleat.InstanceID]*instanceState, len(list))
 	for _, i := range list {
@@ -140,7 +144,7 @@
 	var available, unavailable []*instanceState
 	for _, s := range t.services[r.Service] {
 		switch {
-		case s.Leaving || slices.Contains(r.Exclude, s.ID):
+		case s.Leaving || slices.Contains(r.Exclude, s.ID), r.Version != nil && s.Version != *r.Version:
 		case now.Before(s.backoffUntil), now.Before(s.ejectedUntil), s.onProbation(now) && !probationRequest:
 			unavailable = append(unavailable, s)
 		default:
--- /dev/null
+++ b/place/version.go
@@ -0,0 +1,85 @@
+package place
+
+import (
+	"time"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// versionMemory is how long a service's version that is no longer registered is remembered. It is longer than any stream.
+const versionMemory = 2 * time.Hour
+
+// versionHistory holds the software versions that have been registered while this VM followed the registrations without a gap.
+type versionHistory struct {
+	// since is the time from which on no registration was missed; zero before the first list.
+	since time.Time
+	// lastSeen is the last time at which a version was registered that has left.
+	lastSeen map[chestnutcleat.ServiceName]map[chestnutcleat.SoftwareVersion]time.Time
+}
+
+// note records the versions of the instances of a list that is about to be replaced.
+func (h *versionHistory) note(list map[chestnutcleat.InstanceID]*instanceState, now time.Time) {
+	if h.since.IsZero() {
+		h.restart(now)
+	}
+	for _, s := range list {
+		versions := h.lastSeen[s.Service]
+		if versions == nil {
+			versions = map[chestnutcleat.SoftwareVersion]time.Time{}
+			h.lastSeen[s.Service] = versions
+		}
+		versions[s.Version] = now
+	}
+	for _, versions := range h.lastSeen {
+		for v, at := range versions {
+			if now.Sub(at) > versionMemory {
+				delete(versions, v)
+			}
+		}
+	}
+}
+
+func (h *versionHistory) restart(now time.Time) {
+	h.since, h.lastSeen = now, map[chestnutcleat.ServiceName]map[chestnutcleat.SoftwareVersion]time.Time{}
+}
+
+// RestartVersionHistory tells that registrations may have been missed until now.
+func (t *Table) RestartVersionHistory() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.versions.since.IsZero() {
+		t.versions.restart(time.Now())
+	}
+}
+
+// OnlyVersion returns the only software version that a service's instances, those that left included, have had within the given time up
+// to now. ok is false if there were several, none, or if registrations may have been missed within that time.
+func (t *Table) OnlyVersion(service chestnutcleat.ServiceName, within time.Duration) (version chestnutcleat.SoftwareVersion, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	if t.versions.since.IsZero() || now.Sub(t.versions.since) < within || within > versionMemory {
+		return "", false
+	}
+	found := map[chestnutcleat.SoftwareVersion]bool{}
+	for _, s := range t.services[service] {
+		found[s.Version] = true
+	}
+	for v, at := range t.versions.lastSeen[service] {
+		if now.Sub(at) <= within {
+			found[v] = true
+		}
+	}
+	for v := range found {
+		version = v
+	}
+	return version, len(found) == 1
+}
+
+// Current reports whether the instance's registration is the one of when it was picked, or was removed since.
+func (a *Assignment) Current() bool {
+	a.table.mu.Lock()
+	defer a.table.mu.Unlock()
+	s := a.table.byID[a.ID]
+	return s == nil || s.StartedAt == a.StartedAt && s.Address == a.Address && s.Service == a.Service && s.Version == a.Version
+}
--- a/problem.go
+++ b/problem.go
@@ -33,9 +33,11 @@
 	CodeBusy           Code = "busy"
 	CodeCrash          Code = "crashes-upstreams"
 	// CodeCrashing is CodeCrash for a request that may be retried later.
-	CodeCrashing         Code = "crashing"
-	CodeUpstreamError    Code = "upstream-error"
-	CodeInterrupted      Code = "interrupted"
+	CodeCrashing      Code = "crashing"
+	CodeUpstreamError Code = "upstream-error"
+	CodeInterrupted   Code = "interrupted"
+	// CodeCannotResume refuses to take a stream up again where no instance may go on with it.
+	CodeCannotResume     Code = "cannot-resume"
 	CodeOwnerUnavailable Code = "owner-unavailable"
 	CodeLeaving          Code = "leaving"
 	CodeNotReady         Code = "not-ready"
@@ -77,6 +79,7 @@
 	CodeCrashing:            http.StatusServiceUnavailable,
 	CodeUpstreamError:       http.StatusBadGateway,
 	CodeInterrupted:         http.StatusBadGateway,
+	CodeCannotResume:        http.StatusServiceUnavailable,
 	CodeOwnerUnavailable:    http.StatusServiceUnavailable,
 	CodeLeaving:             http.StatusServiceUnavailable,
 	CodeNotReady:            http.StatusServiceUnavailable,
--- a/role/entry.go
+++ b/role/entry.go
@@ -40,6 +40,8 @@
 	maxAddressTTLSeconds = 2.5
 	// fleetCheckInterval is the time between updates from the other VMs' reports.
 	fleetCheckInterval = 200 * time.Millisecond
+	// maxFleetCheckGap is the time between two such updates from which this VM counts as having stood still.
+	maxFleetCheckGap = 5 * fleetCheckInterval
 	// bodyMemoryDivisor divides the process's memory to get the budget for bodies.
 	bodyMemoryDivisor = 4
 )
@@ -207,7 +209,13 @@
 
 // trackFleet updates the instances' load and the set of VMs that share the rates from what other VMs report.
 func (e *Entry) trackFleet(ctx context.Context) error {
+	last := time.Now()
 	for chestnutcleat.Sleep(ctx, fleetCheckInterval) == nil {
+		// Registrations may come and go unseen while the platform does not answer, or while this VM stands still.
+		if e.mirrors[platform.InstanceKind].Unreachable() || time.Since(last) > maxFleetCheckGap {
+			e.placement.RestartVersionHistory()
+		}
+		last = time.Now()
 		e.applyTotals()
 		if e.mirrors[fleetKind].Version() > 0 {
 			e.limiter.SetVMs(append(e.fleet.VMs(), e.self.VM))
