Test the records of where streams began

Order of arrival, copies, compaction, restart, full replicas, and what a read quorum knows: an older try at one replica, a contradiction, a replica that lacks records, a set that changes, a lost quorum. The tests came after the code; TestFindOrigin's cases 'older try at one' and 'quorum lost' fail if the first positive answer is taken.

--- a/ledger/fuzz_test.go
+++ b/ledger/fuzz_test.go
@@ -20,6 +20,8 @@
 func FuzzCalls(f *testing.F) {
 	for _, q := range []any{
 		AppendRequest{Records: []Record{*reserveRecord("a", 1), *turnRecord("1", "")}},
+		AppendRequest{Records: []Record{*beginRecord("a", "v1", 1), *beginRecord("a", "v2", 1), *beginRecord("a", "", -1)}},
+		OriginRequest{Customer: "c", Attempt: "a"},
 		FetchRequest{Customer: "c", Turn: "1"},
 		AdoptRequest{ReplicaSet: chestnutcleat.ReplicaSet{Version: 2}},
 		DumpRequest{Offset: 1, Indexes: []int{0, -1, 9}},
@@ -46,6 +48,10 @@
 			setTarget(&q.Target)
 			return s.fetch(ctx, q)
 		})
+		call(ctx, data, func(ctx context.Context, q OriginRequest) (OriginReply, error) {
+			setTarget(&q.Target)
+			return s.findOrigins(ctx, q)
+		})
 		call(ctx, data, func(ctx context.Context, q DumpRequest) (DumpReply, error) {
 			setTarget(&q.Target)
 			return s.dump(ctx, q)
--- /dev/null
+++ b/ledger/origin_test.go
@@ -0,0 +1,225 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+func beginRecord(id, version string, try int) *Record {
+	return &Record{
+		Kind: Begin, Customer: "c", Attempt: chestnutcleat.RequestID(id), Service: "s", Software: chestnutcleat.SoftwareVersion(version), Try: try,
+		ExpiresAt: 1 << 40,
+	}
+}
+
+func origin(version string, try int) Origin {
+	return Origin{Service: "s", Software: chestnutcleat.SoftwareVersion(version), Try: try}
+}
+
+// stateOf returns the state after some records, each at its own place in the log.
+func stateOf(list []*Record) *state {
+	s := newState()
+	for i, r := range list {
+		s.apply(r, location{segment: 1, offset: int64(i), bytes: 10})
+	}
+	return s
+}
+
+func (s *state) origins(id string) []Origin {
+	var list []Origin
+	if b := s.streams[turnKey{"c", chestnutcleat.RequestID(id)}]; b != nil {
+		for _, o := range b.origins {
+			list = append(list, o.Origin)
+		}
+	}
+	slices.SortFunc(list, func(a, b Origin) int { return len(a.Software) - len(b.Software) })
+	return list
+}
+
+// Replicas get records in different orders, more than once and from each other. The instance that a caller had events from must win
+// at all of them, and two that contradict each other must not become one.
+func TestOriginsInAnyOrder(t *testing.T) {
+	const seed = 5
+	t.Logf("seed %d", seed)
+	r := rand.New(rand.NewPCG(seed, seed))
+	for name, c := range map[string]struct {
+		records []*Record
+		want    []Origin
+	}{
+		"one":                  {[]*Record{beginRecord("a", "v1", 1)}, []Origin{origin("v1", 1)}},
+		"empty version":        {[]*Record{beginRecord("a", "", 1)}, []Origin{origin("", 1)}},
+		"later try":            {[]*Record{beginRecord("a", "v1", 1), beginRecord("a", "v22", 2)}, []Origin{origin("v22", 2)}},
+		"third try":            {[]*Record{beginRecord("a", "v1", 1), beginRecord("a", "v22", 2), beginRecord("a", "v1", 3)}, []Origin{origin("v1", 3)}},
+		"contradiction":        {[]*Record{beginRecord("a", "v1", 1), beginRecord("a", "v22", 1)}, []Origin{origin("v1", 1), origin("v22", 1)}},
+		"contradiction before": {[]*Record{beginRecord("a", "v1", 1), beginRecord("a", "v22", 1), beginRecord("a", "v1", 2)}, []Origin{origin("v1", 2)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for range 50 {
+				list := append(slices.Clone(c.records), c.records[r.IntN(len(c.records))], beginRecord("other", "v9", 7))
+				r.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+				s := stateOf(list)
+				is.Equal(s.origins("a"), c.want)
+				is.Equal(s.live[1], int64(10*(len(c.want)+1))) // only what is needed counts as live
+				for _, v := range c.records {
+					is.True(s.contains(v))
+				}
+				is.Equal(stateOf(pointers(s.allRecords())).origins("a"), c.want) // as another replica copies it
+				s.expire(time.Unix(1<<40+1, 0))
+				is.Equal(s.memory, int64(0))
+				is.Equal(s.live[1], int64(0))
+			}
+		})
+	}
+	is := is.New(t)
+	s := stateOf([]*Record{beginRecord("a", "v1", 1)})
+	is.True(!s.contains(beginRecord("a", "v22", 1)))
+	is.True(!s.contains(beginRecord("a", "v1", 2)))
+	is.True(!s.contains(beginRecord("b", "v1", 1)))
+	is.Equal(len(s.origins("other")), 0)
+}
+
+// The origins of streams must survive compactions and restarts, and two that contradict each other must both.
+func TestOriginsSurvive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		folder := t.TempDir()
+		s, stop := openStore(t, folder)
+		gone := beginRecord("gone", "v1", 1)
+		gone.ExpiresAt = time.Now().Add(-time.Minute).Unix()
+		appendRecords(t, s, gone, beginRecord("a", "v1", 1), beginRecord("b", "v1", 1), beginRecord("b", "v22", 1), beginRecord("a", "v22", 2), largeTurn("root", "", 100))
+		const size = 1 << 20
+		for i := range 10 * segmentBytes / size {
+			r := largeTurn(fmt.Sprint(i), "", size)
+			r.ExpiresAt = gone.ExpiresAt
+			appendRecords(t, s, r)
+		}
+		time.Sleep(2 * maintenanceInterval)
+		synctest.Wait()
+		check := func(s *Store) {
+			t.Helper()
+			is.Equal(s.state.origins("a"), []Origin{origin("v22", 2)})
+			is.Equal(s.state.origins("b"), []Origin{origin("v1", 1), origin("v22", 1)})
+			is.Equal(len(s.state.origins("gone")), 0)
+		}
+		is.True(s.Usage().Disk < 2*segmentBytes) // the first segment was compacted
+		check(s)
+		live := s.Usage().Live
+		stop()
+		again, _ := openStore(t, folder)
+		check(again)
+		is.Equal(again.Usage().Live, live)
+	})
+}
+
+// A full replica must reject the records of new streams like reservations: nothing limits their number otherwise.
+func TestFullReplicaRejectsBegin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := openStore(t, t.TempDir())
+		appendRecords(t, s, reserveRecord("a", 50))
+		s.MemoryLimit = 1
+		is.True(appendRecords(t, s, settleRecord("a", 20), beginRecord("a", "v1", 1)).Full)
+		is.Equal(len(s.state.origins("a")), 0)
+	})
+}
+
+// originPeers has the answer of each replica to a question for an origin; one without an answer can't be reached.
+type originPeers map[chestnutcleat.Address]OriginReply
+
+func (p originPeers) Call(_ context.Context, a chestnutcleat.Address, _ chestnutcleat.Method, request, reply any) error {
+	if _, ok := request.(OriginRequest); !ok {
+		return errors.New("unexpected request")
+	}
+	r, ok := p[a]
+	if !ok {
+		return errors.New("unreachable")
+	}
+	*reply.(*OriginReply) = r
+	return nil
+}
+
+func replicaList(names ...string) []chestnutcleat.Replica {
+	var list []chestnutcleat.Replica
+	for _, n := range names {
+		list = append(list, chestnutcleat.Replica{Disk: chestnutcleat.DiskID(n), Address: chestnutcleat.Address(n)})
+	}
+	return list
+}
+
+// The origin of a stream must be what a read quorum knows. The first positive answer may be that of an older try, and what too few
+// replicas say may be less than what was written.
+func TestFindOrigin(t *testing.T) {
+	has := func(list ...Origin) OriginReply { return OriginReply{Origins: list, Complete: true} }
+	three, five := replicaList("1", "2", "3"), replicaList("1", "2", "3", "4", "5")
+	for name, c := range map[string]struct {
+		disks, next []chestnutcleat.Replica
+		peers       originPeers
+		want        Origin
+		err         error
+	}{
+		"all":                    {three, nil, originPeers{"1": has(origin("v1", 1)), "2": has(origin("v1", 1)), "3": has(origin("v1", 1))}, origin("v1", 1), nil},
+		"one down":               {three, nil, originPeers{"1": has(), "3": has(origin("v1", 1))}, origin("v1", 1), nil},
+		"older try at one":       {three, nil, originPeers{"1": has(origin("v1", 1)), "2": has(origin("v2", 2))}, origin("v2", 2), nil},
+		"lost by one":            {three, nil, originPeers{"1": has(), "2": has(origin("v2", 2))}, origin("v2", 2), nil},
+		"unknown":                {three, nil, originPeers{"1": has(), "2": has(), "3": has()}, Origin{}, chestnutcleat.ErrNotFound},
+		"contradiction":          {three, nil, originPeers{"1": has(origin("v1", 1)), "2": has(origin("v2", 1))}, Origin{}, ErrContradiction},
+		"contradiction at one":   {three, nil, originPeers{"1": has(origin("v1", 1), origin("v2", 1)), "2": has(origin("v2", 1))}, Origin{}, ErrContradiction},
+		"quorum lost":            {three, nil, originPeers{"1": has(origin("v1", 1))}, Origin{}, ErrNoQuorum},
+		"incomplete replica":     {three, nil, originPeers{"1": has(origin("v1", 1)), "2": {Origins: []Origin{origin("v1", 1)}}}, Origin{}, ErrNoQuorum},
+		"incomplete knows later": {three, nil, originPeers{"1": has(), "2": {Origins: []Origin{origin("v2", 2)}}, "3": has()}, Origin{}, nil},
+		"five, two down":         {five, nil, originPeers{"1": has(), "2": has(), "3": has(origin("v1", 1))}, origin("v1", 1), nil},
+		"joint, next answers":    {three, replicaList("3", "4", "5"), originPeers{"3": has(origin("v1", 1)), "4": has(), "2": has()}, origin("v1", 1), nil},
+		"joint, next is down":    {three, replicaList("4", "5", "6"), originPeers{"1": has(origin("v1", 1)), "2": has(origin("v1", 1)), "3": has()}, Origin{}, ErrNoQuorum},
+		"no replica set":         {nil, nil, originPeers{}, Origin{}, ErrNoReplicaSet},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				client := &Client{Peers: c.peers, Observer: noopObserver{}}
+				if c.disks != nil {
+					client.SetReplicaSet(chestnutcleat.ReplicaSet{Version: FirstVersion, Disks: c.disks, NextDisks: c.next})
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				got, err := client.FindOrigin(ctx, "c", "a")
+				if name == "incomplete knows later" {
+					// Which answers come first decides whether the later try is known; it is never taken for another one.
+					is.True(err == nil && got == origin("v2", 2) || errors.Is(err, chestnutcleat.ErrNotFound))
+					return
+				}
+				is.Equal(got, c.want)
+				is.True(errors.Is(err, c.err))
+			})
+		})
+	}
+}
+
+// A replica must answer for the attempts of the customer that asks only, and tell whether it has all records.
+func TestFindOriginsOfCustomer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := openStore(t, t.TempDir())
+		appendRecords(t, s, beginRecord("a", "v1", 1))
+		for customer, want := range map[chestnutcleat.CustomerID]int{"c": 1, "d": 0, "": 0} {
+			r, err := s.findOrigins(t.Context(), OriginRequest{Target: s.target(), Customer: customer, Attempt: "a"})
+			is.NoErr(err)
+			is.True(r.Complete)
+			is.Equal(len(r.Origins), want)
+		}
+		old, err := s.findOrigins(t.Context(), OriginRequest{Target: Target{Disk: s.disk, Version: FirstVersion + 1}, Customer: "c", Attempt: "a"})
+		is.NoErr(err)
+		is.True(old.Behind)
+		is.Equal(len(old.Origins), 0) // an answer of another set proves nothing
+	})
+}
