--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -81,29 +81,33 @@
 	return append([]*receivedRequest{}, f.requests...)
 }
 
-// appendCounter counts the appends to the replica.
+// appendCounter counts the appends to the replica, and delays them.
 type appendCounter struct {
 	chestnutcleat.Peers
-	n atomic.Int32
+	n     atomic.Int32
+	delay atomic.Int64
 }
 
 func (a *appendCounter) Call(ctx context.Context, to chestnutcleat.Address, m chestnutcleat.Method, request, reply any) error {
 	if _, ok := request.(ledger.AppendRequest); ok {
 		a.n.Add(1)
+		time.Sleep(time.Duration(a.delay.Load()))
 	}
 	return a.Peers.Call(ctx, to, m, request, reply)
 }
 
 // harness is an entry VM with simulated instances, a caller and one replica of the ledger.
 type harness struct {
-	t          *testing.T
-	instances  *fakeInstances
-	handler    *Handler
-	table      *config.Table
-	server     *http.Server
-	client     *http.Client
-	network    *vm.Network
-	appends    *appendCounter
+	t         *testing.T
+	instances *fakeInstances
+	handler   *Handler
+	table     *config.Table
+	server    *http.Server
+	client    *http.Client
+	network   *vm.Network
+	appends   *appendCounter
+	// mux is the replica's, at "store".
+	mux        *vm.Mux
 	stop       context.CancelFunc
 	goroutines sync.WaitGroup
 }
@@ -235,16 +239,26 @@
 
 // startReplica runs a replica of the ledger at "store".
 func (h *harness) startReplica(ctx context.Context) chestnutcleat.ReplicaSet {
+	set, _ := h.startReplicaAt(ctx, "store")
+	return set
+}
+
+// startReplicaAt runs a replica and returns a set with only this one.
+func (h *harness) startReplicaAt(ctx context.Context, name chestnutcleat.Address) (chestnutcleat.ReplicaSet, *ledger.Store) {
 	store, err := ledger.Open(h.t.TempDir())
 	if err != nil {
 		h.t.Fatal(err)
 	}
-	store.Peers, store.Observer = h.network.From("store"), discardObserver{}
+	store.Peers, store.Observer = h.network.From(name), discardObserver{}
 	mux := vm.NewMux()
 	store.Register(mux)
-	h.network.Attach("store", mux)
+	h.network.Attach(name, mux)
+	if h.mux == nil {
+		h.mux = mux
+	}
 	h.goroutines.Go(func() { _ = store.Run(ctx) })
-	return chestnutcleat.ReplicaSet{Version: ledger.FirstVersion, Disks: []chestnutcleat.Replica{{Disk: store.Disk(), VM: "store", Address: "store"}}}
+	disks := []chestnutcleat.Replica{{Disk: store.Disk(), VM: chestnutcleat.VMID(name), Address: name}}
+	return chestnutcleat.ReplicaSet{Version: ledger.FirstVersion, Disks: disks}, store
 }
 
 func (h *harness) close() {
