Find where a stream began while the replica set changes

Callers' take-ups were refused (503, unreadable) for as long as the next replicas copied: a read needed a read quorum of them with all records. The present replicas have every origin, so of the next ones it is enough that a read quorum answers at the joint set: then the change is not finished, and no origin is written without the present ones. Ruled out: asking the present ones only, as those that are not told of the finished set would miss what is written after it.

--- a/ledger/fetch.go
+++ b/ledger/fetch.go
@@ -81,7 +81,7 @@
 			if a.err == nil && a.reply.Complete {
 				missing[a.replica.Disk] = true
 			}
-			if hasReadQuorums(&set, missing) {
+			if quorumLacks(&set, missing) {
 				return nil, chestnutcleat.ErrNotFound
 			}
 			timer.Reset(0)
@@ -89,14 +89,14 @@
 	}
 }
 
-// hasReadQuorums reports whether the given disks are a read quorum of the current set and, during a change, of the next one.
-func hasReadQuorums(set *chestnutcleat.ReplicaSet, disks map[chestnutcleat.DiskID]bool) bool {
-	has := func(d chestnutcleat.DiskID) bool { return disks[d] }
-	if !set.HasReadQuorum(has) {
+// quorumLacks reports whether a read quorum of the current set and, during a change, of the next one lacks a turn.
+func quorumLacks(set *chestnutcleat.ReplicaSet, missing map[chestnutcleat.DiskID]bool) bool {
+	lacks := func(d chestnutcleat.DiskID) bool { return missing[d] }
+	if !set.HasReadQuorum(lacks) {
 		return false
 	}
 	next := chestnutcleat.ReplicaSet{Disks: set.NextDisks}
-	return len(set.NextDisks) == 0 || next.HasReadQuorum(has)
+	return len(set.NextDisks) == 0 || next.HasReadQuorum(lacks)
 }
 
 // readOrder sorts replicas: reachable ones before unreachable ones, and within these this VM's failure domain first.
--- a/ledger/origin.go
+++ b/ledger/origin.go
@@ -192,7 +192,7 @@
 			answers <- result{replica.Disk, r, err}
 		}()
 	}
-	answered := map[chestnutcleat.DiskID]bool{}
+	answered, complete := map[chestnutcleat.DiskID]bool{}, map[chestnutcleat.DiskID]bool{}
 	var origins []originState
 	for range all {
 		select {
@@ -205,8 +205,8 @@
 			for _, o := range a.reply.Origins {
 				origins, _ = mergeOrigin(origins, o)
 			}
-			answered[a.disk] = a.reply.Complete
-			if hasReadQuorums(&set, answered) {
+			answered[a.disk], complete[a.disk] = true, a.reply.Complete
+			if originsKnown(&set, answered, complete) {
 				return agreed(origins)
 			}
 		}
@@ -214,6 +214,16 @@
 	return Origin{}, ErrNoQuorum
 }
 
+// originsKnown reports whether the answers of some replicas include every written origin. During a change the current replicas have
+// them all. The next ones, which may still copy, only show by answering that the change is not finished.
+func originsKnown(set *chestnutcleat.ReplicaSet, answered, complete map[chestnutcleat.DiskID]bool) bool {
+	if !set.HasReadQuorum(func(d chestnutcleat.DiskID) bool { return complete[d] }) {
+		return false
+	}
+	next := chestnutcleat.ReplicaSet{Disks: set.NextDisks}
+	return len(set.NextDisks) == 0 || next.HasReadQuorum(func(d chestnutcleat.DiskID) bool { return answered[d] })
+}
+
 // agreed returns the only origin of a list.
 func agreed(list []originState) (Origin, error) {
 	switch len(list) {
--- a/ledger/origin_test.go
+++ b/ledger/origin_test.go
@@ -180,6 +180,9 @@
 		"incomplete knows later": {three, nil, originPeers{"1": has(), "2": {Origins: []Origin{origin("v2", 2)}}, "3": has()}, Origin{}, nil},
 		"five, two down":         {five, nil, originPeers{"1": has(), "2": has(), "3": has(origin("v1", 1))}, origin("v1", 1), nil},
 		"joint, next answers":    {three, replicaList("3", "4", "5"), originPeers{"3": has(origin("v1", 1)), "4": has(), "2": has()}, origin("v1", 1), nil},
+		"joint, next has none":   {three, replicaList("4", "5", "6"), originPeers{"1": has(origin("v1", 1)), "2": has(), "4": {}, "5": {}}, origin("v1", 1), nil},
+		"joint, one of next":     {three, replicaList("4", "5", "6"), originPeers{"1": has(origin("v1", 1)), "2": has(), "3": has(), "4": {}}, Origin{}, ErrNoQuorum},
+		"joint, current has not": {three, replicaList("4", "5", "6"), originPeers{"1": has(origin("v1", 1)), "2": {}, "4": has(), "5": has()}, Origin{}, ErrNoQuorum},
 		"joint, next is down":    {three, replicaList("4", "5", "6"), originPeers{"1": has(origin("v1", 1)), "2": has(origin("v1", 1)), "3": has()}, Origin{}, ErrNoQuorum},
 		"no replica set":         {nil, nil, originPeers{}, Origin{}, ErrNoReplicaSet},
 	} {
