--- a/entry/version_test.go
+++ b/entry/version_test.go
@@ -624,11 +624,12 @@
 		defer cancel()
 		next, store := h.startReplicaAt(ctx, "store2")
 		joint := chestnutcleat.ReplicaSet{Version: before.Version + 1, Disks: before.Disks, NextDisks: next.Disks}
-		h.is.NoErr(store.Join(ctx, next.Disks[0], joint))
 		for _, v := range h.vms {
 			v.handler.Ledger.SetReplicaSet(joint)
 		}
-		h.expectRest(h.takeUp(1, attemptID(streamID(0), 1), streamID(0), 2), versions[0], 2) // during the change
+		h.expectRest(h.takeUp(1, attemptID(streamID(0), 1), streamID(0), 2), versions[0], 2) // before the next replica has copied
+		h.is.NoErr(store.Join(ctx, next.Disks[0], joint))
+		h.expectRest(h.takeUp(1, attemptID(streamID(1), 1), streamID(1), 2), versions[1], 2)
 		versions[4] = h.begin(0, streamID(4))
 		h.replicas = chestnutcleat.ReplicaSet{Version: joint.Version + 1, Disks: next.Disks}
 		h.is.NoErr(store.Adopt(ctx, h.replicas))
