Take up streams without Resumes where a route had one software version

Now Begin records name their route, and replicas tell in the same answer at which services and versions its streams began. If a read quorum knows one, and this VM knows of no other version that is or was registered within the life of records, the stream goes on there. Ruled out: a shorter history of registrations (there is none after a start), the body's fingerprint (nothing says that a take-up has the same bytes).

Before: TestTakeUpWithoutResumes, status 503, want 200. TestTakeUpByRegistrations now waits until the records of its own take-ups have expired, since these prove the version; its checks are the same, with one more take-up.

--- a/entry/version.go
+++ b/entry/version.go
@@ -33,7 +33,10 @@
 	refusedInstances:     "no instance of the software version that began the stream is ready",
 }
 
-var errRegistrationChanged = errors.New("registration of the instance changed while it was asked")
+var (
+	errRegistrationChanged = errors.New("registration of the instance changed while it was asked")
+	errOtherVersion        = errors.New("all streams of the route that are on record began at one version, but another one is registered")
+)
 
 // refuseTakeUp returns the error for a caller whose stream does not go on. Nothing was sent to any instance.
 func (t *turn) refuseTakeUp(reason takeUpRefusal, cause error) error {
@@ -53,14 +56,16 @@
 	if !t.route.Resumable || t.route.Retained {
 		return t.refuseTakeUp(refusedRoute, nil)
 	}
-	o, err := t.findOrigin()
+	o, byRoute, err := t.findOrigin()
 	switch {
+	case err == nil && byRoute && t.Instances.OtherVersion(o.Service, o.Software, t.streamLifetime()):
+		return t.refuseTakeUp(refusedUnknown, errOtherVersion)
 	case err == nil && !t.route.LeadsTo(o.Service):
 		t.service = o.Service
 		return t.refuseTakeUp(refusedService, nil)
 	case err == nil:
 		t.service, t.version = o.Service, &o.Software
-		t.log(event.StreamTakenUp, "service", t.service, "version", o.Software, "found", "record", "try", o.Try)
+		t.log(event.StreamTakenUp, "service", t.service, "version", o.Software, "found", evidence(byRoute), "try", o.Try)
 		return nil
 	case errors.Is(err, ledger.ErrContradiction):
 		return t.refuseTakeUp(refusedContradiction, err)
@@ -76,18 +81,20 @@
 	return nil
 }
 
-// findOrigin reads the origin of the stream that the caller takes up. An error other than chestnutcleat.ErrNotFound means that
-// this VM may be cut off from the others.
-func (t *turn) findOrigin() (ledger.Origin, error) {
-	if t.Resumes == "" {
-		if !t.Ledger.Writable() {
-			return ledger.Origin{}, ledger.ErrNoQuorum
-		}
-		return ledger.Origin{}, chestnutcleat.ErrNotFound
+// evidence names where the software version of a stream was found.
+func evidence(byRoute bool) string {
+	if byRoute {
+		return "route"
 	}
+	return "record"
+}
+
+// findOrigin reads the origin of the stream that the caller takes up, or that of all streams of its route. An error other than chestnutcleat.ErrNotFound means that
+// this VM may be cut off from the others.
+func (t *turn) findOrigin() (o ledger.Origin, byRoute bool, err error) {
 	ctx, cancel := context.WithTimeout(t.ctx, recordTimeout)
 	defer cancel()
-	return t.Ledger.FindOrigin(ctx, t.customerID(), t.Resumes)
+	return t.Ledger.FindOrigin(ctx, ledger.OriginQuery{Customer: t.customerID(), Attempt: t.Resumes, Route: t.route.Name})
 }
 
 // onlyVersion returns the software version of an unknown stream if no other one can have begun it: for as long as records of streams
@@ -117,7 +124,7 @@
 	t.beginTries++
 	t.begunAt = assignment.Version
 	t.beginning = ledger.NewWrite(ledger.Record{
-		Kind: ledger.Begin, Customer: t.customerID(), Attempt: t.ID, Service: assignment.Service, Software: assignment.Version, Try: t.beginTries,
+		Kind: ledger.Begin, Customer: t.customerID(), Attempt: t.ID, Route: t.route.Name, Service: assignment.Service, Software: assignment.Version, Try: t.beginTries,
 		ExpiresAt: time.Now().Add(t.streamLifetime()).Unix(),
 	})
 	return t.beginning
--- a/entry/version_test.go
+++ b/entry/version_test.go
@@ -567,10 +567,14 @@
 		h.expectRest(r, "v1", 2)
 		_, found := h.lastEvents()
 		h.is.Equal(found, "registrations")
+		time.Sleep(long + 5*time.Second) // the record of this take-up has expired
 		h.vms[0].handler.Instances.RestartVersionHistory()
 		id, r = takeUp()
 		h.expectRefused("unknown", id, r) // registrations may have been missed
 		time.Sleep(long)
+		_, r = takeUp()
+		h.expectRest(r, "v1", 2)
+		time.Sleep(long + 5*time.Second)
 		h.add("b1", "v2")
 		h.remove("b1")
 		id, r = takeUp()
@@ -733,3 +737,32 @@
 		})
 	})
 }
+
+// Callers need not name the attempt that they take up. While all streams of the route began at one software version they must go on, also
+// right after a loss of all VMs, when no registration was followed for long: all were refused on a day of the bench with a single version.
+func TestTakeUpWithoutResumes(t *testing.T) {
+	runVersions(t, 2, [][2]string{{"a1", "v1"}, {"a2", "v1"}}, func(h *versionHarness) {
+		for n := range 12 {
+			h.begin(n%2, streamID(n))
+		}
+		h.restartVMs()
+		for n := range 12 {
+			h.expectRest(h.takeUp(n%2, attemptID(streamID(n), 1), "", 2), "v1", 2)
+		}
+		_, found := h.lastEvents()
+		h.is.Equal(found, "route")
+		h.add("b1", "v2")
+		id := attemptID(streamID(0), 2)
+		h.expectRefused("unknown", id, h.takeUp(0, id, "", 2)) // another version is registered
+		h.remove("b1")
+		h.expectRefused("unknown", id, h.takeUp(0, id, "", 2)) // and has just left
+		h.restartVMs()
+		h.expectRest(h.takeUp(0, attemptID(streamID(0), 3), "", 2), "v1", 2) // it began no stream
+		h.remove("a1")
+		h.remove("a2")
+		h.add("b1", "v2")
+		h.begin(0, streamID(13))
+		h.restartVMs()
+		h.expectRefused("unknown", id, h.takeUp(0, id, "", 2)) // streams of both began, one version has left
+	})
+}
--- a/ledger/fuzz_test.go
+++ b/ledger/fuzz_test.go
@@ -21,7 +21,7 @@
 	for _, q := range []any{
 		AppendRequest{Records: []Record{*reserveRecord("a", 1), *turnRecord("1", "")}},
 		AppendRequest{Records: []Record{*beginRecord("a", "v1", 1), *beginRecord("a", "v2", 1), *beginRecord("a", "", -1)}},
-		OriginRequest{Customer: "c", Attempt: "a"},
+		OriginRequest{OriginQuery: OriginQuery{Customer: "c", Attempt: "a", Route: "r"}},
 		FetchRequest{Customer: "c", Turn: "1"},
 		AdoptRequest{ReplicaSet: chestnutcleat.ReplicaSet{Version: 2}},
 		DumpRequest{Offset: 1, Indexes: []int{0, -1, 9}},
--- a/ledger/message.go
+++ b/ledger/message.go
@@ -57,17 +57,26 @@
 	Complete bool `json:"w,omitempty"`
 }
 
-// OriginRequest asks at which software version the stream of an attempt began.
+// OriginQuery asks at which software version the stream of an attempt began, and those of a route.
+type OriginQuery struct {
+	Customer chestnutcleat.CustomerID `json:"c"`
+	// Attempt is empty if it is not known.
+	Attempt chestnutcleat.RequestID `json:"a"`
+	Route   chestnutcleat.RouteName `json:"h"`
+}
+
+// OriginRequest is a query to one replica.
 type OriginRequest struct {
 	Target
-	Customer chestnutcleat.CustomerID `json:"c"`
-	Attempt  chestnutcleat.RequestID  `json:"a"`
+	OriginQuery
 }
 
-// OriginReply holds the origins that the replica has for the highest try; two of them contradict each other.
+// OriginReply holds the origins that the replica has for the highest try of the attempt; two of them contradict each other.
 type OriginReply struct {
 	VersionCheck
 	Origins []Origin `json:"o,omitempty"`
+	// OfRoute are the origins of all streams of the route, without their tries.
+	OfRoute []Origin `json:"h,omitempty"`
 	// Complete is as in FetchReply.
 	Complete bool `json:"w,omitempty"`
 }
--- a/ledger/origin.go
+++ b/ledger/origin.go
@@ -15,6 +15,8 @@
 const (
 	// originOverheadBytes estimates the memory of an index entry of a stream, excluding its ids.
 	originOverheadBytes = 320
+	// routeOverheadBytes estimates the memory of the entry of a route's origin.
+	routeOverheadBytes = 160
 	// maxOrigins is the number of origins that are kept of an attempt: two are enough to know that they contradict each other.
 	maxOrigins = 2
 	// originRetryDelay is the time between two rounds of reading an origin while too few replicas answer.
@@ -31,7 +33,8 @@
 // originState is an origin and the location of its latest record.
 type originState struct {
 	Origin
-	loc location
+	route chestnutcleat.RouteName
+	loc   location
 }
 
 // mergeOrigin adds an origin to those of the highest try; it returns the index of the origin in the list, or -1 if the list needs no
@@ -50,6 +53,13 @@
 	return list, i
 }
 
+// routeOrigin is an origin of a route's streams.
+type routeOrigin struct {
+	route    chestnutcleat.RouteName
+	service  chestnutcleat.ServiceName
+	software chestnutcleat.SoftwareVersion
+}
+
 func (r *Record) origin() Origin { return Origin{Service: r.Service, Software: r.Software, Try: r.Try} }
 
 func (s *state) applyBegin(r *Record, loc location) {
@@ -61,12 +71,13 @@
 		s.memory += streamMemory(k)
 	}
 	b.expiresAt = max(b.expiresAt, r.ExpiresAt)
+	s.noteRoute(r)
 	list, i := mergeOrigin(b.origins, r.origin())
 	if i < 0 {
 		return
 	}
 	replaced := list[i].loc
-	list[i].loc = loc
+	list[i].loc, list[i].route = loc, r.Route
 	if len(b.origins) > 0 && b.origins[0].Try < r.Try {
 		s.removeOrigins(b)
 	} else if replaced != (location{}) {
@@ -76,6 +87,15 @@
 	s.addLive(loc)
 }
 
+// noteRoute records that a stream of a route began at an origin.
+func (s *state) noteRoute(r *Record) {
+	o := routeOrigin{r.Route, r.Service, r.Software}
+	if _, ok := s.routes[o]; !ok {
+		s.memory += routeOverheadBytes
+	}
+	s.routes[o] = max(s.routes[o], r.ExpiresAt)
+}
+
 // removeOrigins takes the records of all origins of a stream out of the count of live bytes.
 func (s *state) removeOrigins(b *streamState) {
 	for _, o := range b.origins {
@@ -91,13 +111,19 @@
 			delete(s.streams, k)
 		}
 	}
+	for o, expiresAt := range s.routes {
+		if now.Unix() > expiresAt {
+			s.memory -= routeOverheadBytes
+			delete(s.routes, o)
+		}
+	}
 }
 
 func streamMemory(k turnKey) int64 { return int64(originOverheadBytes + len(k.turn)) }
 
 func (o originState) record(k turnKey, expiresAt int64) Record {
 	return Record{
-		Kind: Begin, Customer: k.customer, Attempt: k.turn, Service: o.Service, Software: o.Software, Try: o.Try, ExpiresAt: expiresAt,
+		Kind: Begin, Customer: k.customer, Attempt: k.turn, Route: o.route, Service: o.Service, Software: o.Software, Try: o.Try, ExpiresAt: expiresAt,
 	}
 }
 
@@ -139,7 +165,7 @@
 	return Record{}, false
 }
 
-// findOrigins returns the origins that this replica has of an attempt's stream.
+// findOrigins returns the origins that this replica has of an attempt's stream and of its route.
 func (s *Store) findOrigins(_ context.Context, q OriginRequest) (OriginReply, error) {
 	if check, ok, err := s.checkTarget(q.Target); !ok {
 		return OriginReply{VersionCheck: check}, err
@@ -152,29 +178,35 @@
 			r.Origins = append(r.Origins, o.Origin)
 		}
 	}
+	for o := range s.state.routes {
+		if o.route == q.Route {
+			r.OfRoute = append(r.OfRoute, Origin{Service: o.service, Software: o.software})
+		}
+	}
 	return r, nil
 }
 
-// FindOrigin returns the origin of an attempt's stream, as a read quorum knows it. It returns chestnutcleat.ErrNotFound only if a
-// read quorum lacks the attempt, and ErrContradiction if the records of the highest try don't agree.
-func (c *Client) FindOrigin(ctx context.Context, customer chestnutcleat.CustomerID, id chestnutcleat.RequestID) (Origin, error) {
+// FindOrigin returns the origin of an attempt's stream, as a read quorum knows it. If a read quorum lacks the attempt, it returns the only
+// origin of all streams of the route, and byRoute is set, or chestnutcleat.ErrNotFound. It returns ErrContradiction if the records of the
+// attempt's highest try don't agree.
+func (c *Client) FindOrigin(ctx context.Context, q OriginQuery) (o Origin, byRoute bool, err error) {
 	for {
-		o, err := c.findOriginOnce(ctx, customer, id)
+		o, byRoute, err = c.findOriginOnce(ctx, q)
 		if !errors.Is(err, ErrNoQuorum) && !errors.Is(err, ErrNoReplicaSet) {
-			return o, err
+			return o, byRoute, err
 		}
 		// The replica set may have changed, or a replica may be about to answer again.
 		if chestnutcleat.Sleep(ctx, originRetryDelay) != nil {
-			return Origin{}, err
+			return Origin{}, false, err
 		}
 	}
 }
 
 // findOriginOnce asks all replicas at once. A positive answer of one replica is not enough, as it may have an older try only.
-func (c *Client) findOriginOnce(ctx context.Context, customer chestnutcleat.CustomerID, id chestnutcleat.RequestID) (Origin, error) {
+func (c *Client) findOriginOnce(ctx context.Context, query OriginQuery) (o Origin, byRoute bool, err error) {
 	set := c.ReplicaSet()
 	if set.Version == 0 {
-		return Origin{}, ErrNoReplicaSet
+		return Origin{}, false, ErrNoReplicaSet
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -187,17 +219,17 @@
 	answers := make(chan result, len(all))
 	for _, replica := range all {
 		go func() {
-			q := OriginRequest{Target: Target{Disk: replica.Disk, Version: set.Version}, Customer: customer, Attempt: id}
+			q := OriginRequest{Target: Target{Disk: replica.Disk, Version: set.Version}, OriginQuery: query}
 			r, err := read[OriginReply](ctx, c, replica, &set, methodOrigin, q)
 			answers <- result{replica.Disk, r, err}
 		}()
 	}
 	answered, complete := map[chestnutcleat.DiskID]bool{}, map[chestnutcleat.DiskID]bool{}
-	var origins []originState
+	var origins, ofRoute []originState
 	for range all {
 		select {
 		case <-ctx.Done():
-			return Origin{}, ErrNoQuorum
+			return Origin{}, false, ErrNoQuorum
 		case a := <-answers:
 			if a.err != nil {
 				continue
@@ -205,13 +237,16 @@
 			for _, o := range a.reply.Origins {
 				origins, _ = mergeOrigin(origins, o)
 			}
+			for _, o := range a.reply.OfRoute {
+				ofRoute, _ = mergeOrigin(ofRoute, o)
+			}
 			answered[a.disk], complete[a.disk] = true, a.reply.Complete
 			if originsKnown(&set, answered, complete) {
-				return agreed(origins)
+				return agreed(origins, ofRoute)
 			}
 		}
 	}
-	return Origin{}, ErrNoQuorum
+	return Origin{}, false, ErrNoQuorum
 }
 
 // originsKnown reports whether the answers of some replicas include every written origin. During a change the current replicas have
@@ -224,13 +259,15 @@
 	return len(set.NextDisks) == 0 || next.HasReadQuorum(func(d chestnutcleat.DiskID) bool { return answered[d] })
 }
 
-// agreed returns the only origin of a list.
-func agreed(list []originState) (Origin, error) {
-	switch len(list) {
-	case 0:
-		return Origin{}, chestnutcleat.ErrNotFound
-	case 1:
-		return list[0].Origin, nil
+// agreed returns the only origin of a stream or, if there is none, the only one of its route.
+func agreed(stream, ofRoute []originState) (o Origin, byRoute bool, err error) {
+	switch {
+	case len(stream) == 1:
+		return stream[0].Origin, false, nil
+	case len(stream) > 1:
+		return Origin{}, false, ErrContradiction
+	case len(ofRoute) == 1:
+		return ofRoute[0].Origin, true, nil
 	}
-	return Origin{}, ErrContradiction
+	return Origin{}, false, chestnutcleat.ErrNotFound
 }
--- a/ledger/origin_test.go
+++ b/ledger/origin_test.go
@@ -195,7 +195,7 @@
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 				defer cancel()
-				got, err := client.FindOrigin(ctx, "c", "a")
+				got, _, err := client.FindOrigin(ctx, OriginQuery{Customer: "c", Attempt: "a"})
 				if name == "incomplete knows later" {
 					// Which answers come first decides whether the later try is known; it is never taken for another one.
 					is.True(err == nil && got == origin("v2", 2) || errors.Is(err, chestnutcleat.ErrNotFound))
@@ -208,6 +208,63 @@
 	}
 }
 
+// A stream that is not on record may go on where all recorded ones of its route began at one version. A read quorum must say so, and a version
+// that only one replica knows of counts, too.
+func TestFindOriginOfRoute(t *testing.T) {
+	one, other := Origin{Service: "s", Software: "v1"}, Origin{Service: "s", Software: "v2"}
+	has := func(list ...Origin) OriginReply { return OriginReply{OfRoute: list, Complete: true} }
+	named := has(one)
+	named.Origins = []Origin{origin("v2", 1)}
+	for name, c := range map[string]struct {
+		peers   originPeers
+		want    Origin
+		byRoute bool
+		err     error
+	}{
+		"one version":       {originPeers{"1": has(one), "2": has(one), "3": has()}, one, true, nil},
+		"other at one":      {originPeers{"1": has(one), "2": has(one, other)}, Origin{}, false, chestnutcleat.ErrNotFound},
+		"other service":     {originPeers{"1": has(one), "2": has(Origin{Service: "t", Software: "v1"})}, Origin{}, false, chestnutcleat.ErrNotFound},
+		"quorum lost":       {originPeers{"1": has(one)}, Origin{}, false, ErrNoQuorum},
+		"attempt is known":  {originPeers{"1": named, "2": has(one)}, origin("v2", 1), false, nil},
+		"nothing is known":  {originPeers{"1": has(), "2": has()}, Origin{}, false, chestnutcleat.ErrNotFound},
+		"replica is behind": {originPeers{"1": has(one), "2": {OfRoute: []Origin{one}}}, Origin{}, false, ErrNoQuorum},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				client := &Client{Peers: c.peers, Observer: noopObserver{}}
+				client.SetReplicaSet(chestnutcleat.ReplicaSet{Version: FirstVersion, Disks: replicaList("1", "2", "3")})
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				got, byRoute, err := client.FindOrigin(ctx, OriginQuery{Route: "r"})
+				is.Equal(got, c.want)
+				is.Equal(byRoute, c.byRoute)
+				is.True(errors.Is(err, c.err))
+			})
+		})
+	}
+}
+
+// The origins of a route must outlive restarts and copies, and be forgotten with the last record.
+func TestOriginsOfRoute(t *testing.T) {
+	is := is.New(t)
+	r := beginRecord("a", "v1", 1)
+	r.Route = "r"
+	s := stateOf([]*Record{r, beginRecord("b", "v2", 1)})
+	copied := stateOf(pointers(s.allRecords()))
+	for _, s := range []*state{s, copied} {
+		_, ok := s.routes[routeOrigin{"r", "s", "v1"}]
+		is.True(ok)
+		is.Equal(len(s.routes), 2)
+	}
+	live, ok := s.liveRecord(r, location{segment: 1, bytes: 10})
+	is.True(ok)
+	is.Equal(live.Route, chestnutcleat.RouteName("r")) // as compaction writes it
+	s.expire(time.Unix(1<<40+1, 0))
+	is.Equal(len(s.routes), 0)
+	is.Equal(s.memory, int64(0))
+}
+
 // A replica must answer for the attempts of the customer that asks only, and tell whether it has all records.
 func TestFindOriginsOfCustomer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -215,12 +272,12 @@
 		s, _ := openStore(t, t.TempDir())
 		appendRecords(t, s, beginRecord("a", "v1", 1))
 		for customer, want := range map[chestnutcleat.CustomerID]int{"c": 1, "d": 0, "": 0} {
-			r, err := s.findOrigins(t.Context(), OriginRequest{Target: s.target(), Customer: customer, Attempt: "a"})
+			r, err := s.findOrigins(t.Context(), OriginRequest{Target: s.target(), OriginQuery: OriginQuery{Customer: customer, Attempt: "a"}})
 			is.NoErr(err)
 			is.True(r.Complete)
 			is.Equal(len(r.Origins), want)
 		}
-		old, err := s.findOrigins(t.Context(), OriginRequest{Target: Target{Disk: s.disk, Version: FirstVersion + 1}, Customer: "c", Attempt: "a"})
+		old, err := s.findOrigins(t.Context(), OriginRequest{Target: Target{Disk: s.disk, Version: FirstVersion + 1}, OriginQuery: OriginQuery{Customer: "c", Attempt: "a"}})
 		is.NoErr(err)
 		is.True(old.Behind)
 		is.Equal(len(old.Origins), 0) // an answer of another set proves nothing
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -40,7 +40,9 @@
 	ExpiresAt int64 `json:"u,omitempty"`
 	// ReplicaSet is set in Adopt records.
 	ReplicaSet *chestnutcleat.ReplicaSet `json:"s,omitempty"`
-	// Service, Software and Try are set in Begin records. A record with a higher Try replaces those of the same attempt with a lower one.
+	// Route, Service, Software and Try are set in Begin records. A record with a higher Try replaces those of the same attempt with a
+	// lower one.
+	Route    chestnutcleat.RouteName       `json:"h,omitempty"`
 	Service  chestnutcleat.ServiceName     `json:"e,omitempty"`
 	Software chestnutcleat.SoftwareVersion `json:"w,omitempty"`
 	Try      int                           `json:"n,omitempty"`
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -51,7 +51,9 @@
 	programs map[programKey]*programState
 	turns    map[turnKey]*turnState
 	// streams has the attempts that began a stream which may go on elsewhere.
-	streams  map[turnKey]*streamState
+	streams map[turnKey]*streamState
+	// routes has the time until which an origin of a route's streams is needed, in Unix seconds.
+	routes   map[routeOrigin]int64
 	replicas chestnutcleat.ReplicaSet
 	// complete is set once the replica has all records of earlier versions of the set.
 	complete bool
@@ -65,7 +67,7 @@
 
 func newState() *state {
 	return &state{
-		programs: map[programKey]*programState{}, turns: map[turnKey]*turnState{}, streams: map[turnKey]*streamState{}, live: map[int]int64{},
+		programs: map[programKey]*programState{}, turns: map[turnKey]*turnState{}, streams: map[turnKey]*streamState{}, routes: map[routeOrigin]int64{}, live: map[int]int64{},
 		internedCustomers: map[chestnutcleat.CustomerID]chestnutcleat.CustomerID{},
 	}
 }
--- a/place/version.go
+++ b/place/version.go
@@ -52,24 +52,39 @@
 	}
 }
 
-// OnlyVersion returns the only software version that a service's instances, those that left included, have had within the given time up
-// to now. ok is false if there were several, none, or if registrations may have been missed within that time.
-func (t *Table) OnlyVersion(service chestnutcleat.ServiceName, within time.Duration) (version chestnutcleat.SoftwareVersion, ok bool) {
+// OtherVersion reports whether an instance of a service, one that left included, has had another software version within the given time, as
+// far as this VM knows.
+func (t *Table) OtherVersion(service chestnutcleat.ServiceName, version chestnutcleat.SoftwareVersion, within time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
-	if t.versions.since.IsZero() || now.Sub(t.versions.since) < within || within > versionMemory {
-		return "", false
-	}
+	found := t.versionsWithin(service, within)
+	delete(found, version)
+	return len(found) > 0
+}
+
+// versionsWithin returns the versions that a service's instances have had within the given time. The caller holds mu.
+func (t *Table) versionsWithin(service chestnutcleat.ServiceName, within time.Duration) map[chestnutcleat.SoftwareVersion]bool {
 	found := map[chestnutcleat.SoftwareVersion]bool{}
 	for _, s := range t.services[service] {
 		found[s.Version] = true
 	}
 	for v, at := range t.versions.lastSeen[service] {
-		if now.Sub(at) <= within {
+		if time.Since(at) <= within {
 			found[v] = true
 		}
 	}
+	return found
+}
+
+// OnlyVersion returns the only software version that a service's instances, those that left included, have had within the given time up
+// to now. ok is false if there were several, none, or if registrations may have been missed within that time.
+func (t *Table) OnlyVersion(service chestnutcleat.ServiceName, within time.Duration) (version chestnutcleat.SoftwareVersion, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.versions.since.IsZero() || time.Since(t.versions.since) < within || within > versionMemory {
+		return "", false
+	}
+	found := t.versionsWithin(service, within)
 	for v := range found {
 		version = v
 	}
--- a/place/version_test.go
+++ b/place/version_test.go
@@ -113,3 +113,20 @@
 		is.True(!ok)
 	})
 }
+
+// Another version must count as long as its streams may be taken up, however short this VM has followed the registrations.
+func TestOtherVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable()
+		is.True(!table.OtherVersion("s", "v1", time.Minute))
+		table.SetInstances(versioned("v1", "v2"))
+		is.True(table.OtherVersion("s", "v1", time.Minute))
+		is.True(!table.OtherVersion("other", "v1", time.Minute))
+		table.SetInstances(versioned("v1"))
+		is.True(table.OtherVersion("s", "v1", time.Minute)) // v2 has just left
+		time.Sleep(time.Minute + time.Second)
+		is.True(!table.OtherVersion("s", "v1", time.Minute))
+		is.True(table.OtherVersion("s", "v2", time.Minute))
+	})
+}
