--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -86,7 +86,7 @@
 	if len(c.tried) >= maxInstancesTried {
 		return nil, c.noInstance("too many instances were tried")
 	}
-	assignment := c.Instances.Pick(place.Request{Service: c.service, Key: key, Exclude: c.tried, Domain: c.Domain})
+	assignment := c.Instances.Pick(place.Request{Service: c.service, Version: c.version.Load(), Key: key, Exclude: c.tried, Domain: c.Domain})
 	if assignment == nil {
 		return nil, c.noInstance("no instance is left")
 	}
@@ -192,7 +192,7 @@
 	if c.r.Context().Err() != nil {
 		return
 	}
-	c.log(event.AttemptFailed, "instance", assignment.ID, "address", assignment.Address, "ran", mayHaveRun, "error", err)
+	c.log(event.AttemptFailed, "instance", assignment.ID, "version", assignment.Version, "address", assignment.Address, "ran", mayHaveRun, "error", err)
 }
 
 // retryOrFail returns nil if the request may be sent to another instance, or else the error for the caller.
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -68,7 +68,9 @@
 	route    *config.Route
 	customer *config.Customer
 	service  chestnutcleat.ServiceName
-	body     []byte
+	// version is the software version that must serve the request; nil for any. Timers read it, too.
+	version atomic.Pointer[chestnutcleat.SoftwareVersion]
+	body    []byte
 	// memory is what the bodies of the request and its answer take.
 	memory memory.Reservation
 	// admission is the rate limiter's admission of the request, nil without one.
@@ -283,6 +285,9 @@
 func (c *call) log(id chestnutcleat.EventID, attributes ...any) {
 	if c.Request != nil {
 		attributes = append(append(attributes, c.identity()...), "runs", c.runs)
+		if c.TakesUp() {
+			attributes = append(attributes, "resumes", c.Resumes, "last", c.Resume)
+		}
 	}
 	if c.route != nil {
 		attributes = append(attributes, "route", c.route.Name, "customer", c.customerID(), "config", c.table.Number)
--- a/entry/stall.go
+++ b/entry/stall.go
@@ -21,9 +21,11 @@
 	full := len(c.tried) >= maxInstancesTried
 	var timer *time.Timer
 	timer = time.AfterFunc(time.Hour, func() {
+		other := others
+		other.Version = c.version.Load()
 		switch {
 		case ctx.Err() != nil, !time.Now().Before(c.deadline):
-		case full || !c.Instances.CanPick(others):
+		case full || !c.Instances.CanPick(other):
 			timer.Reset(moveCheckInterval)
 		default:
 			cancel(errStalled)
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -52,7 +52,11 @@
 	programs map[programKey]*programState
 	turns    map[turnKey]*turnState
 	// gaps are turns that are missing although a later one of their chain is held.
-	gaps     map[turnKey]gap
+	gaps map[turnKey]gap
+	// streams has the attempts that began a stream which may go on elsewhere.
+	streams map[turnKey]*streamState
+	// routes has the time until which an origin of a route's streams is needed, in Unix seconds.
+	routes   map[routeOrigin]int64
 	replicas chestnutcleat.ReplicaSet
 	// complete is set once the replica has all records of earlier versions of the set.
 	complete bool
@@ -66,7 +70,8 @@
 
 func newState() *state {
 	return &state{
-		programs: map[programKey]*programState{}, turns: map[turnKey]*turnState{}, gaps: map[turnKey]gap{}, live: map[int]int64{},
+		programs: map[programKey]*programState{}, turns: map[turnKey]*turnState{}, gaps: map[turnKey]gap{},
+		streams: map[turnKey]*streamState{}, routes: map[routeOrigin]int64{}, live: map[int]int64{},
 		internedCustomers: map[chestnutcleat.CustomerID]chestnutcleat.CustomerID{},
 	}
 }
@@ -78,6 +83,8 @@
 		s.applyAttempt(r, loc)
 	case StoreTurn:
 		s.applyTurn(r, loc)
+	case Begin:
+		s.applyBegin(r, loc)
 	case Adopt:
 		if r.ReplicaSet != nil && r.ReplicaSet.Version > s.replicas.Version {
 			s.replicas = *r.ReplicaSet
@@ -194,7 +201,7 @@
 	return list
 }
 
-// expire removes programs and turns whose lifetime has ended.
+// expire removes programs, turns and streams whose lifetime has ended.
 func (s *state) expire(now time.Time) {
 	for k, p := range s.programs {
 		if now.Unix() <= p.expiresAt {
@@ -215,11 +222,12 @@
 		}
 	}
 	maps.DeleteFunc(s.gaps, func(_ turnKey, g gap) bool { return now.Unix() > g.expiresAt })
+	s.expireStreams(now)
 }
 
 // allRecords returns the records that another replica needs to rebuild the state; those of turns have no input and output.
 func (s *state) allRecords() []Record {
-	list := make([]Record, 0, len(s.turns))
+	list := s.streamRecords()
 	for k, p := range s.programs {
 		for id, a := range p.attempts {
 			list = append(list, a.record(k, id, p.expiresAt))
@@ -258,6 +266,8 @@
 		v := *r
 		v.ExpiresAt = t.expiresAt
 		return v, true
+	case Begin:
+		return s.liveBegin(r, loc)
 	}
 	return Record{}, false
 }
@@ -288,6 +298,8 @@
 	case StoreTurn:
 		t := s.turns[turnKey{r.Customer, r.Attempt}]
 		return t != nil && t.expiresAt >= r.ExpiresAt
+	case Begin:
+		return s.containsBegin(r)
 	}
 	return false
 }
--- a/role/share_test.go
+++ b/role/share_test.go
@@ -14,6 +14,7 @@
 	"chestnutcleat.example/chestnutcleat/mirror"
 	"chestnutcleat.example/chestnutcleat/peer"
 	"chestnutcleat.example/chestnutcleat/place"
+	"chestnutcleat.example/chestnutcleat/platform"
 	"chestnutcleat.example/chestnutcleat/rate"
 )
 
@@ -23,7 +24,7 @@
 func silentEntry(vms int) *Entry {
 	e := &Entry{placement: place.NewTable()}
 	e.self = peer.Member{VM: id(0)}
-	e.mirrors = map[chestnutcleat.ObjectKind]*mirror.Mirror{fleetKind: {Kind: fleetKind}}
+	e.mirrors = map[chestnutcleat.ObjectKind]*mirror.Mirror{fleetKind: {Kind: fleetKind}, platform.InstanceKind: {Kind: platform.InstanceKind}}
 	e.fleet = &peer.Fleet{Self: e.self}
 	var list []peer.Member
 	for i := range vms {
