Read a turn again once the replica set has changed meanwhile

A VM that had yet to learn of a change of the replica set refused the first continued turn with 503, come back in a second, although the replicas' answers had just told it the new set. Change: the read starts over when the set has grown meanwhile. Test: ledger.TestFetchWhileTheSetChanges, "too few copies answered" before.

--- a/ledger/fetch.go
+++ b/ledger/fetch.go
@@ -22,7 +22,12 @@
 	var chain []Turn
 	seen := map[chestnutcleat.RequestID]bool{}
 	for {
+		version := c.ReplicaSet().Version
 		part, err := c.fetchFromAny(ctx, customer, id)
+		if errors.Is(err, ErrNoQuorum) && ctx.Err() == nil && c.ReplicaSet().Version > version {
+			// The set changed meanwhile, and a replica that was asked has sent the new one.
+			continue
+		}
 		if len(chain) > 0 && errors.Is(err, chestnutcleat.ErrNotFound) {
 			return nil, ErrBrokenChain
 		}
--- a/ledger/fetch_test.go
+++ b/ledger/fetch_test.go
@@ -65,3 +65,30 @@
 		})
 	}
 }
+
+// changedSetPeers answers as replicas that have adopted a newer set than their caller.
+type changedSetPeers struct{ set chestnutcleat.ReplicaSet }
+
+func (p changedSetPeers) Call(_ context.Context, _ chestnutcleat.Address, _ chestnutcleat.Method, request, reply any) error {
+	q, r := request.(FetchRequest), reply.(*FetchReply)
+	if q.Version < p.set.Version {
+		r.Newer = &p.set
+		return nil
+	}
+	r.Turns, r.Complete = []Turn{{ID: q.Turn}}, true
+	return nil
+}
+
+// A change of the replica set must not fail the reads of turns at each VM that has yet to learn of it: their callers were refused though the
+// new set was known by then.
+func TestFetchWhileTheSetChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		disks := []chestnutcleat.Replica{{Disk: "1"}, {Disk: "2"}, {Disk: "3"}}
+		c := &Client{Peers: changedSetPeers{chestnutcleat.ReplicaSet{Version: 2, Disks: disks}}, Observer: noopObserver{}}
+		c.SetReplicaSet(chestnutcleat.ReplicaSet{Version: 1, Disks: disks})
+		chain, err := c.Fetch(t.Context(), "c", "t1")
+		is.NoErr(err)
+		is.Equal(len(chain), 1)
+	})
+}
