Write the settlements of the last requests before a VM ends

The process ended right after the last answer; a settlement that was queued behind an append in progress was dropped, and its program lost the whole reservation (402 too early). Change: the shutdown waits for the records, 0.3 s at most, and reports what is left. Tests: ledger.TestFlushWritesLastSettlement (without the flush 1 of 2 records is sent), ledger.TestFlushEnds.

--- a/ledger/client.go
+++ b/ledger/client.go
@@ -26,6 +26,8 @@
 const (
 	// asyncWriteTimeout is how long a write that no caller waits for is retried.
 	asyncWriteTimeout = 5 * time.Second
+	// flushCheckInterval is the time between checks whether all records are written.
+	flushCheckInterval = 5 * time.Millisecond
 	// hedgeDelay is how long a read waits for one replica before the next one is asked as well.
 	hedgeDelay = 25 * time.Millisecond
 )
@@ -241,6 +243,18 @@
 	}
 }
 
+// Flush waits until no record is left to be written or ctx is done, and returns the number of records left.
+func (c *Client) Flush(ctx context.Context) int {
+	for {
+		c.mu.Lock()
+		left := len(c.pending)
+		c.mu.Unlock()
+		if left == 0 || chestnutcleat.Sleep(ctx, flushCheckInterval) != nil {
+			return left
+		}
+	}
+}
+
 func (c *Client) abandon(w *pendingWrite) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/ledger/client_test.go
@@ -0,0 +1,62 @@
+package ledger
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat"
+)
+
+// slowPeers takes a while for each append and counts the records.
+type slowPeers struct{ records *atomic.Int32 }
+
+func (p slowPeers) Call(ctx context.Context, _ chestnutcleat.Address, _ chestnutcleat.Method, request, reply any) error {
+	switch q := request.(type) {
+	case AdoptRequest:
+		reply.(*AdoptReply).ReplicaSet = q.ReplicaSet
+	case AppendRequest:
+		p.records.Add(int32(len(q.Records)))
+		return chestnutcleat.Sleep(ctx, 5*time.Millisecond)
+	}
+	return nil
+}
+
+// The settlement of the last request must be written before the process ends: it was dropped when another append was in progress, and its
+// program lost the whole reservation.
+func TestFlushWritesLastSettlement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var records atomic.Int32
+		ctx, cancel := context.WithCancel(t.Context())
+		c := &Client{Peers: slowPeers{&records}, Observer: noopObserver{}}
+		ended := make(chan error, 1)
+		go func() { ended <- c.Run(ctx) }()
+		synctest.Wait()
+		c.SetReplicaSet(chestnutcleat.ReplicaSet{Version: 1, Disks: []chestnutcleat.Replica{{Disk: "1"}}})
+		c.WriteAsync(*settleRecord("a", 1))
+		time.Sleep(time.Millisecond) // the first append is in progress
+		c.WriteAsync(*settleRecord("b", 1))
+		is.Equal(c.Flush(ctx), 0)
+		cancel()
+		is.NoErr(<-ended)
+		is.Equal(records.Load(), int32(2))
+	})
+}
+
+// A replica that does not answer must not hold up the end of the process.
+func TestFlushEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		c := &Client{Peers: changedSetPeers{}, Observer: noopObserver{}, pending: map[*pendingWrite]bool{{}: true}}
+		flush, stop := context.WithTimeout(ctx, time.Second)
+		defer stop()
+		is.Equal(c.Flush(flush), 1)
+		cancel()
+	})
+}
--- a/role/shutdown.go
+++ b/role/shutdown.go
@@ -16,6 +16,8 @@
 	// maxExitReserve bounds the part of the grace period reserved for the exit of the process, an exitDivisor-th of it.
 	maxExitReserve = time.Second
 	exitDivisor    = 8
+	// flushTimeout bounds the time for the settlements of the last requests.
+	flushTimeout = 300 * time.Millisecond
 	// maxInterruptedReported is the number of interrupted requests that are reported one by one.
 	maxInterruptedReported = 50
 )
@@ -47,6 +49,11 @@
 		e.Observer.Emit(event.RequestsInterrupted, "requests", e.handler.ReportInterrupted(maxInterruptedReported), "error", err)
 	}
 	e.close()
+	flush, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	if left := e.ledger.Flush(flush); left > 0 {
+		e.Observer.Emit(event.RecordLost, "records", left, "error", "the process ends")
+	}
 }
 
 // shutdownTimes returns how long a VM listens after SIGTERM, as callers with an older list still connect for a while, and how long
