--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -244,6 +244,12 @@
 	})
 }
 
+// isOlder reports whether an object is older than the known one. One whose version can't be read counts as newer: what was known of it
+// must not be used.
+func isOlder(o, known chestnutcleat.StoredObject) bool {
+	return o.Version > 0 && o.Version < known.Version
+}
+
 // sameObjects reports whether the given objects have the versions of the known ones.
 func (m *Mirror) sameObjects(next map[string]chestnutcleat.StoredObject) bool {
 	return maps.EqualFunc(m.objects, next, func(a, b chestnutcleat.StoredObject) bool { return a.Version == b.Version })
@@ -277,7 +283,7 @@
 			reconnected, m.unreachable = m.unreachable, false
 		}
 		for _, o := range list {
-			if known, ok := m.objects[o.Name]; ok && o.Version < known.Version {
+			if known, ok := m.objects[o.Name]; ok && isOlder(o, known) {
 				continue
 			}
 			changed = true
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -19,8 +19,10 @@
 
 var errUnreachable = errors.New("platform is unreachable")
 
+// change is one of the history; version is that of the platform after it.
 type change struct {
-	object chestnutcleat.StoredObject
+	object  chestnutcleat.StoredObject
+	version chestnutcleat.Version
 }
 
 // fakePlatform stores the objects of one kind.
@@ -53,7 +55,7 @@
 	p.version++
 	o := chestnutcleat.StoredObject{Name: name, Version: p.version}
 	p.objects[name] = o
-	p.history = append(p.history, change{o})
+	p.history = append(p.history, change{o, p.version})
 }
 
 func (p *fakePlatform) delete(name string) {
@@ -61,7 +63,7 @@
 	defer p.mu.Unlock()
 	p.version++
 	delete(p.objects, name)
-	p.history = append(p.history, change{chestnutcleat.StoredObject{Name: name, Version: p.version, Deleted: true}})
+	p.history = append(p.history, change{chestnutcleat.StoredObject{Name: name, Version: p.version, Deleted: true}, p.version})
 }
 
 func (p *fakePlatform) withLock(f func(p *fakePlatform)) {
@@ -96,7 +98,7 @@
 		unreachable, stalled, compacted, version := p.unreachable, p.watchesStalled, p.compacted, p.version
 		var list []chestnutcleat.StoredObject
 		for _, c := range p.history {
-			if c.object.Version > after {
+			if c.version > after {
 				list = append(list, c.object)
 			}
 		}
--- a/mirror/snapshot.go
+++ b/mirror/snapshot.go
@@ -15,7 +15,7 @@
 func (m *Mirror) snapshot(since chestnutcleat.Version) Snapshot {
 	s := Snapshot{Version: m.version, Since: since, Objects: []chestnutcleat.StoredObject{}}
 	for _, o := range m.objects {
-		if since == 0 || o.Version > since {
+		if since == 0 || o.Version > since || o.Version == 0 {
 			s.Objects = append(s.Objects, o)
 		}
 	}
@@ -63,7 +63,7 @@
 			next = maps.Clone(m.objects)
 		}
 		for _, o := range s.Objects {
-			if known, ok := next[o.Name]; ok && o.Version < known.Version {
+			if known, ok := next[o.Name]; ok && isOlder(o, known) {
 				continue
 			}
 			if o.Deleted {
--- a/objectstore.go
+++ b/objectstore.go
@@ -15,11 +15,22 @@
 // StoredObject is an object of an ObjectStore.
 type StoredObject struct {
 	Name string `json:"name"`
-	// Version is the version of the last change; writing with version zero creates the object.
+	// Version is the version of the last change; writing with version zero creates the object. A listed object has version zero if
+	// its version can't be read.
 	Version Version `json:"version"`
 	// Data is the JSON of the object.
 	Data    []byte `json:"data,omitempty"`
 	Deleted bool   `json:"deleted,omitempty"`
+	// Unreadable says why the object can't be read; it then has no Data, and no name if that can't be read either.
+	Unreadable string `json:"unreadable,omitempty"`
+}
+
+// Err returns an error if the object can't be read.
+func (o *StoredObject) Err() error {
+	if o.Unreadable == "" {
+		return nil
+	}
+	return errors.New(o.Unreadable)
 }
 
 // Freshness is the consistency level of a list.
--- /dev/null
+++ b/standin/store/odd.go
@@ -0,0 +1,86 @@
+package store
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// OddEntries returns entries as another writer may leave them, by what is odd about them. Each is the JSON of a whole object, in which
+// NAME and REVISION stand for its name and revision.
+func OddEntries() map[string]string {
+	nested := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	entries := map[string]string{
+		"no metadata":               `{"spec":{}}`,
+		"metadata is a number":      `{"metadata":7,"spec":{}}`,
+		"metadata is null":          `{"metadata":null,"spec":{}}`,
+		"metadata nested too deep":  `{"metadata":` + nested + `,"spec":{}}`,
+		"name is a number":          `{"metadata":{"name":7,"revision":REVISION},"spec":{}}`,
+		"name nested too deep":      `{"metadata":{"name":` + nested + `,"revision":REVISION},"spec":{}}`,
+		"revision is a text":        `{"metadata":{"name":"NAME","revision":"REVISION"},"spec":{}}`,
+		"revision is too large":     `{"metadata":{"name":"NAME","revision":1e999999},"spec":{}}`,
+		"deleting is a text":        `{"metadata":{"name":"NAME","revision":REVISION,"deleting":"no"},"spec":{}}`,
+		"null":                      `null`,
+		"a number":                  `7`,
+		"a text":                    `"NAME"`,
+		"an array":                  `[{"metadata":{"name":"NAME","revision":REVISION}}]`,
+		"nested too deep":           nested,
+		"spec nested too deep":      `{"metadata":{"name":"NAME","revision":REVISION},"spec":` + nested + `}`,
+		"spec is missing":           `{"metadata":{"name":"NAME","revision":REVISION}}`,
+		"spec is null":              `{"metadata":{"name":"NAME","revision":REVISION},"spec":null}`,
+		"spec is no JSON":           `{"metadata":{"name":"NAME","revision":REVISION},"spec":{"a":[}]}`,
+		"spec has a broken literal": `{"metadata":{"name":"NAME","revision":REVISION},"spec":{"a":tru}}`,
+		"spec of a megabyte":        `{"metadata":{"name":"NAME","revision":REVISION},"spec":{"service":"` + strings.Repeat("x", 1<<20) + `"}}`,
+		"invalid UTF-8":             "{\"metadata\":{\"name\":\"NAME\",\"revision\":REVISION},\"spec\":{\"service\":\"\xff\",\"\xfe\":\"\xc0\"}}",
+	}
+	for name, member := range map[string]string{
+		"port out of range":        `"address":"10.0.0.9:70000"`,
+		"port zero":                `"address":"10.0.0.9:0"`,
+		"address of no host":       `"address":"0.0.0.0:80"`,
+		"address is a number":      `"address":10`,
+		"slots are too many":       `"slots":1e999999`,
+		"slots are far too many":   `"slots":4611686018427387904`,
+		"slots are negative":       `"slots":-1`,
+		"born is too large":        `"born":100000000000000000000`,
+		"sequence is too large":    `"sequence":1e999999`,
+		"state is not known":       `"state":"asleep"`,
+		"service is missing":       `"service":""`,
+		"a member nested too deep": `"extra":` + nested,
+	} {
+		// The last of several members of a name counts.
+		entries[name] = `{"metadata":{"name":"NAME","revision":REVISION},"spec":{"service":"tool","address":"10.0.0.9:80","zone":"a","slots":6,"state":"ready","born":1,"sequence":1,` + member + `}}`
+	}
+	return entries
+}
+
+// SetEntry writes an object as the given JSON, which the store does not check, and returns its revision. NAME and REVISION in it stand
+// for its name and revision.
+func (s *Store) SetEntry(kind, name, entry string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.objects[kind][name]
+	o.Metadata.Name, o.entry = name, entry
+	return s.write(kind, o).Metadata.Revision
+}
+
+// encoded returns the JSON of the object.
+func (o *Object) encoded() []byte {
+	if o.entry != "" {
+		return []byte(strings.NewReplacer("NAME", o.Metadata.Name, "REVISION", fmt.Sprint(o.Metadata.Revision)).Replace(o.entry))
+	}
+	data, err := json.Marshal(o)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// writeList writes an answer with a list of values that are JSON already, as an encoder would reject the odd ones.
+func writeList(w http.ResponseWriter, name string, list [][]byte, rest string) {
+	w.Header().Set("Content-Type", "application/json")
+	// A write error means that the client disconnected.
+	_, _ = io.WriteString(w, `{"`+name+`":[`+string(bytes.Join(list, []byte(",")))+`],`+rest+`}`)
+}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
@@ -19,6 +20,9 @@
 	Metadata Metadata        `json:"metadata"`
 	Spec     json.RawMessage `json:"spec,omitempty"`
 	Status   json.RawMessage `json:"status,omitempty"`
+
+	// entry is the JSON of an odd object, see SetEntry.
+	entry string
 }
 
 // Metadata holds the name of an object and the revisions of its creation and of its last change.
@@ -106,7 +110,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.objects[kind][name]
-	o.Metadata.Name, o.Spec = name, data
+	o.Metadata.Name, o.Spec, o.entry = name, data, ""
 	return s.write(kind, o).Metadata.Revision
 }
 
@@ -216,7 +220,11 @@
 	if more {
 		items = items[:pageSize]
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": more, "store_revision": s.revision})
+	list := make([][]byte, 0, len(items))
+	for i := range items {
+		list = append(list, items[i].encoded())
+	}
+	writeList(w, "items", list, fmt.Sprintf(`"has_more":%t,"store_revision":%d`, more, s.revision))
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
@@ -242,7 +250,11 @@
 			return
 		}
 		if len(events) > 0 && !stalled {
-			writeJSON(w, http.StatusOK, map[string]any{"events": events, "store_revision": revision})
+			list := make([][]byte, 0, len(events))
+			for i := range events {
+				list = append(list, fmt.Appendf(nil, `{"object":%s,"deleted":%t}`, events[i].Object.encoded(), events[i].Deleted))
+			}
+			writeList(w, "events", list, fmt.Sprintf(`"store_revision":%d`, revision))
 			return
 		}
 		select {
@@ -314,10 +326,10 @@
 		if in.Metadata.Revision != 0 && in.Metadata.Revision != o.Metadata.Revision {
 			return http.StatusConflict, o
 		}
-		if string(o.Spec) == string(in.Spec) {
+		if o.entry == "" && string(o.Spec) == string(in.Spec) {
 			return http.StatusOK, o
 		}
-		o.Spec = in.Spec
+		o.Spec, o.entry = in.Spec, ""
 		return http.StatusOK, s.write(r.PathValue("kind"), o)
 	})
 }
