Leave unreadable objects out of mass deletions

Many odd entries among those of the instances changed what a VM took for an outage. Beside a hundred of them the loss of three of four instances did not count as one, so the service was gone at once; and when they were removed together with an instance that left, that instance got requests for another 2.5 s, longer than some drain_ms.

Cause: a mass deletion was counted over all objects. Change: only objects that can be read count and are retained. Ruled out: other effects of their number, as lists and watches are bounded by the answer's size.

Before the change mirror.TestUnreadableObjectsDoNotHideMassDeletion ("[d odd-0 odd-1 odd-10] != [a b c d]") and mirror.TestUnreadableObjectsAreNoMassDeletion ("a" still there) failed by watch and by list.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -238,7 +238,7 @@
 			return false, reconnected
 		}
 		missing := m.replaceObjects(next, nil, s.Version)
-		m.retainMissing(missing, reconnected || isMassDeletion(len(missing), len(next)))
+		m.retainMissing(missing, reconnected || lostMany(missing, next))
 		m.version = s.Version
 		return true, reconnected
 	})
--- a/mirror/odd_test.go
+++ b/mirror/odd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -70,3 +71,63 @@
 		}
 	}
 }
+
+// Many unreadable objects must not hide that the platform lost the readable ones.
+func TestUnreadableObjectsDoNotHideMassDeletion(t *testing.T) {
+	for name, learn := range map[string]func(t *testing.T, m *Mirror) error{
+		"watch": func(*testing.T, *Mirror) error { return nil },
+		"list":  func(t *testing.T, m *Mirror) error { return m.Refresh(t.Context()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithPlatform(t, func(t *testing.T, is *is.I, p *fakePlatform) {
+				all := []string{"a", "b", "c", "d"}
+				for _, name := range all {
+					p.set(name)
+				}
+				for i := range 100 {
+					p.setUnreadable(fmt.Sprint("odd-", i), true)
+				}
+				m, seen := runMirror(t, p)
+				time.Sleep(time.Second)
+				p.withLock(func(p *fakePlatform) { p.watchesStalled = name == "list" })
+				for _, name := range all[:3] {
+					p.delete(name)
+				}
+				is.NoErr(learn(t, m))
+				time.Sleep(500 * time.Millisecond)
+				is.Equal(seen()[:4], all)
+			})
+		})
+	}
+}
+
+// The removal of many unreadable objects must not look like a mass deletion: an instance that left with them would get requests for
+// another outageRetention.
+func TestUnreadableObjectsAreNoMassDeletion(t *testing.T) {
+	for name, learn := range map[string]func(t *testing.T, m *Mirror) error{
+		"watch": func(*testing.T, *Mirror) error { return nil },
+		"list":  func(t *testing.T, m *Mirror) error { return m.Refresh(t.Context()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithPlatform(t, func(t *testing.T, is *is.I, p *fakePlatform) {
+				all := []string{"a", "b", "c", "d"}
+				for _, name := range all {
+					p.set(name)
+				}
+				for i := range 100 {
+					p.setUnreadable(fmt.Sprint("odd-", i), true)
+				}
+				m, seen := runMirror(t, p)
+				time.Sleep(time.Second)
+				p.withLock(func(p *fakePlatform) { p.watchesStalled = name == "list" })
+				p.delete("a")
+				for i := range 100 {
+					p.delete(fmt.Sprint("odd-", i))
+				}
+				is.NoErr(learn(t, m))
+				time.Sleep(500 * time.Millisecond)
+				is.Equal(seen(), slices.Delete(all, 0, 1))
+			})
+		})
+	}
+}
--- a/mirror/retention.go
+++ b/mirror/retention.go
@@ -1,6 +1,8 @@
 package mirror
 
 import (
+	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -48,12 +50,29 @@
 	}
 }
 
+// lostMany reports whether the objects that a complete list lacks are a mass deletion.
+func lostMany(missing []chestnutcleat.StoredObject, next map[string]chestnutcleat.StoredObject) bool {
+	return isMassDeletion(countReadable(slices.Values(missing)), countReadable(maps.Values(next)))
+}
+
 // isMassDeletion reports whether so many objects were deleted at once that the platform must have lost them in an outage that
 // this VM did not notice.
 func isMassDeletion(deleted, remaining int) bool {
 	return deleted >= minMassDeletion && deleted*massDeletionDivisor >= deleted+remaining
 }
 
+// countReadable returns how many objects can be read. The others don't count in mass deletions: many of them, of another writer, would
+// hide one or be taken for one.
+func countReadable(objects iter.Seq[chestnutcleat.StoredObject]) int {
+	n := 0
+	for o := range objects {
+		if o.Unreadable == "" {
+			n++
+		}
+	}
+	return n
+}
+
 func (m *Mirror) retain(name string) {
 	if m.retainedUntil == nil {
 		m.retainedUntil = map[string]time.Time{}
@@ -70,12 +89,12 @@
 	o, ok := m.objects[name]
 	delete(m.objects, name)
 	delete(m.retainedUntil, name)
-	if !ok || !m.RetainAfterOutage {
+	if !ok || !m.RetainAfterOutage || o.Unreadable != "" {
 		return
 	}
 	m.recentDeletions = slices.DeleteFunc(m.recentDeletions, func(d deletion) bool { return now.Sub(d.at) > massDeletionWindow })
 	m.recentDeletions = append(m.recentDeletions, deletion{o, now})
-	if !isMassDeletion(len(m.recentDeletions), len(m.objects)) {
+	if !isMassDeletion(len(m.recentDeletions), countReadable(maps.Values(m.objects))) {
 		return
 	}
 	for _, d := range m.recentDeletions {
--- a/mirror/snapshot.go
+++ b/mirror/snapshot.go
@@ -73,7 +73,7 @@
 			}
 		}
 		missing := m.replaceObjects(next, s.Retained, s.Version)
-		m.retainMissing(missing, isMassDeletion(len(missing), len(next)))
+		m.retainMissing(missing, lostMany(missing, next))
 		if m.RetainAfterOutage {
 			for _, name := range s.Retained {
 				m.retain(name)
