--- a/role/fleet_test.go
+++ b/role/fleet_test.go
@@ -56,7 +56,8 @@
 	return chestnutcleat.Address(l.Addr().String()), l.Addr().(*net.TCPAddr).Port
 }
 
-func newFleet(t *testing.T, entries int, serve http.HandlerFunc) *fleet {
+// newFleet starts a fleet after prepare has changed its platform.
+func newFleet(t *testing.T, entries int, serve http.HandlerFunc, prepare ...func(*store.Store)) *fleet {
 	f := &fleet{t: t, platform: store.New()}
 	platform := httptest.NewServer(f.platform.Handler())
 	t.Cleanup(platform.Close)
@@ -76,6 +77,9 @@
 		"services": []any{map[string]any{"name": "tool"}},
 		"tenants":  []any{map[string]any{"name": "c", "api_keys": []string{"key"}}},
 	})
+	for _, p := range prepare {
+		p(f.platform)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	t.Cleanup(func() { cancel(); running.Wait() })
--- a/standin/store/odd.go
+++ b/standin/store/odd.go
@@ -62,7 +62,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.objects[kind][name]
-	o.Metadata.Name, o.entry = name, entry
+	o.Metadata.Name, o.Spec, o.entry = name, nil, entry
 	return s.write(kind, o).Metadata.Revision
 }
 
