Keep what is known of VMs and replicas whose object can't be read

One odd entry in a list of this system's own objects cost more than itself. A VM whose object was overwritten was dropped from the fleet, a storage VM with its disk, for which the keeper looks for another one after 1.2 s; the VM writes its object again within a second or so. An object "copies" without replicas, such as {"version":9}, took the place of the known set at entry VMs. Five thousand odd entries among the instances gave 5,000 lines at once, and their names were kept for good.

Cause: members and fleetChanged took what could be decoded, or an empty value, for the whole truth; the versions of reported entries were never dropped. Ruled out for the configuration: it stayed in effect, but each change of its kind reported the odd one again.

Change: an object that can't be decoded leaves what was known of its VM, of the replica set and of the configuration. An order to empty a storage VM that can't be read begins nothing and ends nothing. All kinds report such objects with event 806, once a version, 16 at a change, with at most 200 characters of the error.

What remains: a replica set whose object can't be read stays as it is known, but can't be changed until somebody repairs the object, as no VM knows whether it missed a version. A VM that starts while the configuration can't be read has none and answers 503.

--- a/keeper/cluster_test.go
+++ b/keeper/cluster_test.go
@@ -130,8 +130,7 @@
 	c.client = &ledger.Client{Peers: c.network.From("entry"), Observer: noopObserver{}}
 	go c.client.Run(ctx)
 	go c.poll(func(o chestnutcleat.StoredObject) {
-		var set chestnutcleat.ReplicaSet
-		if decode(o, &set) == nil {
+		if set, err := DecodeReplicaSet(o); err == nil {
 			c.client.SetReplicaSet(set)
 		}
 	})
--- a/keeper/reconciler.go
+++ b/keeper/reconciler.go
@@ -60,8 +60,8 @@
 
 // Observe applies a newer version of the set's object from the platform.
 func (r *Reconciler) Observe(ctx context.Context, o chestnutcleat.StoredObject) error {
-	var set chestnutcleat.ReplicaSet
-	if err := decode(o, &set); err != nil {
+	set, err := DecodeReplicaSet(o)
+	if err != nil {
 		return err
 	}
 	r.mu.Lock()
@@ -74,11 +74,19 @@
 	return r.Store.Adopt(ctx, set)
 }
 
-func decode(o chestnutcleat.StoredObject, set *chestnutcleat.ReplicaSet) error {
-	if err := json.Unmarshal(o.Data, set); err != nil {
-		return fmt.Errorf("decode replica set: %w", err)
+// DecodeReplicaSet decodes the set's object; a set without replicas gives an error.
+func DecodeReplicaSet(o chestnutcleat.StoredObject) (chestnutcleat.ReplicaSet, error) {
+	if err := o.Err(); err != nil {
+		return chestnutcleat.ReplicaSet{}, fmt.Errorf("decode replica set: %w", err)
 	}
-	return nil
+	var set chestnutcleat.ReplicaSet
+	if err := json.Unmarshal(o.Data, &set); err != nil {
+		return chestnutcleat.ReplicaSet{}, fmt.Errorf("decode replica set: %w", err)
+	}
+	if set.Version < ledger.FirstVersion || len(set.Disks) == 0 {
+		return chestnutcleat.ReplicaSet{}, fmt.Errorf("decode replica set: version %d with %d replicas", set.Version, len(set.Disks))
+	}
+	return set, nil
 }
 
 // ReplicaSet returns the replica set as this VM last saw it.
--- a/role/base.go
+++ b/role/base.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -61,6 +63,8 @@
 	// started is the start time of the process.
 	started time.Time
 
+	// knownMembers holds the VMs of the last change of the fleet's objects, of which one is handled at a time.
+	knownMembers map[chestnutcleat.VMID]peer.Member
 	// status returns the present status of this VM.
 	status func() Status
 
@@ -172,31 +176,50 @@
 	}
 }
 
-// members decodes the VMs among the fleet's objects and stores this VM's own object and the versions of all.
-func (b *base) members(s mirror.Snapshot) []peer.Member {
-	var list []peer.Member
+// members decodes the VMs among the fleet's objects and stores this VM's own object and the versions of all. An object that can't be
+// decoded leaves what was known of its VM, which writes it again; without its disk the replica set would change.
+func (b *base) members(s mirror.Snapshot) ([]peer.Member, []invalidObject) {
+	var invalid []invalidObject
 	var own chestnutcleat.StoredObject
-	listed := map[chestnutcleat.VMID]chestnutcleat.Version{}
+	known := map[chestnutcleat.VMID]peer.Member{}
+	versions := map[chestnutcleat.VMID]chestnutcleat.Version{}
 	for _, o := range s.Objects {
-		id, ok := strings.CutPrefix(o.Name, vmPrefix)
+		name, ok := strings.CutPrefix(o.Name, vmPrefix)
 		if !ok {
 			continue
 		}
-		if id == string(b.self.VM) {
+		id := chestnutcleat.VMID(name)
+		if id == b.self.VM {
 			own = o
 		}
-		var m peer.Member
-		if err := json.Unmarshal(o.Data, &m); err != nil || string(m.VM) != id {
-			b.Observer.Emit(event.ObjectInvalid, "object", o.Name, "error", err)
-			continue
+		m, err := decodeMember(o, id)
+		if err != nil {
+			invalid = append(invalid, invalidObject{o, err})
+			if m, ok = b.knownMembers[id]; !ok {
+				continue
+			}
 		}
-		list = append(list, m)
-		listed[m.VM] = o.Version
+		known[id], versions[id] = m, o.Version
 	}
+	b.knownMembers = known
 	b.mu.Lock()
-	b.ownObject, b.memberVersions = own, listed
+	b.ownObject, b.memberVersions = own, versions
 	b.mu.Unlock()
-	return list
+	return slices.Collect(maps.Values(known)), invalid
+}
+
+func decodeMember(o chestnutcleat.StoredObject, id chestnutcleat.VMID) (peer.Member, error) {
+	if err := o.Err(); err != nil {
+		return peer.Member{}, err
+	}
+	var m peer.Member
+	if err := json.Unmarshal(o.Data, &m); err != nil {
+		return peer.Member{}, err
+	}
+	if m.VM != id {
+		return peer.Member{}, fmt.Errorf("object of VM %q describes VM %q", id, m.VM)
+	}
+	return m, nil
 }
 
 // removeSilentVMs removes the objects of VMs of this role that have been silent for memberExpiry, so that their shares of rates
--- a/role/entry.go
+++ b/role/entry.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -20,6 +19,7 @@
 	"chestnutcleat.example/chestnutcleat/entry"
 	"chestnutcleat.example/chestnutcleat/event"
 	"chestnutcleat.example/chestnutcleat/exchange"
+	"chestnutcleat.example/chestnutcleat/keeper"
 	"chestnutcleat.example/chestnutcleat/ledger"
 	"chestnutcleat.example/chestnutcleat/memory"
 	"chestnutcleat.example/chestnutcleat/mirror"
@@ -60,8 +60,8 @@
 	leaving    atomic.Bool
 	// servers are the HTTP servers for callers, readiness and the registry.
 	servers []*accept.Server
-	// undecodable holds the versions of instances' objects that could not be decoded, so that each is reported once.
-	undecodable map[chestnutcleat.InstanceID]chestnutcleat.Version
+	// invalidConfig is the last version of the configuration that could not be decoded.
+	invalidConfig chestnutcleat.Version
 }
 
 // Run serves until ctx is done or the graceful shutdown is complete.
@@ -108,7 +108,6 @@
 		VM: e.self.VM, Peers: e.client, Limiter: e.limiter, Observer: e.Observer, Stores: e.checkpointStores,
 		VMs: func() int { return e.fleet.Count() + 1 },
 	}
-	e.undecodable = map[chestnutcleat.InstanceID]chestnutcleat.Version{}
 	e.status = e.collectStatus
 	e.fleet = &peer.Fleet{
 		Self: e.self, Describe: e.describe,
@@ -245,39 +244,45 @@
 	return addressesFor(domain, list), min(maxAddressTTLSeconds, e.settings().MaxAddressTTL)
 }
 
-// configChanged applies a newer configuration.
-func (e *Entry) configChanged(s mirror.Snapshot) {
+// configChanged applies a newer configuration. One that can't be decoded leaves the one before in effect.
+func (e *Entry) configChanged(s mirror.Snapshot) []invalidObject {
 	for _, o := range s.Objects {
 		if o.Name != platform.ConfigName {
 			continue
 		}
 		known := e.config.Load()
 		if known != nil && known.Revision >= o.Version {
-			return
+			continue
 		}
 		c, err := platform.DecodeConfig(o)
 		if err != nil {
-			e.Observer.Emit(event.ConfigInvalid, "version", o.Version, "error", err)
-			return
+			e.reportInvalidConfig(o.Version, err)
+			continue
 		}
 		e.limiter.SetCustomers(c.Customers)
 		e.config.Store(config.NewTable(c))
 		e.Observer.Emit(event.ConfigApplied, "number", c.Number, "version", c.Revision, "routes", len(c.Routes), "customers", len(c.Customers))
-		return
 	}
+	return nil
 }
 
-// instancesChanged updates the list of instances; objects that can't be decoded are left out.
-func (e *Entry) instancesChanged(s mirror.Snapshot) {
+// reportInvalidConfig reports a version of the configuration that can't be decoded once.
+func (e *Entry) reportInvalidConfig(v chestnutcleat.Version, err error) {
+	if e.invalidConfig != v {
+		e.Observer.Emit(event.ConfigInvalid, "version", v, "error", fmt.Sprintf("%.*s", maxReportedError, err.Error()))
+	}
+	e.invalidConfig = v
+}
+
+// instancesChanged updates the list of instances. An object that can't be decoded names no instance, whatever it said before.
+func (e *Entry) instancesChanged(s mirror.Snapshot) []invalidObject {
 	list := make([]chestnutcleat.Instance, 0, len(s.Objects))
+	var invalid []invalidObject
 	leaving := 0
 	for _, o := range s.Objects {
 		i, err := platform.DecodeInstance(o)
 		if err != nil {
-			if e.undecodable[chestnutcleat.InstanceID(o.Name)] != o.Version {
-				e.Observer.Emit(event.ObjectInvalid, "object", o.Name, "version", o.Version, "error", err)
-			}
-			e.undecodable[chestnutcleat.InstanceID(o.Name)] = o.Version
+			invalid = append(invalid, invalidObject{o, err})
 			continue
 		}
 		if i.Leaving {
@@ -287,20 +292,23 @@
 	}
 	e.placement.SetInstances(list)
 	e.Observer.Emit(event.InstancesChanged, "version", s.Version, "instances", len(list), "leaving", leaving)
+	return invalid
 }
 
-// fleetChanged updates the list of VMs and the replica set.
-func (e *Entry) fleetChanged(s mirror.Snapshot) {
-	e.fleet.SetMembers(e.members(s))
+// fleetChanged updates the list of VMs and the replica set. A replica set that can't be decoded leaves the one before in effect.
+func (e *Entry) fleetChanged(s mirror.Snapshot) []invalidObject {
+	members, invalid := e.members(s)
+	e.fleet.SetMembers(members)
 	for _, o := range s.Objects {
 		if o.Name != replicaSetName {
 			continue
 		}
-		var set chestnutcleat.ReplicaSet
-		if err := json.Unmarshal(o.Data, &set); err != nil {
-			e.Observer.Emit(event.ObjectInvalid, "object", o.Name, "version", o.Version, "error", err)
+		set, err := keeper.DecodeReplicaSet(o)
+		if err != nil {
+			invalid = append(invalid, invalidObject{o, err})
 			continue
 		}
 		e.ledger.SetReplicaSet(set)
 	}
+	return invalid
 }
--- a/role/follow.go
+++ b/role/follow.go
@@ -28,15 +28,15 @@
 	pollSlotDivisor = 6
 )
 
-// follow starts to mirror a kind and calls changed after each change.
-func (b *base) follow(k chestnutcleat.ObjectKind, retainAfterOutage bool, changed func(mirror.Snapshot)) {
+// follow starts to mirror a kind and calls changed after each change. changed returns the objects that it could not decode.
+func (b *base) follow(k chestnutcleat.ObjectKind, retainAfterOutage bool, changed func(mirror.Snapshot) []invalidObject) {
 	seed := uint64(time.Now().UnixNano())
 	var shouldPoll func() bool
 	if k == fleetKind {
 		shouldPoll = func() bool { return !b.settled() }
 	}
 	b.mirrors[k] = &mirror.Mirror{
-		Store: b.objects, Kind: k, RetainAfterOutage: retainAfterOutage, OnChange: b.notifyPeersAfter(changed),
+		Store: b.objects, Kind: k, RetainAfterOutage: retainAfterOutage, OnChange: b.notifyPeersAfter(b.reportInvalidAfter(k, changed)),
 		OnDisconnect: func(err error) { b.Observer.Emit(event.PlatformLost, "kind", k, "error", err) },
 		OnReconnect:  func() { b.Observer.Emit(event.PlatformBack, "kind", k) },
 		OnPanic:      func(err error) { b.reportPanic(string(k), err) },
--- /dev/null
+++ b/role/invalid.go
@@ -0,0 +1,67 @@
+package role
+
+import (
+	"fmt"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
+	"chestnutcleat.example/chestnutcleat/mirror"
+)
+
+const (
+	// maxInvalidReports bounds the objects of a kind that are reported after one change; the others follow after later changes.
+	maxInvalidReports = 16
+	// maxReportedError bounds the text of an error, in bytes, as it may quote the object.
+	maxReportedError = 200
+)
+
+// invalidObject is an object that could not be decoded.
+type invalidObject struct {
+	object chestnutcleat.StoredObject
+	err    error
+}
+
+// reportInvalidAfter returns a function that applies a change and reports each version of an object that can't be decoded once.
+func (b *base) reportInvalidAfter(k chestnutcleat.ObjectKind, apply func(mirror.Snapshot) []invalidObject) func(mirror.Snapshot) {
+	r := invalidReports{kind: k, observer: b.Observer}
+	return func(s mirror.Snapshot) {
+		invalid := apply(s)
+		for _, o := range s.Objects {
+			if err := o.Err(); err != nil {
+				invalid = append(invalid, invalidObject{o, err})
+			}
+		}
+		r.report(invalid)
+	}
+}
+
+// invalidReports remembers which objects of a kind were reported.
+type invalidReports struct {
+	kind     chestnutcleat.ObjectKind
+	observer chestnutcleat.Observer
+	// reported holds the reported versions of those objects that were invalid after the last change.
+	reported map[string]chestnutcleat.Version
+}
+
+// report reports the objects that are not reported yet; the list may name an object twice.
+func (r *invalidReports) report(list []invalidObject) {
+	reported := map[string]chestnutcleat.Version{}
+	left := maxInvalidReports
+	for _, i := range list {
+		o := &i.object
+		v, known := r.reported[o.Name]
+		if again, ok := reported[o.Name]; ok {
+			v, known = again, true
+		}
+		if !known || v != o.Version {
+			if left == 0 {
+				continue
+			}
+			left--
+			text := fmt.Sprintf("%.*s", maxReportedError, i.err.Error())
+			r.observer.Emit(event.ObjectInvalid, "kind", r.kind, "object", o.Name, "version", o.Version, "error", text)
+		}
+		reported[o.Name] = o.Version
+	}
+	r.reported = reported
+}
--- a/role/store.go
+++ b/role/store.go
@@ -118,9 +118,9 @@
 	}
 }
 
-// fleetChanged updates the list of VMs and the replica set.
-func (s *Store) fleetChanged(v mirror.Snapshot) {
-	list := s.members(v)
+// fleetChanged updates the list of VMs and the replica set. A replica set that can't be decoded leaves the one before in effect.
+func (s *Store) fleetChanged(v mirror.Snapshot) []invalidObject {
+	list, invalid := s.members(v)
 	s.fleet.SetMembers(list)
 	disks := slices.DeleteFunc(list, func(m peer.Member) bool { return m.Disk == "" })
 	s.mu.Lock()
@@ -130,10 +130,15 @@
 		if o.Name != replicaSetName {
 			continue
 		}
+		if _, err := keeper.DecodeReplicaSet(o); err != nil {
+			invalid = append(invalid, invalidObject{o, err})
+			continue
+		}
 		if err := s.reconciler.Observe(s.ctx, o); err != nil && s.ctx.Err() == nil {
 			s.Observer.Emit(event.ReplicaSetChangeFailed, "object", o.Version, "error", err)
 		}
 	}
+	return invalid
 }
 
 // candidates returns the announced disks and the state of their VMs.
@@ -166,14 +171,19 @@
 	return n
 }
 
-// retirementsChanged updates the list of storage VMs to be emptied.
-func (s *Store) retirementsChanged(v mirror.Snapshot) {
+// retirementsChanged updates the list of storage VMs to be emptied. An order that can't be read begins no retirement and ends none.
+func (s *Store) retirementsChanged(v mirror.Snapshot) []invalidObject {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.retiring = s.retiring[:0]
+	before := s.retiring
+	s.retiring = nil
 	for _, o := range v.Objects {
-		s.retiring = append(s.retiring, chestnutcleat.VMID(o.Name))
+		id := chestnutcleat.VMID(o.Name)
+		if o.Err() == nil || slices.Contains(before, id) {
+			s.retiring = append(s.retiring, id)
+		}
 	}
+	return nil
 }
 
 // reportRetirements reports the progress of this VM's retirement to the platform.
