Accept invalid UTF-8 in the ids that callers choose

One request with a header that is not UTF-8 (program, request or previous turn of a route that retains turns) held up the records of an entry VM: replicas could not decode the append that contained it, the VM repeated the whole batch, took all replicas for unreachable and refused or failed the turns of all callers until the record's deadline.

Cause: the encoder of messages between VMs does not check text, the decoder rejected it, so such a message could be sent but never read. Ruled out: stored records, which were decoded before they were written. A check at the edge would refuse plain requests that are served today. Change: the decoder takes text as it is; what one VM encodes another decodes.

What remains: an append that a replica answers with an error for another reason is still repeated as a whole until its deadline.

--- a/vm/encoding.go
+++ b/vm/encoding.go
@@ -34,6 +34,8 @@
 		MaxMapPairs:      maxElements,
 		MaxNestedLevels:  maxNestingLevels,
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		// Ids come from callers' headers, which may hold any bytes, and the encoder does not check them.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}
 	m, err := o.DecMode()
 	if err != nil {
--- a/vm/fuzz_test.go
+++ b/vm/fuzz_test.go
@@ -40,3 +40,20 @@
 		t.Errorf("%T decodes but does not encode: %v", v, err)
 	}
 }
+
+// FuzzText guards against ids of callers that can be sent but not received, which held up all messages behind them.
+func FuzzText(f *testing.F) {
+	f.Add("")
+	f.Add("id")
+	f.Add("\xff")
+	f.Add("a\xc0\x80\x00")
+	f.Fuzz(func(t *testing.T, text string) {
+		data, err := vm.Encode(chestnutcleat.BeginRequest{ID: chestnutcleat.RequestID(text)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := vm.Decode[chestnutcleat.BeginRequest](data); err != nil || string(got.ID) != text {
+			t.Errorf("%q became %q: %v", text, got.ID, err)
+		}
+	})
+}
