Survive panics over an answer of the platform

A panic over one answer of the platform, in its decoding or in the mirror's update, ended the process, and again after each start while the answer stayed the same: mirrors run in goroutines of their own without recovery, and so do the lists that VMs make in turn. No such panic is known; this is the path on which data of other writers comes in, and operators of similar systems lost processes this way.

Change: each step of a mirror and each refresh is guarded, reports the stack (event 859) and counts as a failed call, which is tried again after the usual pause. The lock is released by defer, as it would stay held otherwise.

Before the change mirror.TestPanicOverAnswer ended the test process ("panic: list").

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -107,7 +107,7 @@
 func (m *Mirror) Run(ctx context.Context) error {
 	retry := minRetry
 	for ctx.Err() == nil {
-		err := m.step(ctx)
+		err := m.guarded(func() error { return m.step(ctx) })
 		if err == nil {
 			retry = minRetry
 			_ = chestnutcleat.Sleep(ctx, callSpacing)
@@ -123,6 +123,18 @@
 	return nil
 }
 
+// guarded calls f, reports a panic and returns it as an error, so that one answer of the platform or of another VM costs only itself.
+func (m *Mirror) guarded(f func() error) error {
+	var err error
+	if p := guard.Call(func() { err = f() }); p != nil {
+		if m.OnPanic != nil {
+			m.OnPanic(p)
+		}
+		return p
+	}
+	return err
+}
+
 // step makes one call to the platform, or waits if this VM doesn't watch.
 func (m *Mirror) step(ctx context.Context) error {
 	m.mu.Lock()
@@ -179,7 +191,9 @@
 }
 
 // Refresh fetches the platform's list, in case a watch misses a change.
-func (m *Mirror) Refresh(ctx context.Context) error { return m.list(ctx, chestnutcleat.Fresh) }
+func (m *Mirror) Refresh(ctx context.Context) error {
+	return m.guarded(func() error { return m.list(ctx, chestnutcleat.Fresh) })
+}
 
 func (m *Mirror) list(ctx context.Context, f chestnutcleat.Freshness) error {
 	list, version, err := m.Store.List(ctx, m.Kind, f)
@@ -312,11 +326,26 @@
 func (m *Mirror) update(contacted bool, f func() (changed, reconnected bool)) {
 	m.updateMu.Lock()
 	defer m.updateMu.Unlock()
+	s, changed, reconnected := m.updateState(contacted, f)
+	if reconnected && m.OnReconnect != nil {
+		m.OnReconnect()
+	}
+	if !changed || m.OnChange == nil {
+		return
+	}
+	if err := guard.Call(func() { m.OnChange(s) }); err != nil && m.OnPanic != nil {
+		m.OnPanic(err)
+	}
+}
+
+// updateState runs f under the lock and returns what it returned, and all objects if they changed.
+func (m *Mirror) updateState(contacted bool, f func() (changed, reconnected bool)) (s Snapshot, changed, reconnected bool) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.objects == nil {
 		m.objects = map[string]chestnutcleat.StoredObject{}
 	}
-	changed, reconnected := f()
+	changed, reconnected = f()
 	if m.tombstonesSince == 0 {
 		m.tombstonesSince = m.version
 	}
@@ -326,18 +355,8 @@
 	if contacted {
 		m.lastContact = time.Now()
 	}
-	var s Snapshot
 	if changed {
 		s = m.snapshot(0)
 	}
-	m.mu.Unlock()
-	if reconnected && m.OnReconnect != nil {
-		m.OnReconnect()
-	}
-	if !changed || m.OnChange == nil {
-		return
-	}
-	if err := guard.Call(func() { m.OnChange(s) }); err != nil && m.OnPanic != nil {
-		m.OnPanic(err)
-	}
+	return s, changed, reconnected
 }
