Keep the process when a task of its own panics

The tasks of a VM that apply other VMs' reports, remove silent VMs, report retirements and copy objects from other VMs ran in goroutines without recovery: a panic over one message there would have ended the process. No such panic is known. Datagrams, calls of other VMs and callers' requests were guarded before; a flood of datagrams that panic gave a stack each.

Not guarded: the commit and maintenance of storage VMs' records, whose state may be half changed after a panic; senders of records and the joining of replicas, whose input is decoded replies of known types.

--- a/role/base.go
+++ b/role/base.go
@@ -41,6 +41,8 @@
 	memberExpiryInterval = 5 * time.Second
 	// unreadReportInterval is the minimum time between two reports of unreadable datagrams.
 	unreadReportInterval = 10 * time.Second
+	// panicReportInterval is the minimum time between two reports of panics at the same place.
+	panicReportInterval = time.Second
 )
 
 // base is the part that entry and storage VMs share.
@@ -72,8 +74,9 @@
 	ownObject chestnutcleat.StoredObject
 	// memberVersions holds the versions of the VMs' objects.
 	memberVersions map[chestnutcleat.VMID]chestnutcleat.Version
-	// lastUnreadReport is the time of the last report of an unreadable datagram.
+	// lastUnreadReport is the time of the last report of an unreadable datagram, and lastPanicReports those of panics by place.
 	lastUnreadReport time.Time
+	lastPanicReports map[string]time.Time
 	// reloaded holds the settings of the last reload; nil before the first.
 	reloaded atomic.Pointer[settings.Role]
 }
@@ -117,6 +120,7 @@
 	b.mirrors = map[chestnutcleat.ObjectKind]*mirror.Mirror{}
 	b.fetcher = newFetcher(b.mirrors)
 	b.fetcher.peers, b.fetcher.observer, b.fetcher.shouldWatch = b.client, b.Observer, b.shouldWatch
+	b.fetcher.onPanic = func(err error) { b.reportPanic("objects of another VM", err) }
 	b.fetcher.address = func(id chestnutcleat.VMID) (chestnutcleat.Address, bool) { return b.fleet.Address(id) }
 	vm.Handle(b.mux, methodObjects, b.fetcher.serve)
 }
@@ -139,14 +143,41 @@
 	return nil
 }
 
-// reportPanic reports a recovered panic with its stack; other errors are ignored.
-func (b *base) reportPanic(what string, err error) {
+// reportPanic reports a recovered panic with its stack, at most one per place in panicReportInterval; other errors are ignored.
+func (b *base) reportPanic(place string, err error) {
 	var p *guard.Panic
-	if errors.As(err, &p) {
-		b.Observer.Emit(event.Panicked, "at", what, "error", err, "stack", string(p.Stack))
+	if !errors.As(err, &p) {
+		return
+	}
+	b.mu.Lock()
+	tooSoon := time.Since(b.lastPanicReports[place]) < panicReportInterval
+	if !tooSoon {
+		if b.lastPanicReports == nil {
+			b.lastPanicReports = map[string]time.Time{}
+		}
+		b.lastPanicReports[place] = time.Now()
+	}
+	b.mu.Unlock()
+	if !tooSoon {
+		b.Observer.Emit(event.Panicked, "at", place, "error", err, "stack", string(p.Stack))
+	}
+}
+
+// guarded calls f and reports a panic.
+func (b *base) guarded(place string, f func()) {
+	if err := guard.Call(f); err != nil {
+		b.reportPanic(place, err)
 	}
 }
 
+// repeat calls f after each interval until ctx is done. A panic costs one call.
+func (b *base) repeat(ctx context.Context, interval time.Duration, place string, f func()) error {
+	for chestnutcleat.Sleep(ctx, interval) == nil {
+		b.guarded(place, f)
+	}
+	return nil
+}
+
 // reportUnreadDatagram counts an unreadable datagram and reports at most one per unreadReportInterval.
 func (b *base) reportUnreadDatagram(err error) {
 	b.Metrics.GetOrCreateCounter("datagrams_unread_total").Inc()
@@ -224,19 +255,16 @@
 
 // removeSilentVMs removes the objects of VMs of this role that have been silent for memberExpiry, so that their shares of rates
 // are used again. Only the first of the VMs that are heard does so, and only while it hears more than half of them.
-func (b *base) removeSilentVMs(ctx context.Context) error {
-	for chestnutcleat.Sleep(ctx, memberExpiryInterval) == nil {
-		rank, heard := b.rankHeard()
-		if rank != 0 || 2*heard <= b.fleet.Count()+1 {
-			continue
-		}
-		for _, p := range b.fleet.Peers() {
-			if p.SilentFor() > memberExpiry {
-				b.removeVM(ctx, &p)
-			}
+func (b *base) removeSilentVMs(ctx context.Context) {
+	rank, heard := b.rankHeard()
+	if rank != 0 || 2*heard <= b.fleet.Count()+1 {
+		return
+	}
+	for _, p := range b.fleet.Peers() {
+		if p.SilentFor() > memberExpiry {
+			b.removeVM(ctx, &p)
 		}
 	}
-	return nil
 }
 
 func (b *base) removeVM(ctx context.Context, p *peer.Peer) {
--- a/role/entry.go
+++ b/role/entry.go
@@ -81,8 +81,10 @@
 	g.Go(func() error { return e.ledger.Run(ctx) })
 	g.Go(func() error { return e.checkpoint.Run(ctx) })
 	g.Go(func() error { return e.poll(ctx, platform.ConfigKind, platform.InstanceKind) })
-	g.Go(func() error { return e.trackFleet(ctx) })
-	g.Go(func() error { return e.removeSilentVMs(ctx) })
+	g.Go(func() error { return e.repeat(ctx, fleetCheckInterval, "reports of other VMs", e.trackFleet) })
+	g.Go(func() error {
+		return e.repeat(ctx, memberExpiryInterval, "silent VMs", func() { e.removeSilentVMs(ctx) })
+	})
 	for _, s := range e.servers {
 		g.Go(s.Serve)
 	}
@@ -205,14 +207,11 @@
 }
 
 // trackFleet updates the instances' load and the set of VMs that share the rates from what other VMs report.
-func (e *Entry) trackFleet(ctx context.Context) error {
-	for chestnutcleat.Sleep(ctx, fleetCheckInterval) == nil {
-		e.applyTotals()
-		if e.mirrors[fleetKind].Version() > 0 {
-			e.limiter.SetVMs(append(e.fleet.VMs(), e.self.VM))
-		}
+func (e *Entry) trackFleet() {
+	e.applyTotals()
+	if e.mirrors[fleetKind].Version() > 0 {
+		e.limiter.SetVMs(append(e.fleet.VMs(), e.self.VM))
 	}
-	return nil
 }
 
 // applyTotals applies what other VMs report about instances and programs, and reports ejected instances.
--- a/role/fetch.go
+++ b/role/fetch.go
@@ -11,6 +11,7 @@
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/event"
+	"chestnutcleat.example/chestnutcleat/guard"
 	"chestnutcleat.example/chestnutcleat/mirror"
 	"chestnutcleat.example/chestnutcleat/vm"
 )
@@ -48,6 +49,8 @@
 	address func(chestnutcleat.VMID) (chestnutcleat.Address, bool)
 	// shouldWatch reports whether this VM watches the platform itself.
 	shouldWatch func() bool
+	// onPanic receives the panics of fetches; nil ignores them.
+	onPanic func(error)
 
 	mu      sync.Mutex
 	running map[chestnutcleat.ObjectKind]runningFetches
@@ -137,7 +140,7 @@
 func (f *fetcher) catchUp(ctx context.Context, id chestnutcleat.VMID, versions map[chestnutcleat.ObjectKind]chestnutcleat.Version) {
 	for k, v := range versions {
 		if m := f.mirrors[k]; m != nil && m.Version() < v && f.begin(k, id) {
-			go f.fetch(ctx, m, id, v)
+			go f.fetchGuarded(ctx, m, id, v)
 		}
 	}
 }
@@ -162,6 +165,13 @@
 	f.running[k] = r
 }
 
+// fetchGuarded fetches objects; a panic over what another VM sends costs this fetch.
+func (f *fetcher) fetchGuarded(ctx context.Context, m *mirror.Mirror, id chestnutcleat.VMID, v chestnutcleat.Version) {
+	if err := guard.Call(func() { f.fetch(ctx, m, id, v) }); err != nil && f.onPanic != nil {
+		f.onPanic(err)
+	}
+}
+
 func (f *fetcher) fetch(ctx context.Context, m *mirror.Mirror, id chestnutcleat.VMID, v chestnutcleat.Version) {
 	defer f.end(m.Kind)
 	if f.shouldWatch() && chestnutcleat.Sleep(ctx, catchUpDelay) != nil || m.Version() >= v {
--- a/role/store.go
+++ b/role/store.go
@@ -67,7 +67,9 @@
 	s.start(ctx, g)
 	g.Go(func() error { return store.Run(ctx) })
 	g.Go(func() error { return s.reconciler.Run(ctx) })
-	g.Go(func() error { return s.reportRetirements(ctx) })
+	g.Go(func() error {
+		return s.repeat(ctx, retireInterval, "retirements", func() { s.reportRetirements(ctx) })
+	})
 	g.Go(func() error {
 		defer cancel()
 		select {
@@ -187,18 +189,13 @@
 }
 
 // reportRetirements reports the progress of this VM's retirement to the platform.
-func (s *Store) reportRetirements(ctx context.Context) error {
-	for chestnutcleat.Sleep(ctx, retireInterval) == nil {
-		s.mu.Lock()
-		retiring := slices.Clone(s.retiring)
-		s.mu.Unlock()
-		for _, id := range retiring {
-			if id == s.self.VM {
-				s.reportRetirement(ctx, id)
-			}
-		}
+func (s *Store) reportRetirements(ctx context.Context) {
+	s.mu.Lock()
+	retiring := slices.Contains(s.retiring, s.self.VM)
+	s.mu.Unlock()
+	if retiring {
+		s.reportRetirement(ctx, s.self.VM)
 	}
-	return nil
 }
 
 func (s *Store) reportRetirement(ctx context.Context, id chestnutcleat.VMID) {
