Leave out stored records that can't be decoded

A record in the log of a storage VM that can't be decoded, although its checksum is right, ended the process at each start and kept its segment from being compacted.

Cause: openLog and compaction gave up at the first such record. Ruled out: a torn tail and damage, which the checksum shows; a damaged segment before the last one stays an error (ledger.TestDamagedSegment).

Change: the record is left out and reported with event 829. A right checksum means that it was written so, on every replica, and that none could ever read it, so it costs only itself: an attempt's reservation or a turn. The replica stays complete; otherwise three such replicas could never be copied from again. A record of a newer program is left out as well, and is lost when its segment is compacted.

Before the change ledger.TestUndecodableStoredRecord failed in all four cases ("segment ... at byte 47: decode *ledger.Record: cbor: exceeded max nested level 32" and the like). FuzzSegment ran 20 s and FuzzCalls 20 s without a finding.

--- a/ledger/log.go
+++ b/ledger/log.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -47,6 +48,9 @@
 	number int
 	file   *os.File
 	size   int64
+	// unreadable is the number of whole records that the last scan could not decode, and scanErr the error of the first one.
+	unreadable int
+	scanErr    error
 }
 
 // diskLog is an append-only log split into segments. Only the last segment may end in a partially written record.
@@ -141,8 +145,11 @@
 	return nil
 }
 
-// scan visits the records of a segment and returns the offset after the last complete one.
+// scan visits the records of a segment and returns the offset after the last complete one. A record whose checksum is right but that can't
+// be decoded was written so, on every replica, and none could ever read it: it is left out, as its error would end the process at each
+// start.
 func (s *segment) scan(visit func(*Record, location)) (int64, error) {
+	s.unreadable, s.scanErr = 0, nil
 	r := bufio.NewReaderSize(io.NewSectionReader(s.file, 0, 1<<62), readBufferBytes)
 	offset := int64(0)
 	var payload []byte
@@ -155,12 +162,13 @@
 		if !ok {
 			return offset, nil
 		}
-		v, err := vm.Decode[Record](payload)
-		if err != nil {
-			return 0, fmt.Errorf("segment %s at byte %d: %w", s.file.Name(), offset, err)
-		}
 		n := headerBytes + len(payload)
-		visit(&v, location{segment: s.number, offset: offset, bytes: n})
+		if v, err := vm.Decode[Record](payload); err == nil {
+			visit(&v, location{segment: s.number, offset: offset, bytes: n})
+		} else {
+			s.unreadable++
+			s.scanErr = cmp.Or(s.scanErr, fmt.Errorf("segment %s at byte %d: %w", s.file.Name(), offset, err))
+		}
 		offset += int64(n)
 	}
 }
@@ -270,6 +278,17 @@
 	return total
 }
 
+// unreadable returns the number of records that could not be decoded when the log was opened, and the error of one.
+func (l *diskLog) unreadable() (n int, err error) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	for _, s := range l.segments {
+		n += s.unreadable
+		err = cmp.Or(err, s.scanErr)
+	}
+	return n, err
+}
+
 // oldest returns the first segment, or nil if that is the active one.
 func (l *diskLog) oldest() *segment {
 	l.mu.RLock()
--- a/ledger/odd_test.go
+++ b/ledger/odd_test.go
@@ -1,7 +1,12 @@
 package ledger
 
 import (
+	"bytes"
 	"context"
+	"encoding/binary"
+	"hash/crc32"
+	"os"
+	"path/filepath"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
 	"chestnutcleat.example/chestnutcleat/vm"
 )
 
@@ -46,3 +52,55 @@
 		is.Equal(chain[0].ID, chestnutcleat.RequestID("t\xff"))
 	})
 }
+
+// eventCounter counts events by id.
+type eventCounter map[chestnutcleat.EventID]int
+
+func (c eventCounter) Emit(id chestnutcleat.EventID, _ ...any) { c[id]++ }
+
+// A stored record that can't be decoded although its checksum is right must cost only itself. It ended the storage VM at each start, and
+// kept the segment from being compacted.
+func TestUndecodableStoredRecord(t *testing.T) {
+	for name, payload := range map[string][]byte{
+		"no CBOR":          []byte("\xff\xff"),
+		"another type":     {0x63, 'a', 'b', 'c'},
+		"number too large": {0xa1, 0x61, 'k', 0x19, 0xff, 0xff},
+		"nested too deep":  append([]byte{0xa1, 0x61, 'x'}, append(bytes.Repeat([]byte{0x81}, 1000), 0)...),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			folder := t.TempDir()
+			l, _, err := readAll(t, folder)
+			is.NoErr(err)
+			mustAppend(t, l, turnRecord("1", ""))
+			entry := binary.BigEndian.AppendUint32(nil, uint32(len(payload)))
+			entry = binary.BigEndian.AppendUint32(entry, crc32.Checksum(payload, crcTable))
+			s := l.active()
+			n, err := s.file.WriteAt(append(entry, payload...), s.size)
+			is.NoErr(err)
+			s.size += int64(n)
+			mustAppend(t, l, turnRecord("2", "1"))
+			is.NoErr(l.startSegment())
+			mustAppend(t, l, turnRecord("3", "2"))
+			is.NoErr(l.close())
+			is.NoErr(os.WriteFile(filepath.Join(folder, diskIDFile), []byte("disk"), 0o600))
+
+			store, err := Open(folder)
+			is.NoErr(err)
+			events := eventCounter{}
+			store.Observer = events
+			chain := store.state.chainLocations("c", "3")
+			is.Equal(len(chain), 3)
+			for i, id := range []chestnutcleat.RequestID{"3", "2", "1"} {
+				r, err := store.log.read(chain[i])
+				is.NoErr(err)
+				is.Equal(r.Attempt, id)
+			}
+			is.NoErr(store.rewriteLive(store.log.oldest()))
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			is.NoErr(store.Run(ctx))
+			is.Equal(events[event.RecordsUnreadable], 1)
+		})
+	}
+}
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -134,6 +134,9 @@
 
 // Run commits records and runs maintenance until ctx is done.
 func (s *Store) Run(ctx context.Context) error {
+	if n, err := s.log.unreadable(); n > 0 {
+		s.Observer.Emit(event.RecordsUnreadable, "records", n, "error", err)
+	}
 	t := time.NewTicker(maintenanceInterval)
 	defer t.Stop()
 	for {
