Ignore grants and requests of tokens that no VM can mean

One datagram with an infinite grant of a customer's tokens admitted everything of that customer for 0.3 s, and one that is not a number kept a VM from asking for more for as long. Neither was seen; CBOR carries both.

Cause: the numbers of grants and requests were taken as they came, other than those of reports (TestImplausibleReports). Change: they count as zero, an answer without tokens.

Before the change rate.TestOddTokens failed in all five cases ("NaN != 0", "+Inf != 0", "map[c:-1] != map[c:0]").

--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -231,7 +231,7 @@
 		if a == nil {
 			continue
 		}
-		n := min(a.lendable(a.advance(now)), need)
+		n := min(a.lendable(a.advance(now)), plausible(need))
 		if n > 0 {
 			a.used.add(now.Add(l.lentUseDelay()), n)
 		}
@@ -249,7 +249,7 @@
 	}
 	for c, n := range lent {
 		if a := l.customers[c]; a != nil {
-			a.recordAnswer(loan{tokens: n, requested: requested})
+			a.recordAnswer(loan{tokens: plausible(n), requested: requested})
 		}
 	}
 	close(l.answered)
