Keep times far off from blocking a customer after a start

A report of use, as a VM gets back from storage VMs after its start, with a use of 292 years ago counted as a use of the far future: it never expired, and the customer had that many tokens less at this VM until the next start.

Cause: the sum of the two ages overflowed. Ruled out: negative ages and ages of an hour, which were right. Change: they are compared without adding them up.

Before the change rate.TestOddTimesInReport failed for the two ages near the largest ("5 != 10").

--- a/rate/odd_test.go
+++ b/rate/odd_test.go
@@ -43,3 +43,18 @@
 		})
 	}
 }
+
+// A report with times far off must not block a customer: a use of 292 years ago became one of the far future and never expired.
+func TestOddTimesInReport(t *testing.T) {
+	for _, age := range []time.Duration{math.MaxInt64, math.MaxInt64 - time.Second, math.MinInt64, -time.Hour, time.Hour} {
+		t.Run(age.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				l, a := newOpenLimiter()
+				l.Restore(Usage{customer: {{Age: age, Tokens: 5}}}, 3*time.Second)
+				time.Sleep(2 * testWindow)
+				is.Equal(a.advance(time.Now()), 10.0)
+			})
+		})
+	}
+}
--- a/rate/usage.go
+++ b/rate/usage.go
@@ -65,8 +65,9 @@
 		a.share = a.targetShare
 	}
 	for _, u := range list {
-		if passed := max(0, u.Age) + age; passed < a.used.length {
-			a.used.add(now.Add(-passed), plausible(u.Tokens))
+		// A sum of ages could overflow.
+		if used := max(0, u.Age); used < a.used.length-age {
+			a.used.add(now.Add(-used-age), plausible(u.Tokens))
 			a.share = min(a.targetShare, a.share+plausible(u.Tokens))
 		}
 	}
