Bound the loads that other VMs report

One report with a negative load of an instance, or with one so large that the sum overflows, made an instance look emptier than any: work is shared out by free slots, so all requests of its service without a key would have gone there.

Cause: loads and counts of reports were added up as they came, other than outcomes and activities. Change: a count is between 0 and 2^20.

Before the change peer.TestOddLoad failed for all three loads ("not true: totals.Load("i") >= 3").

--- a/peer/digest.go
+++ b/peer/digest.go
@@ -93,16 +93,22 @@
 	}
 }
 
+// maxCount bounds the counts that other VMs report, so that sums over all VMs can't overflow.
+const maxCount = 1 << 20
+
+// plausible returns a reported count within its bounds.
+func plausible(n int) int { return min(max(0, n), maxCount) }
+
 func addCounts[K comparable](into, from map[K]int) {
 	for k, n := range from {
-		into[k] += n
+		into[k] += plausible(n)
 	}
 }
 
 // addLoad adds a VM's requests at each instance to sums by hash of id.
 func addLoad(into map[uint32]int, from map[chestnutcleat.InstanceID]int) {
 	for id, n := range from {
-		into[hashID(string(id))] += n
+		into[hashID(string(id))] += plausible(n)
 	}
 }
 
