Leave out objects without a readable name

An odd entry without a readable name stayed in a VM's list of objects after it was deleted, as nothing tells which object a nameless deletion means. It named nothing to use, but VMs differed in their number of objects until the next change of a fresh list.

Cause: kept one nameless object for all, to report it. Change: they are left out and reported with event 806 without a name, one of a kind every 10 s at most.

--- a/objectstore.go
+++ b/objectstore.go
@@ -21,7 +21,7 @@
 	// Data is the JSON of the object.
 	Data    []byte `json:"data,omitempty"`
 	Deleted bool   `json:"deleted,omitempty"`
-	// Unreadable says why the object can't be read; it then has no Data, and no name if that can't be read either.
+	// Unreadable says why the object can't be read; it then has no Data.
 	Unreadable string `json:"unreadable,omitempty"`
 }
 
--- a/role/base.go
+++ b/role/base.go
@@ -39,7 +39,7 @@
 	memberExpiry = 30 * time.Second
 	// memberExpiryInterval is the time between checks for expired VMs.
 	memberExpiryInterval = 5 * time.Second
-	// unreadReportInterval is the minimum time between two reports of unreadable datagrams.
+	// unreadReportInterval is the minimum time between two reports of unreadable datagrams, and of nameless objects of a kind.
 	unreadReportInterval = 10 * time.Second
 	// panicReportInterval is the minimum time between two reports of panics at the same place.
 	panicReportInterval = time.Second
@@ -77,6 +77,8 @@
 	// lastUnreadReport is the time of the last report of an unreadable datagram, and lastPanicReports those of panics by place.
 	lastUnreadReport time.Time
 	lastPanicReports map[string]time.Time
+	// lastNamelessReports has the times of the last reports of nameless objects by kind.
+	lastNamelessReports map[chestnutcleat.ObjectKind]time.Time
 	// reloaded holds the settings of the last reload; nil before the first.
 	reloaded atomic.Pointer[settings.Role]
 }
@@ -114,6 +116,7 @@
 	b.objects = platform.NewObjectClient(s.Platform)
 	calls := b.Metrics.NewCounter("platform_calls_total")
 	b.objects.OnCall = func(int, error) { calls.Inc() }
+	b.objects.OnNameless = b.reportNameless
 	b.client = vm.NewClient()
 	b.mux = vm.NewMux()
 	b.mux.OnPanic = func(m chestnutcleat.Method, err error) { b.reportPanic(string(m), err) }
@@ -178,6 +181,22 @@
 	return nil
 }
 
+// reportNameless reports an object whose name can't be read, at most one of a kind per unreadReportInterval.
+func (b *base) reportNameless(k chestnutcleat.ObjectKind, reason string) {
+	b.mu.Lock()
+	tooSoon := time.Since(b.lastNamelessReports[k]) < unreadReportInterval
+	if !tooSoon {
+		if b.lastNamelessReports == nil {
+			b.lastNamelessReports = map[chestnutcleat.ObjectKind]time.Time{}
+		}
+		b.lastNamelessReports[k] = time.Now()
+	}
+	b.mu.Unlock()
+	if !tooSoon {
+		b.Observer.Emit(event.ObjectInvalid, "kind", k, "object", "", "error", reason)
+	}
+}
+
 // reportUnreadDatagram counts an unreadable datagram and reports at most one per unreadReportInterval.
 func (b *base) reportUnreadDatagram(err error) {
 	b.Metrics.GetOrCreateCounter("datagrams_unread_total").Inc()
--- a/role/invalid_test.go
+++ b/role/invalid_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -170,3 +171,19 @@
 		is.Equal(len(set.Disks), 1)
 	}
 }
+
+// Objects without a readable name must be reported, but not at each list that has them.
+func TestNamelessObjectsAreReportedSometimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var events eventList
+		b := &base{Observer: &events}
+		for range 250 {
+			b.reportNameless("servers", "metadata: name is missing")
+			b.reportNameless("fleet", "metadata: name is missing")
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.Equal(len(events), 6)
+		is.True(strings.Contains(events[0], "name is missing"))
+	})
+}
