Leave odd entries among the platform's objects in the soak

The fault odd-entry writes the entries of store.OddEntries among the objects of all kinds and removes them after a while; the run that must not interrupt any request has it too. As the kinds of faults are drawn from a sorted list, plans of seeds without -kinds differ from those of before.

The whole e2e.TestSoak was not run.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -15,7 +15,7 @@
 	kinds string
 }{
 	{1, ""},
-	{101, "stop,reload,platform-down,platform-lost,platform-deaf,compact,change,withdraw,leave"},
+	{101, "stop,reload,platform-down,platform-lost,platform-deaf,compact,change,withdraw,leave,odd-entry"},
 }
 
 // regressionPlans are plans that have violated a guarantee before, each with the cause.
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -232,6 +232,23 @@
 	return f.errors
 }
 
+// leaveOddEntries writes odd entries among the objects of all kinds and removes them after a duration.
+func (f *fleet) leaveOddEntries(ctx context.Context, d time.Duration) {
+	entries := store.OddEntries()
+	kinds := []string{"servers", "config", "fleet", "retirements"}
+	for name, entry := range entries {
+		for _, kind := range kinds {
+			f.platform.SetEntry(kind, "odd "+name, entry)
+		}
+	}
+	_ = chestnutcleat.Sleep(ctx, d)
+	for name := range entries {
+		for _, kind := range kinds {
+			f.platform.Delete(kind, "odd "+name)
+		}
+	}
+}
+
 // inject applies a fault, and reverts it after its duration if it has one.
 func (f *fleet) inject(ctx context.Context, fault Fault) {
 	duration := time.Duration(fault.Duration)
@@ -271,6 +288,8 @@
 		withPlatformFaults(store.Faults{StallWatches: true, StaleLists: true})
 	case PlatformCompact:
 		f.platform.Compact()
+	case OddEntries:
+		f.leaveOddEntries(ctx, duration)
 	case InstanceErrors:
 		withInstanceFaults(instance.Faults{ErrorRate: 0.5})
 	case LoseAnswers:
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -36,6 +36,8 @@
 	PlatformLoseAnswers  FaultKind = "platform-lost"
 	PlatformStallWatches FaultKind = "platform-deaf"
 	PlatformCompact      FaultKind = "compact"
+	// OddEntries leaves entries of another writer, which can't be decoded, among the platform's objects of all kinds.
+	OddEntries FaultKind = "odd-entry"
 	// InstanceErrors lets an instance answer with errors, LoseAnswers run requests but lose their answers, DuplicateAnswers send an
 	// answer twice, DelayAnswers answer slowly, and EndlessAnswers send bytes until the connection is closed. ResetConnections
 	// resets and refuses its connections.
@@ -57,7 +59,7 @@
 // targets maps each kind of fault to what it acts on.
 var targets = map[FaultKind]targetKind{
 	Kill: targetAnyVM, Stop: targetEntry, Pause: targetAnyVM, KillAll: targetNone, WipeDisk: targetStore, ReloadSettings: targetEntry,
-	PlatformDown: targetNone, PlatformLoseAnswers: targetNone, PlatformStallWatches: targetNone, PlatformCompact: targetNone,
+	PlatformDown: targetNone, PlatformLoseAnswers: targetNone, PlatformStallWatches: targetNone, PlatformCompact: targetNone, OddEntries: targetNone,
 	InstanceErrors: targetInstance, LoseAnswers: targetInstance, DuplicateAnswers: targetInstance, DelayAnswers: targetInstance, EndlessAnswers: targetInstance,
 	ResetConnections: targetInstance, StallConnections: targetInstance,
 	ChangeConfiguration: targetNone, WithdrawKey: targetNone, DrainInstance: targetInstance,
