--- a/ledger/store.go
+++ b/ledger/store.go
@@ -138,6 +138,9 @@
 	var repair sync.WaitGroup
 	repair.Go(func() { s.repair(ctx) })
 	defer repair.Wait()
+	if n, err := s.log.unreadable(); n > 0 {
+		s.Observer.Emit(event.RecordsUnreadable, "records", n, "error", err)
+	}
 	t := time.NewTicker(maintenanceInterval)
 	defer t.Stop()
 	for {
--- a/role/base.go
+++ b/role/base.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -37,8 +39,10 @@
 	memberExpiry = 30 * time.Second
 	// memberExpiryInterval is the time between checks for expired VMs.
 	memberExpiryInterval = 5 * time.Second
-	// unreadReportInterval is the minimum time between two reports of unreadable datagrams.
+	// unreadReportInterval is the minimum time between two reports of unreadable datagrams, and of nameless objects of a kind.
 	unreadReportInterval = 10 * time.Second
+	// panicReportInterval is the minimum time between two reports of panics at the same place.
+	panicReportInterval = time.Second
 )
 
 // base is the part that entry and storage VMs share.
@@ -61,6 +65,8 @@
 	// started is the start time of the process.
 	started time.Time
 
+	// knownMembers holds the VMs of the last change of the fleet's objects, of which one is handled at a time.
+	knownMembers map[chestnutcleat.VMID]peer.Member
 	// status returns the present status of this VM.
 	status func() Status
 
@@ -68,8 +74,11 @@
 	ownObject chestnutcleat.StoredObject
 	// memberVersions holds the versions of the VMs' objects.
 	memberVersions map[chestnutcleat.VMID]chestnutcleat.Version
-	// lastUnreadReport is the time of the last report of an unreadable datagram.
+	// lastUnreadReport is the time of the last report of an unreadable datagram, and lastPanicReports those of panics by place.
 	lastUnreadReport time.Time
+	lastPanicReports map[string]time.Time
+	// lastNamelessReports has the times of the last reports of nameless objects by kind.
+	lastNamelessReports map[chestnutcleat.ObjectKind]time.Time
 	// reloaded holds the settings of the last reload; nil before the first.
 	reloaded atomic.Pointer[settings.Role]
 }
@@ -107,12 +116,14 @@
 	b.objects = platform.NewObjectClient(s.Platform)
 	calls := b.Metrics.NewCounter("platform_calls_total")
 	b.objects.OnCall = func(int, error) { calls.Inc() }
+	b.objects.OnNameless = b.reportNameless
 	b.client = vm.NewClient()
 	b.mux = vm.NewMux()
 	b.mux.OnPanic = func(m chestnutcleat.Method, err error) { b.reportPanic(string(m), err) }
 	b.mirrors = map[chestnutcleat.ObjectKind]*mirror.Mirror{}
 	b.fetcher = newFetcher(b.mirrors)
 	b.fetcher.peers, b.fetcher.observer, b.fetcher.shouldWatch = b.client, b.Observer, b.shouldWatch
+	b.fetcher.onPanic = func(err error) { b.reportPanic("objects of another VM", err) }
 	b.fetcher.address = func(id chestnutcleat.VMID) (chestnutcleat.Address, bool) { return b.fleet.Address(id) }
 	vm.Handle(b.mux, methodObjects, b.fetcher.serve)
 }
@@ -135,11 +146,54 @@
 	return nil
 }
 
-// reportPanic reports a recovered panic with its stack; other errors are ignored.
-func (b *base) reportPanic(what string, err error) {
+// reportPanic reports a recovered panic with its stack, at most one per place in panicReportInterval; other errors are ignored.
+func (b *base) reportPanic(place string, err error) {
 	var p *guard.Panic
-	if errors.As(err, &p) {
-		b.Observer.Emit(event.Panicked, "at", what, "error", err, "stack", string(p.Stack))
+	if !errors.As(err, &p) {
+		return
+	}
+	b.mu.Lock()
+	tooSoon := time.Since(b.lastPanicReports[place]) < panicReportInterval
+	if !tooSoon {
+		if b.lastPanicReports == nil {
+			b.lastPanicReports = map[string]time.Time{}
+		}
+		b.lastPanicReports[place] = time.Now()
+	}
+	b.mu.Unlock()
+	if !tooSoon {
+		b.Observer.Emit(event.Panicked, "at", place, "error", err, "stack", string(p.Stack))
+	}
+}
+
+// guarded calls f and reports a panic.
+func (b *base) guarded(place string, f func()) {
+	if err := guard.Call(f); err != nil {
+		b.reportPanic(place, err)
+	}
+}
+
+// repeat calls f after each interval until ctx is done. A panic costs one call.
+func (b *base) repeat(ctx context.Context, interval time.Duration, place string, f func()) error {
+	for chestnutcleat.Sleep(ctx, interval) == nil {
+		b.guarded(place, f)
+	}
+	return nil
+}
+
+// reportNameless reports an object whose name can't be read, at most one of a kind per unreadReportInterval.
+func (b *base) reportNameless(k chestnutcleat.ObjectKind, reason string) {
+	b.mu.Lock()
+	tooSoon := time.Since(b.lastNamelessReports[k]) < unreadReportInterval
+	if !tooSoon {
+		if b.lastNamelessReports == nil {
+			b.lastNamelessReports = map[chestnutcleat.ObjectKind]time.Time{}
+		}
+		b.lastNamelessReports[k] = time.Now()
+	}
+	b.mu.Unlock()
+	if !tooSoon {
+		b.Observer.Emit(event.ObjectInvalid, "kind", k, "object", "", "error", reason)
 	}
 }
 
@@ -172,48 +226,64 @@
 	}
 }
 
-// members decodes the VMs among the fleet's objects and stores this VM's own object and the versions of all.
-func (b *base) members(s mirror.Snapshot) []peer.Member {
-	var list []peer.Member
+// members decodes the VMs among the fleet's objects and stores this VM's own object and the versions of all. An object that can't be
+// decoded leaves what was known of its VM, which writes it again; without its disk the replica set would change.
+func (b *base) members(s mirror.Snapshot) ([]peer.Member, []invalidObject) {
+	var invalid []invalidObject
 	var own chestnutcleat.StoredObject
-	listed := map[chestnutcleat.VMID]chestnutcleat.Version{}
+	known := map[chestnutcleat.VMID]peer.Member{}
+	versions := map[chestnutcleat.VMID]chestnutcleat.Version{}
 	for _, o := range s.Objects {
-		id, ok := strings.CutPrefix(o.Name, vmPrefix)
+		name, ok := strings.CutPrefix(o.Name, vmPrefix)
 		if !ok {
 			continue
 		}
-		if id == string(b.self.VM) {
+		id := chestnutcleat.VMID(name)
+		if id == b.self.VM {
 			own = o
 		}
-		var m peer.Member
-		if err := json.Unmarshal(o.Data, &m); err != nil || string(m.VM) != id {
-			b.Observer.Emit(event.ObjectInvalid, "object", o.Name, "error", err)
-			continue
+		m, err := decodeMember(o, id)
+		if err != nil {
+			invalid = append(invalid, invalidObject{o, err})
+			if m, ok = b.knownMembers[id]; !ok {
+				continue
+			}
 		}
-		list = append(list, m)
-		listed[m.VM] = o.Version
+		known[id], versions[id] = m, o.Version
 	}
+	b.knownMembers = known
 	b.mu.Lock()
-	b.ownObject, b.memberVersions = own, listed
+	b.ownObject, b.memberVersions = own, versions
 	b.mu.Unlock()
-	return list
+	return slices.Collect(maps.Values(known)), invalid
+}
+
+func decodeMember(o chestnutcleat.StoredObject, id chestnutcleat.VMID) (peer.Member, error) {
+	if err := o.Err(); err != nil {
+		return peer.Member{}, err
+	}
+	var m peer.Member
+	if err := json.Unmarshal(o.Data, &m); err != nil {
+		return peer.Member{}, err
+	}
+	if m.VM != id {
+		return peer.Member{}, fmt.Errorf("object of VM %q describes VM %q", id, m.VM)
+	}
+	return m, nil
 }
 
 // removeSilentVMs removes the objects of VMs of this role that have been silent for memberExpiry, so that their shares of rates
 // are used again. Only the first of the VMs that are heard does so, and only while it hears more than half of them.
-func (b *base) removeSilentVMs(ctx context.Context) error {
-	for chestnutcleat.Sleep(ctx, memberExpiryInterval) == nil {
-		rank, heard := b.rankHeard()
-		if rank != 0 || 2*heard <= b.fleet.Count()+1 {
-			continue
-		}
-		for _, p := range b.fleet.Peers() {
-			if p.SilentFor() > memberExpiry {
-				b.removeVM(ctx, &p)
-			}
+func (b *base) removeSilentVMs(ctx context.Context) {
+	rank, heard := b.rankHeard()
+	if rank != 0 || 2*heard <= b.fleet.Count()+1 {
+		return
+	}
+	for _, p := range b.fleet.Peers() {
+		if p.SilentFor() > memberExpiry {
+			b.removeVM(ctx, &p)
 		}
 	}
-	return nil
 }
 
 func (b *base) removeVM(ctx context.Context, p *peer.Peer) {
--- a/role/share_test.go
+++ b/role/share_test.go
@@ -89,7 +89,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				e := silentEntry(tt.vms)
 				ended := make(chan error, 1)
-				go func() { ended <- e.trackFleet(ctx) }()
+				go func() { ended <- e.repeat(ctx, fleetCheckInterval, "reports of other VMs", e.trackFleet) }()
 				if tt.change != nil {
 					tt.change(e)
 				}
