Test that a later try waits for its record longer than the first

A scratch copy whose later tries waited 0.7 s failed no test before; now it fails TestFirstEventWaitsForRecord/later_try_at_a_slow_replica.

--- a/entry/version_test.go
+++ b/entry/version_test.go
@@ -718,6 +718,26 @@
 			h.is.True(time.Since(start) < 2*delay) // the instance was asked meanwhile
 		})
 	})
+	t.Run("later try at a slow replica", func(t *testing.T) {
+		runVersions(t, 1, [][2]string{{"a1", "v1"}, {"b1", "v2"}}, func(h *versionHarness) {
+			// The second append waits for the first, so that it takes longer than the first try of a stream would wait.
+			h.appends.delay.Store(int64(400 * time.Millisecond))
+			h.servers["a1"].SetFaults(instance.Faults{ErrorRate: 1, Delay: 50 * time.Millisecond})
+			later := 0
+			for n := range 8 {
+				start := time.Now()
+				r := h.stream(0, moves, streamID(n))
+				h.is.Equal(r.versions, []string{"v2"})
+				h.is.True(r.complete)
+				if h.log.Runs(streamID(n))[0].Version == "v1" {
+					later++
+					h.is.True(time.Since(start) > recordTimeout)
+				}
+				time.Sleep(time.Second)
+			}
+			h.is.True(later > 0)
+		})
+	})
 	t.Run("later try without quorum", func(t *testing.T) {
 		runVersions(t, 1, [][2]string{{"a1", "v1"}, {"b1", "v2"}}, func(h *versionHarness) {
 			lost := 0
