--- a/entry/endless_test.go
+++ b/entry/endless_test.go
@@ -216,3 +216,48 @@
 		is.Equal(resp.StatusCode, 200)
 	})
 }
+
+// Guards against a refused request that holds a connection for as long as its body trickles in: a refusal must be answered soon, and the
+// connection must end, whatever the caller still sends.
+func TestRefusedRequestWithSlowBody(t *testing.T) {
+	for name, tt := range map[string]struct {
+		path   string
+		length int64
+		status int
+	}{
+		"no route, with a length": {"/none/", 100_000, http.StatusNotFound},
+		"no route, in chunks":     {"/none/", -1, http.StatusNotFound},
+		"too large":               {"/book/", 8 << 20, http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInBubble(t, respondOK, func(is *is.I, h *harness) {
+				body, w := io.Pipe()
+				var ended atomic.Bool
+				go func() {
+					for _, err := w.Write([]byte("x")); err == nil; _, err = w.Write([]byte("x")) {
+						time.Sleep(500 * time.Millisecond)
+					}
+					ended.Store(true)
+				}()
+				q, err := http.NewRequestWithContext(h.t.Context(), http.MethodPost, "http://h"+tt.path, body)
+				is.NoErr(err)
+				q.ContentLength = tt.length
+				q.Header.Set("Authorization", "Bearer key")
+				q.Header.Set("Chestnutcleat-Request-Id", "r1")
+				started := time.Now()
+				resp, err := h.client.Do(q)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, tt.status)
+				is.True(time.Since(started) <= maxRefusalDelay)
+				resp.Body.Close()
+				time.Sleep(maxRefusalDelay)
+				synctest.Wait()
+				is.True(ended.Load())
+				w.Close()
+			})
+		})
+	}
+}
+
+// maxRefusalDelay is how long a refused request may hold its connection.
+const maxRefusalDelay = 2 * time.Second
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -29,6 +29,8 @@
 	defaultMaxBody = 4 << 20
 	// defaultTimeout applies to routes without a timeout.
 	defaultTimeout = time.Minute
+	// refusedBodyTimeout is how long a refusal waits for the rest of the request's body.
+	refusedBodyTimeout = time.Second
 )
 
 // Handler is the http.Handler for callers' requests.
@@ -262,6 +264,10 @@
 	if !errors.As(err, &p) {
 		p = problem(chestnutcleat.CodeInternal, chestnutcleat.Unknown, "%v", err)
 	}
+	if c.r.ContentLength != 0 {
+		// net/http reads what is left of a small body before it sends the response. Connections that support no deadline do so without.
+		_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(refusedBodyTimeout))
+	}
 	c.Metrics.refused(p.Code)
 	c.log(event.Refused, "code", p.Code, "status", p.Status, "outcome", p.Outcome, "detail", p.Detail, "retry", p.Retry)
 	c.Codec.WriteProblem(c.w, p)
