Let a VM that leaves yield its name to its successor

A VM that is replaced under its name at another address, while the old process still drains, has its object written by both in turn, once a second each: other VMs send to the one and the other, and both use the VM's share of rates.

Cause: announce restores this VM's object whenever its data differ, also during the graceful shutdown.

Ruled out: what the two say to other VMs. Each process has a random incarnation, and messages of the earlier one are dropped once the later is heard (peer.TestSequenceFilter); lent tokens go to one incarnation only. Two processes at one address can't overlap, as the address is taken.

Change: a VM that leaves does not announce itself, and gives up its share when its object is another process's. A process that is replaced without being told to stop still writes its object back; nothing tells it which of the two is meant to live.

After: `go test -race -cpu 1 ./role` passes.

--- a/role/base.go
+++ b/role/base.go
@@ -70,6 +70,10 @@
 	memberVersions map[chestnutcleat.VMID]chestnutcleat.Version
 	// lastUnreadReport is the time of the last report of an unreadable datagram.
 	lastUnreadReport time.Time
+	// announced is the data of this VM's object as it announces it.
+	announced string
+	// leaving is set once the graceful shutdown has begun.
+	leaving atomic.Bool
 	// reloaded holds the settings of the last reload; nil before the first.
 	reloaded atomic.Pointer[settings.Role]
 }
@@ -227,19 +231,23 @@
 	b.Observer.Emit(event.PeerForgotten, "peer", p.VM, "silent", p.SilentFor().Seconds(), "version", v, "error", err)
 }
 
-// announce keeps this VM's object at the platform up to date.
+// announce keeps this VM's object at the platform up to date. While the VM leaves, its object may already be that of a process which
+// takes its name.
 func (b *base) announce(ctx context.Context) error {
 	data, err := json.Marshal(b.self)
 	if err != nil {
 		return err
 	}
+	b.mu.Lock()
+	b.announced = string(data)
+	b.mu.Unlock()
 	m := b.mirrors[fleetKind]
 	failed := false
 	for ctx.Err() == nil {
 		b.mu.Lock()
 		own := b.ownObject
 		b.mu.Unlock()
-		if m.Version() > 0 && string(own.Data) != string(data) {
+		if m.Version() > 0 && string(own.Data) != string(data) && !b.leaving.Load() {
 			v, err := b.objects.Write(ctx, fleetKind, chestnutcleat.StoredObject{Name: vmPrefix + string(b.self.VM), Version: own.Version, Data: data})
 			switch {
 			case err == nil:
--- a/role/entry.go
+++ b/role/entry.go
@@ -57,7 +57,6 @@
 	// checkpoint reports the use of customers' rates to storage VMs.
 	checkpoint *checkpoint.Client
 	handler    *entry.Handler
-	leaving    atomic.Bool
 	// share is this VM's claim to a share of rates; only trackFleet uses it.
 	share shareClaim
 	// servers are the HTTP servers for callers, readiness and the registry.
--- a/role/share.go
+++ b/role/share.go
@@ -37,11 +37,12 @@
 	return holders
 }
 
-// isListed reports whether this VM's object is at the platform, as far as is known.
+// isListed reports whether this VM's object is at the platform, as far as is known, and not that of its successor.
 func (b *base) isListed() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.memberVersions[b.self.VM] > 0
+	succeeded := b.leaving.Load() && string(b.ownObject.Data) != b.announced
+	return b.memberVersions[b.self.VM] > 0 && !succeeded
 }
 
 // lastInTouch returns when this VM could last learn of changes at the platform: now, if it hears a VM that reaches the platform or at
--- a/role/share_test.go
+++ b/role/share_test.go
@@ -52,6 +52,12 @@
 	}
 }
 
+func (e *Entry) setOwnData(data string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ownObject.Data = []byte(data)
+}
+
 // admits reports whether a request of a limited customer is admitted.
 func (e *Entry) admits(ctx context.Context) bool {
 	return e.limiter.Admit(ctx, rate.Request{Customer: "c"}).Verdict == rate.Admitted
@@ -77,6 +83,14 @@
 			name: "removed, reaches the platform", vms: 7, change: func(e *Entry) { time.Sleep(time.Second); e.setListed(false) },
 			each: func(e *Entry, n int) { e.contactPlatform(chestnutcleat.Version(2 + n)) },
 		},
+		{
+			name: "leaving, its successor is listed", vms: 7, change: func(e *Entry) { time.Sleep(time.Second); e.leaving.Store(true); e.setOwnData("successor") },
+			each: func(e *Entry, n int) { e.contactPlatform(chestnutcleat.Version(2 + n)) },
+		},
+		{
+			name: "leaving", vms: 7, change: func(e *Entry) { time.Sleep(time.Second); e.leaving.Store(true) },
+			each: func(e *Entry, n int) { e.contactPlatform(chestnutcleat.Version(2 + n)) }, admits: true,
+		},
 		{
 			name: "not listed yet", vms: 7, change: func(e *Entry) { e.setListed(false) },
 			each: func(e *Entry, n int) { e.contactPlatform(chestnutcleat.Version(2 + n)) }, admits: true,
@@ -100,6 +114,7 @@
 				}
 				admits := e.admits(ctx)
 				e.setListed(true)
+				e.setOwnData("")
 				e.contactPlatform(1000)
 				time.Sleep(shareWindow + 2*fleetCheckInterval)
 				back := e.admits(ctx)
