--- a/ledger/join.go
+++ b/ledger/join.go
@@ -103,8 +103,12 @@
 	if q.Disk != s.disk {
 		return chestnutcleat.Ack{}, errOtherDisk
 	}
-	s.joinMu.Lock()
-	defer s.joinMu.Unlock()
+	select {
+	case s.joining <- struct{}{}:
+		defer func() { <-s.joining }()
+	case <-ctx.Done():
+		return chestnutcleat.Ack{}, ctx.Err()
+	}
 	if err := s.Adopt(ctx, q.ReplicaSet); err != nil {
 		return chestnutcleat.Ack{}, err
 	}
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -43,8 +43,8 @@
 	disk        chestnutcleat.DiskID
 	log         *diskLog
 	commitQueue chan *commit
-	// joinMu allows one join at a time.
-	joinMu sync.Mutex
+	// joining has room for one join at a time.
+	joining chan struct{}
 
 	mu            sync.Mutex
 	state         *state
@@ -73,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{disk: disk, commitQueue: make(chan *commit, 256), state: newState(), dumps: map[uint64]*dump{}}
+	s := &Store{disk: disk, commitQueue: make(chan *commit, 256), joining: make(chan struct{}, 1), state: newState(), dumps: map[uint64]*dump{}}
 	s.log, err = openLog(folder, s.state.apply)
 	if err != nil {
 		return nil, err
