--- a/role/entry.go
+++ b/role/entry.go
@@ -59,7 +59,6 @@
 	// checkpoint reports the use of customers' rates to storage VMs.
 	checkpoint *checkpoint.Client
 	handler    *entry.Handler
-	leaving    atomic.Bool
 	// share is this VM's claim to a share of rates; only trackFleet uses it.
 	share shareClaim
 	// lastFleetCheck is when trackFleet ran last; only it uses this.
