--- a/keeper/stale_test.go
+++ b/keeper/stale_test.go
@@ -93,8 +93,8 @@
 		time.Sleep(time.Second)
 		o, err := c.waitForChange()
 		is.NoErr(err)
-		var set chestnutcleat.ReplicaSet
-		is.NoErr(decode(o, &set))
+		set, err := DecodeReplicaSet(o)
+		is.NoErr(err)
 		for _, s := range c.vms {
 			if s.running && s.id != set.ProposedBy {
 				// Each VM takes the change for its own, so that none waits.
