Describe the instances for a request in one place

Pick and the check whether anyone else can take a request over must agree, so that a condition added to one holds for the other.

`go test -race -cpu 1 ./entry ./event ./ledger ./place` passes.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -86,7 +86,7 @@
 	if len(c.tried) >= maxInstancesTried {
 		return nil, c.noInstance("too many instances were tried")
 	}
-	assignment := c.Instances.Pick(place.Request{Service: c.service, Key: key, Exclude: c.tried, Domain: c.Domain})
+	assignment := c.Instances.Pick(c.instanceRequest(key))
 	if assignment == nil {
 		return nil, c.noInstance("no instance is left")
 	}
@@ -94,6 +94,11 @@
 	return assignment, nil
 }
 
+// instanceRequest describes the instances to which the request may be sent.
+func (c *call) instanceRequest(key string) place.Request {
+	return place.Request{Service: c.service, Key: key, Exclude: c.tried, Domain: c.Domain}
+}
+
 func (c *call) noInstance(reason string) error {
 	if c.runs > 0 {
 		return problem(chestnutcleat.CodeUpstreamError, chestnutcleat.Unknown, "%s for service %s, and an earlier attempt may have run", reason, c.service)
--- a/entry/stall.go
+++ b/entry/stall.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"time"
-
-	"chestnutcleat.example/chestnutcleat/place"
 )
 
 // moveCheckInterval is the time between checks whether another instance can take over a request that waits for too long.
@@ -17,7 +15,7 @@
 // giveUpAfter returns a timer that cancels an attempt after d. While no other instance can take the request over, the attempt goes
 // on, as a late answer is better than none; the deadline ends it in any case.
 func (c *call) giveUpAfter(ctx context.Context, cancel context.CancelCauseFunc, d time.Duration) *time.Timer {
-	others := place.Request{Service: c.service, Exclude: c.tried, Domain: c.Domain}
+	others := c.instanceRequest("")
 	full := len(c.tried) >= maxInstancesTried
 	var timer *time.Timer
 	timer = time.AfterFunc(time.Hour, func() {
--- a/event/system.go
+++ b/event/system.go
@@ -31,7 +31,7 @@
 	SettingsRead               = add(826, Info, "settings read", "")
 	SettingsInvalid            = add(827, Error, "settings could not be read; the ones before stay in effect", "Correct the settings file.")
 	PeerForgotten              = add(828, Warning, "object of a silent VM removed", "Nothing if the VM is gone; a VM that lives announces itself again.")
-	TurnsRepaired              = add(829, Info, "stored turns that this copy had missed were copied from another one", "")
+	TurnsRepaired              = add(830, Info, "stored turns that this copy had missed were copied from another one", "")
 	Answered                   = add(851, Info, "request answered by an instance", "")
 	Refused                    = add(852, Info, "request refused", "")
 	AttemptFailed              = add(853, Warning, "request failed at an instance", "Find the instance in the attributes; the caller was told what is known.")
