--- a/standin/store/odd.go
+++ b/standin/store/odd.go
@@ -22,6 +22,7 @@
 		"name nested too deep":      `{"metadata":{"name":` + nested + `,"revision":REVISION},"spec":{}}`,
 		"revision is a text":        `{"metadata":{"name":"NAME","revision":"REVISION"},"spec":{}}`,
 		"revision is too large":     `{"metadata":{"name":"NAME","revision":1e999999},"spec":{}}`,
+		"revision beyond 64 bits":   `{"metadata":{"name":"NAME","revision":18446744073709551616},"spec":{}}`,
 		"deleting is a text":        `{"metadata":{"name":"NAME","revision":REVISION,"deleting":"no"},"spec":{}}`,
 		"null":                      `null`,
 		"a number":                  `7`,
