--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -279,6 +279,8 @@
 		withInstanceFaults(instance.Faults{DuplicateRate: 0.5})
 	case EndlessAnswers:
 		withInstanceFaults(instance.Faults{EndlessRate: 0.5})
+	case RepeatRefusals:
+		withInstanceFaults(instance.Faults{RepeatedRefusalRate: 0.5})
 	case DelayAnswers:
 		withInstanceFaults(instance.Faults{Delay: 120 * time.Millisecond})
 	case ChangeConfiguration:
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -37,13 +37,14 @@
 	PlatformStallWatches FaultKind = "platform-deaf"
 	PlatformCompact      FaultKind = "compact"
 	// InstanceErrors lets an instance answer with errors, LoseAnswers run requests but lose their answers, DuplicateAnswers send an
-	// answer twice, DelayAnswers answer slowly, and EndlessAnswers send bytes until the connection is closed. ResetConnections
-	// resets and refuses its connections.
+	// answer twice, DelayAnswers answer slowly, EndlessAnswers send bytes until the connection is closed, and RepeatRefusals run requests
+	// but answer with an earlier refusal. ResetConnections resets and refuses its connections.
 	InstanceErrors   FaultKind = "errors"
 	LoseAnswers      FaultKind = "lose"
 	DuplicateAnswers FaultKind = "twice"
 	DelayAnswers     FaultKind = "slow"
 	EndlessAnswers   FaultKind = "endless"
+	RepeatRefusals   FaultKind = "refuse"
 	ResetConnections FaultKind = "vanish"
 	// StallConnections lets an instance's connections stay open without sending.
 	StallConnections FaultKind = "mute"
@@ -59,7 +60,7 @@
 	Kill: targetAnyVM, Stop: targetEntry, Pause: targetAnyVM, KillAll: targetNone, WipeDisk: targetStore, ReloadSettings: targetEntry,
 	PlatformDown: targetNone, PlatformLoseAnswers: targetNone, PlatformStallWatches: targetNone, PlatformCompact: targetNone,
 	InstanceErrors: targetInstance, LoseAnswers: targetInstance, DuplicateAnswers: targetInstance, DelayAnswers: targetInstance, EndlessAnswers: targetInstance,
-	ResetConnections: targetInstance, StallConnections: targetInstance,
+	RepeatRefusals: targetInstance, ResetConnections: targetInstance, StallConnections: targetInstance,
 	ChangeConfiguration: targetNone, WithdrawKey: targetNone, DrainInstance: targetInstance,
 }
 
--- a/standin/instance/server.go
+++ b/standin/instance/server.go
@@ -79,6 +79,8 @@
 	ConnectionLossRate float64
 	// DuplicateRate is the fraction of plain requests whose response is sent a second time, later, on the same connection.
 	DuplicateRate float64
+	// RepeatedRefusalRate is the fraction that runs, but gets an earlier refusal once more in place of its answer.
+	RepeatedRefusalRate float64
 	// EndlessRate is the fraction that gets bytes until the connection is closed, in the header, the body or an event.
 	EndlessRate float64
 	// Delay is a delay before each response and each event.
@@ -127,6 +129,8 @@
 		http.Error(w, "failed", http.StatusInternalServerError)
 	case rand.Float64() < f.ConnectionLossRate:
 		panic(http.ErrAbortHandler)
+	case rand.Float64() < f.RepeatedRefusalRate:
+		repeatRefusal(w, id)
 	case rand.Float64() < f.EndlessRate:
 		writeEndlessly(w, id)
 	case strings.HasPrefix(r.URL.Path, StreamPrefix):
@@ -170,6 +174,24 @@
 	}
 }
 
+// repeatRefusal sends a refusal of an earlier request: without an id, with that request's id, or cut off in its head, with the head of
+// the answer to this request behind it.
+func repeatRefusal(w http.ResponseWriter, id string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	start := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\n", headerNotExecuted)
+	rests := []string{
+		"Content-Length: 0\r\n\r\n",
+		fmt.Sprintf("%s: earlier\r\nContent-Length: 0\r\n\r\n", HeaderID),
+		fmt.Sprintf("X: HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\nContent-Length: 0\r\n\r\n", HeaderID, id, HeaderSignature),
+	}
+	// A write error means that the connection is closed.
+	_, _ = io.WriteString(c, start+rests[rand.IntN(len(rests))])
+}
+
 // writeEndlessly sends one part of a response without end, until the connection is closed.
 func writeEndlessly(w http.ResponseWriter, id string) {
 	c, _, err := http.NewResponseController(w).Hijack()
