Serve callers while the metrics port is in use

A metrics port that another process holds ended a VM at each start, although callers don't need it.

Cause: serveMetrics runs in the group whose first error ends the process. The other members were read: they return errors only for a closed socket or while the process starts. Change: the address is tried again each second, and event 830 says so once.

Before the change role.TestMetricsPortInUse failed: "ended: serve metrics on 127.0.0.1:37639: ... address already in use".

--- a/event/system.go
+++ b/event/system.go
@@ -32,6 +32,7 @@
 	SettingsInvalid            = add(827, Error, "settings could not be read; the ones before stay in effect", "Correct the settings file.")
 	PeerForgotten              = add(828, Warning, "object of a silent VM removed", "Nothing if the VM is gone; a VM that lives announces itself again.")
 	RecordsUnreadable          = add(829, Error, "stored records could not be decoded and are left out", "Report the error; the records were written by a faulty or newer program.")
+	MetricsUnavailable         = add(830, Warning, "metrics address could not be opened", "Free the port; it is tried again, and callers are served meanwhile.")
 	Answered                   = add(851, Info, "request answered by an instance", "")
 	Refused                    = add(852, Info, "request refused", "")
 	AttemptFailed              = add(853, Warning, "request failed at an instance", "Find the instance in the attributes; the caller was told what is known.")
--- a/role/metrics.go
+++ b/role/metrics.go
@@ -10,12 +10,19 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
 )
 
 // metricsHeaderTimeout bounds the reading of a request's header.
 const metricsHeaderTimeout = 5 * time.Second
 
-// serveMetrics serves the metrics and the status of this process until ctx is done.
+// metricsRetryInterval is the time between attempts to open the metrics address.
+const metricsRetryInterval = time.Second
+
+// serveMetrics serves the metrics and the status of this process until ctx is done. Callers don't need them, so an address that is in use
+// is tried again.
 func (b *base) serveMetrics(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
@@ -23,14 +30,18 @@
 		metrics.WriteProcessMetrics(w)
 	})
 	mux.HandleFunc("GET "+statusPath, func(w http.ResponseWriter, _ *http.Request) { writeStatus(w, b.status()) })
-	s := &http.Server{
-		Addr:    net.JoinHostPort(b.Settings.IP, strconv.Itoa(b.Settings.MetricsPort)),
-		Handler: mux, ReadHeaderTimeout: metricsHeaderTimeout,
-	}
-	stop := context.AfterFunc(ctx, func() { s.Close() })
-	defer stop()
-	if err := s.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve metrics on %s: %w", s.Addr, err)
+	address := net.JoinHostPort(b.Settings.IP, strconv.Itoa(b.Settings.MetricsPort))
+	failed := false
+	for ctx.Err() == nil {
+		s := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: metricsHeaderTimeout}
+		stop := context.AfterFunc(ctx, func() { s.Close() })
+		err := s.ListenAndServe()
+		stop()
+		if !failed && !errors.Is(err, http.ErrServerClosed) {
+			b.Observer.Emit(event.MetricsUnavailable, "address", address, "error", err)
+			failed = true
+		}
+		_ = chestnutcleat.Sleep(ctx, metricsRetryInterval)
 	}
 	return nil
 }
