--- a/event/system.go
+++ b/event/system.go
@@ -33,6 +33,7 @@
 	PeerForgotten              = add(828, Warning, "object of a silent VM removed", "Nothing if the VM is gone; a VM that lives announces itself again.")
 	RecordsUnreadable          = add(829, Error, "stored records could not be decoded and are left out", "Report the error; the records were written by a faulty or newer program.")
 	TurnsRepaired              = add(830, Info, "stored turns that this copy had missed were copied from another one", "")
+	MetricsUnavailable         = add(831, Warning, "metrics address could not be opened", "Free the port; it is tried again, and callers are served meanwhile.")
 	Answered                   = add(851, Info, "request answered by an instance", "")
 	Refused                    = add(852, Info, "request refused", "")
 	AttemptFailed              = add(853, Warning, "request failed at an instance", "Find the instance in the attributes; the caller was told what is known.")
