Add leaving instances and answers without length to the soak

What was missing: no run of real processes had an instance that says in its answers that it leaves while its registration says that it is ready, or answers that end with their connection.

Change: standin/instance says Server-Leaving: 1 in all answers from a settable moment to its next start, and answers without length and chunks (HTTP/1.0 and 1.1, with and without Connection: close), a share of them cut inside an event or by a reset. Kinds of the soak: leaving (the registration follows as draining for the last second, then goes; a new start is registered) and unframed. Both must not interrupt any request. Check of the soak: a request that its caller sent later than 2 s after an entry VM had passed on such an answer, and that the VM then sends to that start of the instance; only a restart or a pause of the VM since then excuses it. Instances log their start and what their answer said, callers the VM.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -118,6 +118,7 @@
 
 func (f *fleet) addInstance(id, domain string) error {
 	inst := &standinInstance{Server: &instance.Server{ID: id, Log: f.log}, domain: domain, startedAt: time.Now().UnixMilli()}
+	inst.SetStart(inst.startedAt)
 	var err error
 	if inst.listener, err = f.serveStandin(inst.Server); err != nil {
 		return err
@@ -292,6 +293,10 @@
 		f.register(inst, instance.StateDraining)
 		_ = chestnutcleat.Sleep(ctx, duration)
 		f.register(inst, instance.StateReady)
+	case LeavingAnswers:
+		f.letLeave(ctx, f.standinInstances[fault.Target], duration)
+	case UnframedAnswers:
+		withInstanceFaults(instance.Faults{UnframedRate: 0.7, CutRate: 0.3})
 	case ResetConnections:
 		f.standinInstances[fault.Target].listener.resetFor(duration)
 	case StallConnections:
--- a/soak/listener.go
+++ b/soak/listener.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -89,6 +90,15 @@
 	return c.Conn.Write(b)
 }
 
+// SetLinger sets what Close does with bytes that are not sent yet; a linger time of zero resets the connection.
+func (c *faultyConn) SetLinger(seconds int) error {
+	t, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return t.SetLinger(seconds)
+}
+
 // Close implements net.Conn.
 func (c *faultyConn) Close() error {
 	c.listener.mu.Lock()
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -52,6 +52,11 @@
 	ChangeConfiguration FaultKind = "change"
 	WithdrawKey         FaultKind = "withdraw"
 	DrainInstance       FaultKind = "leave"
+	// During LeavingAnswers an instance says in all its answers that it leaves; its registration says so only in the end, then goes,
+	// and a new start of the instance is registered. UnframedAnswers lets an instance answer without length and chunks, and cut
+	// some of these answers.
+	LeavingAnswers  FaultKind = "leaving"
+	UnframedAnswers FaultKind = "unframed"
 )
 
 // targets maps each kind of fault to what it acts on.
@@ -61,8 +66,22 @@
 	InstanceErrors: targetInstance, LoseAnswers: targetInstance, DuplicateAnswers: targetInstance, DelayAnswers: targetInstance, EndlessAnswers: targetInstance,
 	ResetConnections: targetInstance, StallConnections: targetInstance,
 	ChangeConfiguration: targetNone, WithdrawKey: targetNone, DrainInstance: targetInstance,
+	LeavingAnswers: targetInstance, UnframedAnswers: targetInstance,
 }
 
+// checkDelays are added to the duration of changes, which can only be checked after the delay in which they take effect.
+var checkDelays = map[FaultKind]time.Duration{WithdrawKey: maxApplyDelay, DrainInstance: maxApplyDelay, LeavingAnswers: maxDrainDelay + drainingTime}
+
+// changeSubject is what a change acts on; only one change acts on it at a time.
+type changeSubject int
+
+const (
+	changesKey changeSubject = iota
+	changesRegistration
+)
+
+var subjects = map[FaultKind]changeSubject{WithdrawKey: changesKey, DrainInstance: changesRegistration, LeavingAnswers: changesRegistration}
+
 type targetKind int
 
 const (
@@ -83,6 +102,8 @@
 	maxFaultDuration = 4 * time.Second
 	// storeRecoveryTime is how long a storage VM counts as unavailable after its fault; only one may be unavailable at a time.
 	storeRecoveryTime = 8 * time.Second
+	// drainingTime is how long a leaving instance is registered as draining at its end.
+	drainingTime = time.Second
 )
 
 // Fault is one fault of a plan.
@@ -126,18 +147,17 @@
 		}
 	}
 	slices.Sort(kinds)
-	storeUnavailableUntil, changedUntil := time.Duration(0), map[FaultKind]time.Duration{}
+	storeUnavailableUntil, changedUntil := time.Duration(0), map[changeSubject]time.Duration{}
 	for at := quietPeriod; at < length-quietPeriod; at += time.Duration(random.ExpFloat64() * float64(meanFaultInterval)) {
 		f := Fault{At: chestnutcleat.Duration(at), Kind: kinds[random.IntN(len(kinds))]}
 		duration := minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration)))
 		f.Duration = chestnutcleat.Duration(min(duration, length-quietPeriod-at))
-		if f.Kind == WithdrawKey || f.Kind == DrainInstance {
-			if at < changedUntil[f.Kind] {
+		if delay := checkDelays[f.Kind]; delay > 0 {
+			if at < changedUntil[subjects[f.Kind]] {
 				continue
 			}
-			// A change can only be checked after the delay in which it takes effect.
-			f.Duration = chestnutcleat.Duration(min(duration+maxApplyDelay, length-quietPeriod-at))
-			changedUntil[f.Kind] = at + time.Duration(f.Duration)
+			f.Duration = chestnutcleat.Duration(min(duration+delay, length-quietPeriod-at))
+			changedUntil[subjects[f.Kind]] = at + time.Duration(f.Duration)
 		}
 		f.Target = names.drawTarget(random, targets[f.Kind])
 		if slices.Contains(names.stores, f.Target) || f.Kind == KillAll {
--- a/soak/process.go
+++ b/soak/process.go
@@ -35,7 +35,9 @@
 	stopping bool
 	// wipePending requests an empty disk for the next start.
 	wipePending bool
-	done        chan struct{}
+	// starts are the times at which the process was started.
+	starts []time.Time
+	done   chan struct{}
 }
 
 func newProcess(binary, dir string, s settings.Role) (*process, error) {
@@ -93,6 +95,7 @@
 		return false, fmt.Errorf("start %s: %w", p.settings.VM, err)
 	}
 	p.cmd = cmd
+	p.starts = append(p.starts, time.Now())
 	p.mu.Unlock()
 	// The error is ignored: faults kill the process on purpose, and any other cause is in its log.
 	_ = cmd.Wait()
--- a/soak/run.go
+++ b/soak/run.go
@@ -94,6 +94,7 @@
 
 // report prints the violations, the errors of processes and a summary.
 func (s *Soak) report(f *fleet, r *recorder, processErrs []error) error {
+	r.checkDeparted(f.log, &s.Plan, f.histories())
 	violations := r.check(f.log, &s.Plan)
 	for _, v := range violations {
 		fmt.Fprintln(s.Out, "BROKEN", v)
--- a/standin/instance/server.go
+++ b/standin/instance/server.go
@@ -39,6 +39,10 @@
 	LastEventID int
 	// At is the start time.
 	At time.Time
+	// StartedAt is the start of the instance that ran the request, in Unix milliseconds, and Leaving is set if its answer says that
+	// it leaves.
+	StartedAt int64
+	Leaving   bool
 }
 
 // Log records the runs of all instances by request id.
@@ -81,6 +85,8 @@
 	DuplicateRate float64
 	// EndlessRate is the fraction that gets bytes until the connection is closed, in the header, the body or an event.
 	EndlessRate float64
+	// UnframedRate is the fraction whose response has neither a length nor chunks, and CutRate the fraction of these that are cut.
+	UnframedRate, CutRate float64
 	// Delay is a delay before each response and each event.
 	Delay time.Duration
 }
@@ -93,6 +99,7 @@
 	ID     string
 	Log    *Log
 	faults atomic.Pointer[Faults]
+	start  atomic.Pointer[start]
 }
 
 // SetFaults replaces the injected faults.
@@ -101,6 +108,8 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(HeaderID)
+	current := s.currentStart()
+	current.announce(w.Header())
 	if e := r.Header.Get(headerExpectedInstance); id == "" || e != "" && e != s.ID {
 		w.Header().Set(headerNotExecuted, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -110,7 +119,7 @@
 	if err != nil {
 		return
 	}
-	run := Run{Instance: s.ID, Path: r.URL.Path, Customer: r.Header.Get(headerCustomer), Body: string(body), LastEventID: -1, At: time.Now()}
+	run := Run{Instance: s.ID, Path: r.URL.Path, Customer: r.Header.Get(headerCustomer), Body: string(body), LastEventID: -1, At: time.Now(), StartedAt: current.at, Leaving: current.leaving}
 	if n, err := strconv.Atoi(r.Header.Get(headerLastEventID)); err == nil {
 		run.LastEventID = n
 	}
@@ -129,6 +138,8 @@
 		panic(http.ErrAbortHandler)
 	case rand.Float64() < f.EndlessRate:
 		writeEndlessly(w, id)
+	case rand.Float64() < f.UnframedRate:
+		writeUnframed(w, id, &run, &f)
 	case strings.HasPrefix(r.URL.Path, StreamPrefix):
 		writeStream(w, r, id, run.LastEventID, f.Delay)
 	case rand.Float64() < f.DuplicateRate:
@@ -147,7 +158,7 @@
 		if r.Context().Err() != nil {
 			return
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventData(id, n))
+		_, _ = io.WriteString(w, eventText(id, n))
 		if c.Flush() != nil {
 			return
 		}
--- a/standin/program/client.go
+++ b/standin/program/client.go
@@ -48,7 +48,9 @@
 	RetryAfter time.Duration
 	// Mismatch says why a success is not the correct response to the request; it is empty otherwise.
 	Mismatch string
-	Err      error
+	// Address is that of the VM that the request was sent to; empty if none was known.
+	Address string
+	Err     error
 }
 
 // Client sends the requests of one customer.
@@ -110,14 +112,22 @@
 	if len(list) == 0 {
 		return Result{Err: fmt.Errorf("no addresses of %s", c.Host)}
 	}
+	address := list[rand.IntN(len(list))]
+	out := c.send(ctx, address, &req)
+	out.Address = address
+	return out
+}
+
+// send sends the request to one VM.
+func (c *Client) send(ctx context.Context, address string, req *Request) Result {
 	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
 	defer cancel()
-	httpReq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+list[rand.IntN(len(list))]+req.Path, strings.NewReader(req.Body))
+	httpReq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+req.Path, strings.NewReader(req.Body))
 	if err != nil {
 		return Result{Err: err}
 	}
 	httpReq.Host = c.Host
-	c.setHeaders(httpReq.Header, &req)
+	c.setHeaders(httpReq.Header, req)
 	resp, err := c.HTTP.Do(httpReq)
 	if err != nil {
 		return Result{Err: err}
@@ -138,9 +148,9 @@
 		out.Mismatch = "success is not signed"
 	}
 	if strings.HasPrefix(req.Path, instance.StreamPrefix) {
-		out.readStream(&req, resp.Body)
+		out.readStream(req, resp.Body)
 	} else {
-		out.readPlain(&req, resp.Body)
+		out.readPlain(req, resp.Body)
 	}
 	return out
 }
