Let a leaving instance leave whatever its registration says but for a new start

What callers would see: an instance that said in an answer that it leaves gets requests again when its registration loses the start (an entry of another writer) or names another address for the same start. Cause: place identified a start by id, address and start, so that each change of one of them was a new start. Ruled out: the start alone (some registrations of tests have none; those are told apart by address, as before).

Change: the start identifies, and the address only where the registration tells no start; a registration without a start is not taken for a new one. An entry that had no start when its instance said so and then gains one still counts as new.

Test: place.TestDepartureIsOfOneStart.

--- a/place/leaving.go
+++ b/place/leaving.go
@@ -20,13 +20,17 @@
 
 // process identifies one start of an instance.
 type process struct {
-	id        chestnutcleat.InstanceID
-	address   chestnutcleat.Address
+	id chestnutcleat.InstanceID
+	// startedAt is zero if the registration doesn't tell it. Only then address is set.
 	startedAt int64
+	address   chestnutcleat.Address
 }
 
 func processOf(i *chestnutcleat.Instance) process {
-	return process{id: i.ID, address: i.Address, startedAt: i.StartedAt}
+	if i.StartedAt != 0 {
+		return process{id: i.ID, startedAt: i.StartedAt}
+	}
+	return process{id: i.ID, address: i.Address}
 }
 
 // ProcessHash identifies one start of an instance in reports between VMs.
@@ -45,6 +49,19 @@
 	lastListed time.Time
 }
 
+// covers reports whether q leaves if p does. A registration that doesn't tell the start is not taken for a new one.
+func (p process) covers(q process) bool {
+	return p == q || p.id == q.id && p.startedAt != 0 && q.startedAt == 0
+}
+
+// listed returns the listed instance that leaves if p does, or nil. The caller holds t.mu.
+func (t *Table) listed(p process) *instanceState {
+	if s := t.byID[p.id]; s != nil && p.covers(processOf(&s.Instance)) {
+		return s
+	}
+	return nil
+}
+
 // MarkLeaving records that the assignment's instance said that it leaves. It reports whether that is news.
 func (a *Assignment) MarkLeaving() bool {
 	t := a.table
@@ -62,7 +79,7 @@
 		t.departures[p] = d
 	}
 	d.observed = d.observed || observed
-	if s := t.byID[p.id]; s != nil && processOf(&s.Instance) == p {
+	if s := t.listed(p); s != nil {
 		s.departed = true
 	}
 	return !known
@@ -72,9 +89,9 @@
 // holds t.mu.
 func (t *Table) applyDepartures(now time.Time) {
 	for p, d := range t.departures {
-		s := t.byID[p.id]
+		s := t.listed(p)
 		switch {
-		case s != nil && processOf(&s.Instance) == p:
+		case s != nil:
 			s.departed = true
 			d.lastListed = now
 		case now.Sub(d.lastListed) > leavingMemory:
@@ -90,7 +107,7 @@
 	defer t.mu.Unlock()
 	var list []process
 	for p, d := range t.departures {
-		if s := t.byID[p.id]; d.observed && s != nil && processOf(&s.Instance) == p {
+		if d.observed && t.listed(p) != nil {
 			list = append(list, p)
 		}
 	}
--- a/place/leaving_test.go
+++ b/place/leaving_test.go
@@ -104,3 +104,32 @@
 	is.Equal(len(seen), 2)
 	is.True(!seen[assignment.ID])
 }
+
+// A registration that changes in anything but the start of its instance must not undo that this start leaves: one from another writer
+// without a start, and one with another address, made a leaving instance get requests again.
+func TestDepartureIsOfOneStart(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(i *chestnutcleat.Instance)
+		used   bool
+	}{
+		{"no start", func(i *chestnutcleat.Instance) { i.StartedAt = 0 }, false},
+		{"no start, other address", func(i *chestnutcleat.Instance) { i.StartedAt, i.Address = 0, "10.9.9.9:80" }, false},
+		{"other address", func(i *chestnutcleat.Instance) { i.Address = "10.9.9.9:80" }, false},
+		{"other service", func(i *chestnutcleat.Instance) { i.Service = "s2" }, false},
+		{"earlier start", func(i *chestnutcleat.Instance) { i.StartedAt-- }, true},
+		{"later start", func(i *chestnutcleat.Instance) { i.StartedAt++ }, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			i := instances(1)[0]
+			i.StartedAt = 1000
+			table := NewTable()
+			table.SetInstances([]chestnutcleat.Instance{i})
+			is.True(table.Pick(Request{Service: "s"}).MarkLeaving())
+			tt.change(&i)
+			table.SetInstances([]chestnutcleat.Instance{i})
+			is.Equal(table.Pick(Request{Service: i.Service}) != nil, tt.used)
+		})
+	}
+}
