Remember a leaving instance from the list that does not name it any more

What callers would see: an instance that left ten minutes after the last change of the list was forgotten with the list that dropped it, and an older list that named it once more made it get requests. Cause: the memory counted from the last list that named the instance, and lists come only when they change. Ruled out: a memory without end (a VM that runs for years would keep all instances that left).

Change: the memory counts from the first list without the instance.

Tests: place.TestDepartureOutlastsUnchangedList, before: "*place.Assignment(&{{i0 ...}}) != <nil>"; place.TestDeparturesAreBounded (5000 starts, one each 2 s: at most 302 are kept; it passed before too).

--- a/place/leaving.go
+++ b/place/leaving.go
@@ -45,8 +45,8 @@
 	// observed is set if this VM got the instance's own word, and not that of another VM.
 	observed bool
 	since    time.Time
-	// lastListed is when the instance was last among the listed ones.
-	lastListed time.Time
+	// unlistedSince is the time of the first list without the instance, or zero while it is listed.
+	unlistedSince time.Time
 }
 
 // covers reports whether q leaves if p does. A registration that doesn't tell the start is not taken for a new one.
@@ -74,8 +74,7 @@
 func (t *Table) markLeaving(p process, observed bool) bool {
 	d, known := t.departures[p]
 	if !known {
-		now := time.Now()
-		d = &departure{since: now, lastListed: now}
+		d = &departure{since: time.Now()}
 		t.departures[p] = d
 	}
 	d.observed = d.observed || observed
@@ -93,8 +92,10 @@
 		switch {
 		case s != nil:
 			s.departed = true
-			d.lastListed = now
-		case now.Sub(d.lastListed) > leavingMemory:
+			d.unlistedSince = time.Time{}
+		case d.unlistedSince.IsZero():
+			d.unlistedSince = now
+		case now.Sub(d.unlistedSince) > leavingMemory:
 			delete(t.departures, p)
 		}
 	}
--- a/place/leaving_test.go
+++ b/place/leaving_test.go
@@ -105,6 +105,23 @@
 	is.True(!seen[assignment.ID])
 }
 
+// An instance that left and was in the list for a long time without a change must be remembered from the moment at which it is not
+// listed any more: it was forgotten with the next list, and an older list that named it once more made it get requests.
+func TestDepartureOutlastsUnchangedList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTable(1)
+		is.True(table.Pick(Request{Service: "s"}).MarkLeaving())
+		time.Sleep(leavingMemory + time.Minute)
+		for range 2 {
+			table.SetInstances(nil)
+			time.Sleep(time.Second)
+		}
+		table.SetInstances(instances(1))
+		is.Equal(table.Pick(Request{Service: "s"}), nil)
+	})
+}
+
 // A registration that changes in anything but the start of its instance must not undo that this start leaves: one from another writer
 // without a start, and one with another address, made a leaving instance get requests again.
 func TestDepartureIsOfOneStart(t *testing.T) {
@@ -133,3 +150,23 @@
 		})
 	}
 }
+
+// A VM that runs for days among instances that come and go must not keep those that left, and must keep what it was told of the last
+// minutes.
+func TestDeparturesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable()
+		const lifetime = 2 * time.Second
+		for n := range 5000 {
+			i := instances(1)[0]
+			i.StartedAt = int64(n + 1)
+			table.SetInstances([]chestnutcleat.Instance{i})
+			is.True(table.Pick(Request{Service: "s"}).MarkLeaving())
+			is.Equal(len(table.ObservedDepartures()), 1)
+			time.Sleep(lifetime)
+		}
+		is.True(len(table.departures) <= int(leavingMemory/lifetime)+2)
+		is.True(len(table.departures) >= int(leavingMemory/lifetime))
+	})
+}
