Count instances that leave by their registration

What operators saw: instances_departed_total and event 864 told of instances that said in answers that they leave, not of those whose registration said so first. Change: place.SetInstances returns the instances of which a VM learns by the list that they leave; the entry VM counts and reports them with the source "registration". Each start counts once, by the source that told it first.

Tests: place.TestDepartureIsNewsOnce, role.TestDepartureByRegistration. Before, the latter failed with "<nil> != []string([instanceibyregistration])" and the former with "not true: !b.MarkLeaving()".

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -24,8 +24,9 @@
 
 // Sources of departures.
 const (
-	DepartureByAnswer DepartureSource = "answer"
-	DepartureByPeer   DepartureSource = "peer"
+	DepartureByAnswer       DepartureSource = "answer"
+	DepartureByRegistration DepartureSource = "registration"
+	DepartureByPeer         DepartureSource = "peer"
 )
 
 // Departed counts an instance that is known to leave.
--- a/place/leaving.go
+++ b/place/leaving.go
@@ -78,10 +78,12 @@
 		t.departures[p] = d
 	}
 	d.observed = d.observed || observed
-	if s := t.listed(p); s != nil {
-		s.departed = true
+	s := t.listed(p)
+	if s == nil {
+		return !known
 	}
-	return !known
+	s.departed = true
+	return !known && !s.Leaving
 }
 
 // applyDepartures marks the listed instances that are known to leave and forgets those that have not been listed for long. The caller
@@ -101,6 +103,17 @@
 	}
 }
 
+// undeparted returns the listed instances that have not said themselves that they leave. The caller holds t.mu.
+func (t *Table) undeparted(list []process) []chestnutcleat.InstanceID {
+	var ids []chestnutcleat.InstanceID
+	for _, p := range list {
+		if s := t.listed(p); s != nil && !s.departed {
+			ids = append(ids, p.id)
+		}
+	}
+	return ids
+}
+
 // ObservedDepartures returns the listed instances that told this VM that they leave, the latest ones first, at most
 // maxReportedLeaving.
 func (t *Table) ObservedDepartures() []ProcessHash {
--- a/place/leaving_test.go
+++ b/place/leaving_test.go
@@ -170,3 +170,21 @@
 		is.True(len(table.departures) >= int(leavingMemory/lifetime))
 	})
 }
+
+// A VM must report once that an instance leaves, from the source that told it first.
+func TestDepartureIsNewsOnce(t *testing.T) {
+	is := is.New(t)
+	ready := instances(2)
+	draining := instances(2)
+	draining[0].Leaving, draining[1].Leaving = true, true
+	table := NewTable()
+	is.Equal(len(table.SetInstances(ready)), 0)
+	a, b := table.Pick(Request{Service: "s"}), table.Pick(Request{Service: "s"})
+	for b.ID == a.ID {
+		b = table.Pick(Request{Service: "s"})
+	}
+	is.True(a.MarkLeaving())
+	is.Equal(table.SetInstances(draining), []chestnutcleat.InstanceID{b.ID}) // the word of a was known
+	is.Equal(len(table.SetInstances(draining)), 0)
+	is.True(!b.MarkLeaving())
+}
--- a/place/table.go
+++ b/place/table.go
@@ -79,23 +79,29 @@
 	}
 }
 
-// SetInstances replaces the list of instances; the state of instances that remain is kept.
-func (t *Table) SetInstances(list []chestnutcleat.Instance) {
+// SetInstances replaces the list of instances; the state of instances that remain is kept. It returns those that are known to leave
+// only since this list.
+func (t *Table) SetInstances(list []chestnutcleat.Instance) []chestnutcleat.InstanceID {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	services := map[chestnutcleat.ServiceName][]*instanceState{}
 	byID := make(map[chestnutcleat.InstanceID]*instanceState, len(list))
+	var news []process
 	for _, i := range list {
 		s := t.byID[i.ID]
 		if s == nil || s.StartedAt != i.StartedAt || s.Address != i.Address {
 			s = &instanceState{hash: xxhash.Sum64String(string(i.ID))}
 		}
+		if i.Leaving && !s.Leaving {
+			news = append(news, processOf(&i))
+		}
 		s.Instance = i
 		byID[i.ID] = s
 		services[i.Service] = append(services[i.Service], s)
 	}
 	t.services, t.byID = services, byID
 	t.applyDepartures(time.Now())
+	return t.undeparted(news)
 }
 
 // SetRemoteLoad sets the load that other VMs report at each instance.
--- a/role/entry.go
+++ b/role/entry.go
@@ -223,14 +223,19 @@
 	e.placement.SetRemoteLoad(t.Load)
 	e.limiter.SetActivities(t.Activities, fleetCheckInterval)
 	for _, id := range e.placement.ApplyDepartures(t.Departures) {
-		e.handler.Metrics.Departed(entry.DepartureByPeer)
-		e.Observer.Emit(event.InstanceDeparted, "instance", id, "by", entry.DepartureByPeer)
+		e.noteDeparture(id, entry.DepartureByPeer)
 	}
 	for _, v := range e.placement.EjectOutliers(t.Outcomes, t.DomainOutcomes) {
 		e.Observer.Emit(event.InstanceEjected, "instance", v.Instance, "share", v.FailureRate, "rest", v.Duration.Seconds())
 	}
 }
 
+// noteDeparture counts and reports an instance of which this VM learned that it leaves.
+func (e *Entry) noteDeparture(id chestnutcleat.InstanceID, by entry.DepartureSource) {
+	e.handler.Metrics.Departed(by)
+	e.Observer.Emit(event.InstanceDeparted, "instance", id, "by", by)
+}
+
 // addresses returns the addresses to which callers of a failure domain connect. A VM that is cut off returns none, so that
 // callers ask another VM.
 func (e *Entry) addresses(_ chestnutcleat.Region, domain chestnutcleat.FailureDomain) ([]chestnutcleat.Address, float64) {
@@ -295,7 +300,9 @@
 		}
 		list = append(list, i)
 	}
-	e.placement.SetInstances(list)
+	for _, id := range e.placement.SetInstances(list) {
+		e.noteDeparture(id, entry.DepartureByRegistration)
+	}
 	e.Observer.Emit(event.InstancesChanged, "version", s.Version, "instances", len(list), "leaving", leaving)
 }
 
