Send digests of VMs and leaving instances without counts when they are too long

What callers would see: in a fleet of more than 30 VMs in which thousands of requests broke their instances' connections within the report window, all VMs of other groups counted as silent, and instances that leave were known in their own group only. Cause: a digest that does not fit into a datagram was not sent to other groups at all, and one within the group was left out whole; only summaries had a short form.

Ruled out: a lower bound on what summaries hold (each VM's part is small; their sum over a group is not). Change: a digest has a short form as summaries do, with the states of VMs and the leaving instances.

Test: peer.TestDeparturesInLongMessages (40 VMs with 500 fingerprints each).

--- a/peer/departure_test.go
+++ b/peer/departure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -77,3 +78,37 @@
 		tried = append(tried, a.ID)
 	}
 }
+
+// Messages that would be too long, as many requests broke instances' connections, must still tell which VMs run and which instances
+// leave: a digest that did not fit was not sent at all, and the VMs of other groups were not told and counted as silent.
+func TestDeparturesInLongMessages(t *testing.T) {
+	const maxDelay, settle = time.Second, 3 * time.Second
+	summary := func(i int, departures ...place.ProcessHash) Summary {
+		s := Summary{CrashCounts: map[uint64]int{}, Departures: departures}
+		for k := range uint64(500) {
+			s.CrashCounts[math.MaxUint64-uint64(1000*i)-k] = 1
+		}
+		return s
+	}
+	for _, count := range []int{7, 40} {
+		t.Run(fmt.Sprint(count, " VMs"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				_, nodes := connectedFleet(t, count)
+				const left = place.ProcessHash(77)
+				for i, n := range nodes {
+					n.setSummary(summary(i))
+				}
+				time.Sleep(settle)
+				nodes[3].setSummary(summary(3, left))
+				took := timeUntil(nodes, 3, func(n *node) bool { return n.Totals().Departures[left] })
+				t.Logf("known after %v", took)
+				is.True(took <= maxDelay)
+				for _, n := range nodes {
+					is.Equal(n.heardCount(), count-1)
+				}
+				stopAll(nodes)
+			})
+		})
+	}
+}
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -77,6 +77,14 @@
 	}
 }
 
+// withoutCounts returns the digest without the fields that grow with the numbers of instances, broken requests and programs.
+func (d *Digest) withoutCounts() *Digest {
+	out := *d
+	out.Load, out.CrashCounts, out.Activities = nil, nil, nil
+	out.Outcomes, out.DomainOutcomes = place.OutcomeCounts{}, place.OutcomeCounts{}
+	return &out
+}
+
 // addSummary adds a VM's own summary.
 func (d *Digest) addSummary(s *Summary, age time.Duration) {
 	d.States = append(d.States, packState(hashID(string(s.VM)), age, s.flags()))
@@ -128,7 +136,7 @@
 // maxRemoteDigestsPerSecond.
 func (f *Fleet) sendToOtherGroups(own *Summary, urgent bool) {
 	if to := f.remoteRelays(urgent); len(to) > 0 {
-		f.sendDatagram(message{Digest: f.digestGroup(own)}, to...)
+		f.sendOrTrim(message{Digest: f.digestGroup(own)}, to)
 	}
 }
 
--- a/peer/summary.go
+++ b/peer/summary.go
@@ -123,10 +123,15 @@
 	Grant     *TokenGrant   `json:"grant,omitempty"`
 }
 
-// withoutCounts returns the message with all summaries reduced by withoutCounts.
+// withoutCounts returns the message with all summaries and the digest reduced by withoutCounts.
 func (m message) withoutCounts() message {
-	own := m.Summary.withoutCounts()
-	m.Summary = &own
+	if m.Summary != nil {
+		own := m.Summary.withoutCounts()
+		m.Summary = &own
+	}
+	if m.Digest != nil {
+		m.Digest = m.Digest.withoutCounts()
+	}
 	m.Forwarded = slices.Clone(m.Forwarded)
 	for i := range m.Forwarded {
 		m.Forwarded[i].Summary = m.Forwarded[i].Summary.withoutCounts()
