Bound the leaving instances that one VM's summary makes others believe

What callers would see: a VM with a fault that reports more instances than a summary may hold displaces what the other VMs of its group report, so that VMs of other groups go on sending to instances that leave. Cause: a digest took up to 128 instances from the first summary.

Change: a summary counts with at most 64, the bound of a correct VM, in digests and in its own group. Not changed: a VM is believed when it reports an instance, as it is for tokens of rates; one that reports instances which don't leave empties up to 64 at a time until they start again.

Test: peer.TestDeparturesOfFaultyVM (40 VMs, one reports 2000).

--- a/peer/departure_test.go
+++ b/peer/departure_test.go
@@ -112,3 +112,39 @@
 		})
 	}
 }
+
+// A VM that reports more instances than a summary may hold must not make messages grow without bound, nor its reports displace those
+// of others.
+func TestDeparturesOfFaultyVM(t *testing.T) {
+	const maxDelay, settle = time.Second, 3 * time.Second
+	var many []place.ProcessHash
+	for i := range 2000 {
+		many = append(many, place.ProcessHash(1000+i))
+	}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, nodes := connectedFleet(t, 40)
+		nodes[3].setSummary(Summary{Departures: many})
+		time.Sleep(settle)
+		for i, n := range nodes {
+			if i != 3 {
+				n.setSummary(Summary{Departures: []place.ProcessHash{place.ProcessHash(i)}})
+			}
+		}
+		took := timeUntil(nodes, 3, func(n *node) bool {
+			known := 0
+			for i := range nodes {
+				if n.Totals().Departures[place.ProcessHash(i)] {
+					known++
+				}
+			}
+			return known >= len(nodes)-2 // all but its own and that of the faulty VM
+		})
+		t.Logf("known after %v", took)
+		is.True(took <= maxDelay)
+		for _, n := range nodes {
+			is.True(len(n.Totals().Departures) <= 2*maxDepartures)
+		}
+		stopAll(nodes)
+	})
+}
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -92,7 +92,8 @@
 	addCounts(d.CrashCounts, s.CrashCounts)
 	d.Outcomes.Add(s.Outcomes)
 	d.Activities.Add(s.Activities)
-	d.addDepartures(s.Departures)
+	// A VM that reports more than it should must not displace what others report.
+	d.addDepartures(s.Departures[:min(len(s.Departures), place.MaxReportedLeaving)])
 }
 
 // addDigest adds the digest of another group.
--- a/peer/totals.go
+++ b/peer/totals.go
@@ -33,7 +33,7 @@
 		addLoad(t.load, p.Load)
 		t.Outcomes.Add(p.Outcomes)
 		t.Activities.Add(p.Activities)
-		t.addDepartures(p.Departures)
+		t.addDepartures(p.Departures[:min(len(p.Departures), place.MaxReportedLeaving)])
 		if p.Domain == f.Self.Domain {
 			t.DomainOutcomes.Add(p.Outcomes)
 		}
--- a/place/leaving.go
+++ b/place/leaving.go
@@ -14,8 +14,8 @@
 const (
 	// leavingMemory is how long a leaving instance is remembered that is not listed any more, as an old list may still name it.
 	leavingMemory = 10 * time.Minute
-	// maxReportedLeaving is the number of leaving instances in a report to other VMs.
-	maxReportedLeaving = 64
+	// MaxReportedLeaving bounds the number of leaving instances in a report to other VMs.
+	MaxReportedLeaving = 64
 )
 
 // process identifies one start of an instance.
@@ -115,7 +115,7 @@
 }
 
 // ObservedDepartures returns the listed instances that told this VM that they leave, the latest ones first, at most
-// maxReportedLeaving.
+// MaxReportedLeaving.
 func (t *Table) ObservedDepartures() []ProcessHash {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -129,7 +129,7 @@
 		return cmp.Or(t.departures[b].since.Compare(t.departures[a].since), cmp.Compare(a.id, b.id))
 	})
 	var out []ProcessHash
-	for _, p := range list[:min(len(list), maxReportedLeaving)] {
+	for _, p := range list[:min(len(list), MaxReportedLeaving)] {
 		out = append(out, p.hash())
 	}
 	return out
