Show in the timeline of a request that the instance of a failed attempt leaves

What operators saw: `explain -id REQUEST` of a request that an instance declined and another one served named the failed attempt, not that the instance had left: event 864 carries the request that brought the news, or none. Change: the timeline adds, for each failed attempt, the line by which the same VM learned within ten minutes that the instance leaves.

Test: logs.TestTimelineShowsDeparture. Before: "failed i1 e1, answered i2 e1 != leaves i1 e1, failed i1 e1, answered i2 e1".

--- a/logs/timeline.go
+++ b/logs/timeline.go
@@ -10,10 +10,15 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/event"
 )
 
-// maxLine bounds a log line in bytes.
-const maxLine = 1 << 20
+const (
+	// maxLine bounds a log line in bytes.
+	maxLine = 1 << 20
+	// departureSpan is how far a failed attempt and the line that its instance leaves may be apart: an instance may start again later.
+	departureSpan = 10 * time.Minute
+)
 
 // Line is a parsed log line.
 type Line struct {
@@ -88,15 +93,18 @@
 }
 
 // Timeline selects the log lines with an attribute that equals the id, for example a request or program, and the lines not
-// about requests that the same VMs wrote from the given time before the first to the same time after the last of them.
+// about requests that the same VMs wrote from the given time before the first to the same time after the last of them. For each instance
+// that failed a request or declined it, it adds the line by which the VM first learned that the instance leaves.
 // It returns the lines sorted by time and the number of lines that could not be parsed.
 func Timeline(id string, around time.Duration, logs ...io.Reader) (list []Line, unparsed int, err error) {
-	var matched, unmatched []Line
+	var matched, unmatched, departures []Line
 	for i, r := range logs {
 		n, err := scanLines(r, func(l Line) {
 			switch {
 			case l.HasValue(id):
 				matched = append(matched, l)
+			case l.Event == event.InstanceDeparted:
+				departures = append(departures, l)
 			case around > 0 && !l.isRequestLine():
 				unmatched = append(unmatched, l)
 			}
@@ -106,11 +114,32 @@
 			return nil, unparsed, fmt.Errorf("read log %d: %w", i+1, err)
 		}
 	}
-	list = append(matched, contextLines(matched, unmatched, around)...)
+	related, others := splitDepartures(matched, departures)
+	if around > 0 {
+		unmatched = append(unmatched, slices.DeleteFunc(others, func(l Line) bool { return l.isRequestLine() })...)
+	}
+	list = slices.Concat(matched, related, contextLines(matched, unmatched, around))
 	slices.SortStableFunc(list, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	return list, unparsed, nil
 }
 
+// splitDepartures selects, of the lines about instances that leave, those of the instances and VMs of failed attempts in the matched
+// lines.
+func splitDepartures(matched, departures []Line) (related, others []Line) {
+	for _, d := range departures {
+		isRelated := func(l Line) bool {
+			return l.Event == event.AttemptFailed && l.VM == d.VM && l.Attributes["instance"] == d.Attributes["instance"] &&
+				l.Time.Sub(d.Time).Abs() <= departureSpan
+		}
+		if slices.ContainsFunc(matched, isRelated) {
+			related = append(related, d)
+		} else {
+			others = append(others, d)
+		}
+	}
+	return related, others
+}
+
 // contextLines selects the lines that the VMs of the matched lines wrote around the time of these.
 func contextLines(matched, unmatched []Line, around time.Duration) []Line {
 	if len(matched) == 0 {
--- a/logs/timeline_test.go
+++ b/logs/timeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -66,3 +67,36 @@
 	is.Equal(string(list[0].VM), "e1")
 	is.True(!list[0].Time.Before(before))
 }
+
+// A request that was moved must show that its instance had left, also if another request, another source or another log line told it: the
+// account of the request named only the failed attempt.
+func TestTimelineShowsDeparture(t *testing.T) {
+	const log = `{"event":864,"msg":"leaves","instance":"i1","by":"peer","time":"2026-12-04T09:30:00.100Z","vm":"e1"}
+{"event":864,"msg":"leaves","instance":"i1","by":"answer","request":"r0","time":"2026-12-04T10:00:00.100Z","vm":"e1"}
+{"event":864,"msg":"leaves","instance":"i2","by":"peer","time":"2026-12-04T10:00:00.200Z","vm":"e1"}
+{"event":864,"msg":"leaves","instance":"i1","by":"peer","time":"2026-12-04T10:00:00.300Z","vm":"e2"}
+{"event":853,"msg":"failed","instance":"i1","request":"r1","ran":false,"time":"2026-12-04T10:00:00.400Z","vm":"e1"}
+{"event":851,"msg":"answered","instance":"i2","request":"r1","time":"2026-12-04T10:00:00.500Z","vm":"e1"}
+`
+	for _, tt := range []struct {
+		id     string
+		around time.Duration
+		want   string
+	}{
+		{"r1", 0, "leaves i1 e1, failed i1 e1, answered i2 e1"},
+		{"r1", time.Minute, "leaves i1 e1, leaves i2 e1, failed i1 e1, answered i2 e1"},
+		{"r0", 0, "leaves i1 e1"},
+		{"i2", 0, "leaves i2 e1, answered i2 e1"},
+	} {
+		t.Run(fmt.Sprint(tt.id, " ", tt.around), func(t *testing.T) {
+			is := is.New(t)
+			list, _, err := Timeline(tt.id, tt.around, strings.NewReader(log))
+			is.NoErr(err)
+			var texts []string
+			for _, l := range list {
+				texts = append(texts, fmt.Sprint(l.Text, " ", l.Attributes["instance"], " ", l.VM))
+			}
+			is.Equal(strings.Join(texts, ", "), tt.want)
+		})
+	}
+}
