--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -8,14 +8,15 @@
 	"testing"
 )
 
-// soakSeeds holds the seeds and fault kinds of short soak runs: one with all kinds of faults, and one with only those that must not
-// interrupt any request.
+// soakSeeds holds the seeds and fault kinds of short soak runs: one with all kinds of faults, one with only those that must not interrupt
+// any request, and one with instances that leave by their own word while the platform is down.
 var soakSeeds = []struct {
 	seed  int
 	kinds string
 }{
 	{1, ""},
 	{101, "stop,reload,platform-down,platform-lost,platform-deaf,compact,change,withdraw,leave"},
+	{103, "leaving,unframed,stop,platform-down"},
 }
 
 // regressionPlans are plans that have violated a guarantee before, each with the cause.
