--- a/place/leaving.go
+++ b/place/leaving.go
@@ -14,19 +14,23 @@
 const (
 	// leavingMemory is how long a leaving instance is remembered that is not listed any more, as an old list may still name it.
 	leavingMemory = 10 * time.Minute
-	// maxReportedLeaving is the number of leaving instances in a report to other VMs.
-	maxReportedLeaving = 64
+	// MaxReportedLeaving bounds the number of leaving instances in a report to other VMs.
+	MaxReportedLeaving = 64
 )
 
 // process identifies one start of an instance.
 type process struct {
-	id        chestnutcleat.InstanceID
-	address   chestnutcleat.Address
+	id chestnutcleat.InstanceID
+	// startedAt is zero if the registration doesn't tell it. Only then address is set.
 	startedAt int64
+	address   chestnutcleat.Address
 }
 
 func processOf(i *chestnutcleat.Instance) process {
-	return process{id: i.ID, address: i.Address, startedAt: i.StartedAt}
+	if i.StartedAt != 0 {
+		return process{id: i.ID, startedAt: i.StartedAt}
+	}
+	return process{id: i.ID, address: i.Address}
 }
 
 // ProcessHash identifies one start of an instance in reports between VMs.
@@ -41,8 +45,21 @@
 	// observed is set if this VM got the instance's own word, and not that of another VM.
 	observed bool
 	since    time.Time
-	// lastListed is when the instance was last among the listed ones.
-	lastListed time.Time
+	// unlistedSince is the time of the first list without the instance, or zero while it is listed.
+	unlistedSince time.Time
+}
+
+// covers reports whether q leaves if p does. A registration that doesn't tell the start is not taken for a new one.
+func (p process) covers(q process) bool {
+	return p == q || p.id == q.id && p.startedAt != 0 && q.startedAt == 0
+}
+
+// listed returns the listed instance that leaves if p does, or nil. The caller holds t.mu.
+func (t *Table) listed(p process) *instanceState {
+	if s := t.byID[p.id]; s != nil && s.listed && p.covers(processOf(&s.Instance)) {
+		return s
+	}
+	return nil
 }
 
 // MarkLeaving records that the assignment's instance said that it leaves. It reports whether that is news.
@@ -57,41 +74,48 @@
 func (t *Table) markLeaving(p process, observed bool) bool {
 	d, known := t.departures[p]
 	if !known {
-		now := time.Now()
-		d = &departure{since: now, lastListed: now}
+		d = &departure{since: time.Now()}
 		t.departures[p] = d
 	}
 	d.observed = d.observed || observed
-	if s := t.listed(p); s != nil {
-		s.departed = true
+	s := t.listed(p)
+	if s == nil {
+		return !known
 	}
-	return !known
-}
-
-// listed returns the state of a start of an instance, or nil if it is not listed. The caller holds t.mu.
-func (t *Table) listed(p process) *instanceState {
-	if s := t.byID[p.id]; s != nil && s.listed && processOf(&s.Instance) == p {
-		return s
-	}
-	return nil
+	s.departed = true
+	return !known && !s.Leaving
 }
 
 // applyDepartures marks the listed instances that are known to leave and forgets those that have not been listed for long. The caller
 // holds t.mu.
 func (t *Table) applyDepartures(now time.Time) {
 	for p, d := range t.departures {
-		switch s := t.listed(p); {
+		s := t.listed(p)
+		switch {
 		case s != nil:
 			s.departed = true
-			d.lastListed = now
-		case now.Sub(d.lastListed) > leavingMemory:
+			d.unlistedSince = time.Time{}
+		case d.unlistedSince.IsZero():
+			d.unlistedSince = now
+		case now.Sub(d.unlistedSince) > leavingMemory:
 			delete(t.departures, p)
 		}
 	}
 }
 
+// undeparted returns the listed instances that have not said themselves that they leave. The caller holds t.mu.
+func (t *Table) undeparted(list []process) []chestnutcleat.InstanceID {
+	var ids []chestnutcleat.InstanceID
+	for _, p := range list {
+		if s := t.listed(p); s != nil && !s.departed {
+			ids = append(ids, p.id)
+		}
+	}
+	return ids
+}
+
 // ObservedDepartures returns the listed instances that told this VM that they leave, the latest ones first, at most
-// maxReportedLeaving.
+// MaxReportedLeaving.
 func (t *Table) ObservedDepartures() []ProcessHash {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -105,7 +129,7 @@
 		return cmp.Or(t.departures[b].since.Compare(t.departures[a].since), cmp.Compare(a.id, b.id))
 	})
 	var out []ProcessHash
-	for _, p := range list[:min(len(list), maxReportedLeaving)] {
+	for _, p := range list[:min(len(list), MaxReportedLeaving)] {
 		out = append(out, p.hash())
 	}
 	return out
--- a/place/leaving_test.go
+++ b/place/leaving_test.go
@@ -104,3 +104,87 @@
 	is.Equal(len(seen), 2)
 	is.True(!seen[assignment.ID])
 }
+
+// An instance that left and was in the list for a long time without a change must be remembered from the moment at which it is not
+// listed any more: it was forgotten with the next list, and an older list that named it once more made it get requests.
+func TestDepartureOutlastsUnchangedList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTable(1)
+		is.True(table.Pick(Request{Service: "s"}).MarkLeaving())
+		time.Sleep(leavingMemory + time.Minute)
+		for range 2 {
+			table.SetInstances(nil)
+			time.Sleep(time.Second)
+		}
+		table.SetInstances(instances(1))
+		is.Equal(table.Pick(Request{Service: "s"}), nil)
+	})
+}
+
+// A registration that changes in anything but the start of its instance must not undo that this start leaves: one from another writer
+// without a start, and one with another address, made a leaving instance get requests again.
+func TestDepartureIsOfOneStart(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(i *chestnutcleat.Instance)
+		used   bool
+	}{
+		{"no start", func(i *chestnutcleat.Instance) { i.StartedAt = 0 }, false},
+		{"no start, other address", func(i *chestnutcleat.Instance) { i.StartedAt, i.Address = 0, "10.9.9.9:80" }, false},
+		{"other address", func(i *chestnutcleat.Instance) { i.Address = "10.9.9.9:80" }, false},
+		{"other service", func(i *chestnutcleat.Instance) { i.Service = "s2" }, false},
+		{"earlier start", func(i *chestnutcleat.Instance) { i.StartedAt-- }, true},
+		{"later start", func(i *chestnutcleat.Instance) { i.StartedAt++ }, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			i := instances(1)[0]
+			i.StartedAt = 1000
+			table := NewTable()
+			table.SetInstances([]chestnutcleat.Instance{i})
+			is.True(table.Pick(Request{Service: "s"}).MarkLeaving())
+			tt.change(&i)
+			table.SetInstances([]chestnutcleat.Instance{i})
+			is.Equal(table.Pick(Request{Service: i.Service}) != nil, tt.used)
+		})
+	}
+}
+
+// A VM that runs for days among instances that come and go must not keep those that left, and must keep what it was told of the last
+// minutes.
+func TestDeparturesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable()
+		const lifetime = 2 * time.Second
+		for n := range 5000 {
+			i := instances(1)[0]
+			i.StartedAt = int64(n + 1)
+			table.SetInstances([]chestnutcleat.Instance{i})
+			is.True(table.Pick(Request{Service: "s"}).MarkLeaving())
+			is.Equal(len(table.ObservedDepartures()), 1)
+			time.Sleep(lifetime)
+		}
+		is.True(len(table.departures) <= int(leavingMemory/lifetime)+2)
+		is.True(len(table.departures) >= int(leavingMemory/lifetime))
+	})
+}
+
+// A VM must report once that an instance leaves, from the source that told it first.
+func TestDepartureIsNewsOnce(t *testing.T) {
+	is := is.New(t)
+	ready := instances(2)
+	draining := instances(2)
+	draining[0].Leaving, draining[1].Leaving = true, true
+	table := NewTable()
+	is.Equal(len(table.SetInstances(ready)), 0)
+	a, b := table.Pick(Request{Service: "s"}), table.Pick(Request{Service: "s"})
+	for b.ID == a.ID {
+		b = table.Pick(Request{Service: "s"})
+	}
+	is.True(a.MarkLeaving())
+	is.Equal(table.SetInstances(draining), []chestnutcleat.InstanceID{b.ID}) // the word of a was known
+	is.Equal(len(table.SetInstances(draining)), 0)
+	is.True(!b.MarkLeaving())
+}
--- a/place/table.go
+++ b/place/table.go
@@ -86,18 +86,22 @@
 }
 
 // SetInstances replaces the list of instances. The state of instances that remain, or that still run requests, is kept: one whose
-// entry lapsed may return.
-func (t *Table) SetInstances(list []chestnutcleat.Instance) {
+// entry lapsed may return. It returns those that are known to leave only since this list.
+func (t *Table) SetInstances(list []chestnutcleat.Instance) []chestnutcleat.InstanceID {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.versions.note(t.byID, time.Now())
 	services := map[chestnutcleat.ServiceName][]*instanceState{}
 	byID := make(map[chestnutcleat.InstanceID]*instanceState, len(list))
+	var news []process
 	for _, i := range list {
 		s := t.byID[i.ID]
 		if s == nil || s.StartedAt != i.StartedAt || s.Address != i.Address {
 			s = &instanceState{hash: xxhash.Sum64String(string(i.ID))}
 		}
+		if i.Leaving && !s.Leaving {
+			news = append(news, processOf(&i))
+		}
 		s.Instance, s.listed = i, true
 		byID[i.ID] = s
 		services[i.Service] = append(services[i.Service], s)
@@ -110,6 +114,7 @@
 	}
 	t.services, t.byID = services, byID
 	t.applyDepartures(time.Now())
+	return t.undeparted(news)
 }
 
 // SetRemoteLoad sets the load that other VMs report at each instance.
--- a/standin/instance/server.go
+++ b/standin/instance/server.go
@@ -41,6 +41,10 @@
 	LastEventID int
 	// At is the start time.
 	At time.Time
+	// StartedAt is the start of the instance that ran the request, in Unix milliseconds, and Leaving is set if its answer says that
+	// it leaves.
+	StartedAt int64
+	Leaving   bool
 }
 
 // Log records the runs of all instances by request id.
@@ -87,6 +91,8 @@
 	EndlessRate float64
 	// BreakAfter is the number of events of a run after which a stream's connection is closed within the next event; zero breaks none.
 	BreakAfter int
+	// UnframedRate is the fraction whose response has neither a length nor chunks, and CutRate the fraction of these that are cut.
+	UnframedRate, CutRate float64
 	// Delay is a delay before each response and each event.
 	Delay time.Duration
 }
@@ -100,6 +106,7 @@
 	Log     *Log
 	faults  atomic.Pointer[Faults]
 	version atomic.Value
+	start   atomic.Pointer[start]
 }
 
 // SetVersion replaces the software version, for the requests that arrive from now on.
@@ -118,6 +125,8 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(HeaderID)
 	w.Header().Set(HeaderID, id)
+	current := s.currentStart()
+	current.announce(w.Header())
 	if e := r.Header.Get(headerExpectedInstance); id == "" || e != "" && e != s.ID {
 		w.Header().Set(headerNotExecuted, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -127,7 +136,10 @@
 	if err != nil {
 		return
 	}
-	run := Run{Instance: s.ID, Version: s.Version(), Path: r.URL.Path, Customer: r.Header.Get(headerCustomer), Body: string(body), LastEventID: -1, At: time.Now()}
+	run := Run{
+		Instance: s.ID, Version: s.Version(), Path: r.URL.Path, Customer: r.Header.Get(headerCustomer), Body: string(body), LastEventID: -1,
+		At: time.Now(), StartedAt: current.at, Leaving: current.leaving,
+	}
 	if n, err := strconv.Atoi(r.Header.Get(headerLastEventID)); err == nil {
 		run.LastEventID = n
 	}
@@ -147,6 +159,8 @@
 		repeatRefusal(w, id)
 	case rand.Float64() < f.EndlessRate:
 		writeEndlessly(w, id)
+	case rand.Float64() < f.UnframedRate:
+		writeUnframed(w, id, &run, &f)
 	case strings.HasPrefix(r.URL.Path, StreamPrefix):
 		writeStream(w, r, StreamName(r.URL.Path, id), run, f)
 	case rand.Float64() < f.DuplicateRate:
@@ -172,7 +186,7 @@
 			_ = c.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventData(name, run.Version, n))
+		_, _ = io.WriteString(w, eventText(name, run.Version, n))
 		if c.Flush() != nil {
 			return
 		}
