--- a/lease/takeover.go
+++ b/lease/takeover.go
@@ -257,8 +257,10 @@
 		return
 	}
 	t.readingJournal = true
+	// The takeover belongs to the control goroutine, which changes the target's witnesses while the journal is read.
+	target := t.target
 	chestnutcleat.Async(k.Loop, platformTimeout, func(ctx context.Context) ([]Entry, error) {
-		return readJournal(ctx, k.Platform, t.target)
+		return readJournal(ctx, k.Platform, target)
 	}, func(list []Entry, err error) {
 		t.readingJournal = false
 		if err != nil && !errors.Is(err, chestnutcleat.ErrNotFound) {
