Take the streams of a route for evidence only where none is named

What callers could see (ORDER): a stream that began while no write quorum answered has no record; after all VMs had restarted, or the platform had been away, and its version had left, a take-up that named it went on at the version of the streams that were recorded since. Cause: "all recorded streams of the route began at v2" says nothing of one that was not recorded. Losing sight of the platform also made a VM forget versions that it had seen.

Change: such evidence counts only for callers that name no attempt; a named stream without a record goes on only by registrations that were followed without a gap. Versions seen are kept when the history starts over. Cost: named streams that could not be recorded are refused for a while after a restart, also where one version only was in service.

--- a/entry/version.go
+++ b/entry/version.go
@@ -57,6 +57,10 @@
 		return t.refuseTakeUp(refusedRoute, nil)
 	}
 	o, byRoute, err := t.findOrigin()
+	if byRoute && t.Resumes != "" {
+		// The stream that the caller names has no record, so the recorded ones of its route don't tell where it began.
+		err = chestnutcleat.ErrNotFound
+	}
 	switch {
 	case err == nil && byRoute && t.Instances.OtherVersion(o.Service, o.Software, t.streamLifetime()):
 		return t.refuseTakeUp(refusedUnknown, errOtherVersion)
--- a/place/version.go
+++ b/place/version.go
@@ -20,7 +20,7 @@
 // note records the versions of the instances of a list that is about to be replaced.
 func (h *versionHistory) note(list map[chestnutcleat.InstanceID]*instanceState, now time.Time) {
 	if h.since.IsZero() {
-		h.restart(now)
+		h.since, h.lastSeen = now, map[chestnutcleat.ServiceName]map[chestnutcleat.SoftwareVersion]time.Time{}
 	}
 	for _, s := range list {
 		versions := h.lastSeen[s.Service]
@@ -39,16 +39,12 @@
 	}
 }
 
-func (h *versionHistory) restart(now time.Time) {
-	h.since, h.lastSeen = now, map[chestnutcleat.ServiceName]map[chestnutcleat.SoftwareVersion]time.Time{}
-}
-
-// RestartVersionHistory tells that registrations may have been missed until now.
+// RestartVersionHistory tells that registrations may have been missed until now. The versions that were seen remain known.
 func (t *Table) RestartVersionHistory() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.versions.since.IsZero() {
-		t.versions.restart(time.Now())
+		t.versions.since = time.Now()
 	}
 }
 
