Give no instance up while the record of its stream is awaited

A sound stream was cut after its first event: the timer for silent instances went on while the record of the stream's version was awaited, found an instance of another version that could take over, and cancelled the attempt; then the version was bound, and no instance of it was left.

Change: the timer is held while the record is awaited, and starts again after it.

Tests: entry.TestInstanceIsNotGivenUpForItsRecord, entry.TestLaterInstanceIsNotGivenUpForItsRecord; both broke off streams before.

--- a/entry/stall.go
+++ b/entry/stall.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,23 +13,40 @@
 // errStalled is the cause of an attempt that is given up in favour of another instance.
 var errStalled = errors.New("instance sends nothing for too long")
 
+// giveUpTimer cancels an attempt that waits for its instance for too long.
+type giveUpTimer struct {
+	*time.Timer
+	// held is set while the attempt waits for something else than its instance.
+	held atomic.Bool
+}
+
+// hold stops the timer while f runs, after which the attempt has the time d again.
+func (g *giveUpTimer) hold(f func() *failure, d func() time.Duration) *failure {
+	g.held.Store(true)
+	defer func() {
+		g.held.Store(false)
+		g.Reset(d())
+	}()
+	return f()
+}
+
 // giveUpAfter returns a timer that cancels an attempt after d. While no other instance can take the request over, the attempt goes
 // on, as a late answer is better than none; the deadline ends it in any case.
-func (c *call) giveUpAfter(ctx context.Context, cancel context.CancelCauseFunc, d time.Duration) *time.Timer {
+func (c *call) giveUpAfter(ctx context.Context, cancel context.CancelCauseFunc, d time.Duration) *giveUpTimer {
 	others := c.instanceRequest("")
 	full := len(c.tried) >= maxInstancesTried
-	var timer *time.Timer
-	timer = time.AfterFunc(time.Hour, func() {
+	g := &giveUpTimer{}
+	g.Timer = time.AfterFunc(time.Hour, func() {
 		other := others
 		other.Version = c.version.Load()
 		switch {
 		case ctx.Err() != nil, !time.Now().Before(c.deadline):
-		case full || !c.Instances.CanPick(other):
-			timer.Reset(moveCheckInterval)
+		case g.held.Load(), full, !c.Instances.CanPick(other):
+			g.Reset(moveCheckInterval)
 		default:
 			cancel(errStalled)
 		}
 	})
-	timer.Reset(d)
-	return timer
+	g.Reset(d)
+	return g
 }
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -158,7 +158,7 @@
 			stallTimer.Reset(t.stallTimeout())
 		}
 		if e.Data != nil && !started {
-			if f := t.startStream(a); f != nil {
+			if f := stallTimer.hold(func() *failure { return t.startStream(a) }, t.stallTimeout); f != nil {
 				return f
 			}
 			started = true
--- a/entry/unrecorded_test.go
+++ b/entry/unrecorded_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat/config"
 )
 
 // A stream that began while no write quorum answered has no record. Streams of its route that began later, at another version, must not
@@ -41,3 +43,42 @@
 		})
 	}
 }
+
+// An instance that has sent its first event must not be given up while its record is awaited: with a version that only it served, the stream
+// broke off.
+func TestInstanceIsNotGivenUpForItsRecord(t *testing.T) {
+	runVersions(t, 1, [][2]string{{"a1", "v1"}, {"b1", "v2"}}, func(h *versionHarness) {
+		is := is.New(t)
+		h.table = planRoute(100*time.Millisecond, 2)
+		h.appends.delay.Store(int64(recordTimeout - 50*time.Millisecond))
+		for n := range 6 {
+			is.True(h.stream(0, moves, streamID(n)).complete)
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
+
+// An instance of another version than the first one tried must not be given up for its record either.
+func TestLaterInstanceIsNotGivenUpForItsRecord(t *testing.T) {
+	runVersions(t, 1, [][2]string{{"a1", "v1"}, {"b1", "v2"}, {"a2", "v1"}}, func(h *versionHarness) {
+		is := is.New(t)
+		h.servers["a1"].ID = "other" // the instance declines: it is not the one that is registered
+		h.appends.delay.Store(int64(400 * time.Millisecond))
+		for n := range 16 {
+			is.True(h.stream(0, moves, streamID(n)).complete)
+			time.Sleep(3 * time.Second)
+		}
+	})
+}
+
+// planRoute returns the configuration with another longest gap between events and number of attempts of resumable streams.
+func planRoute(gap time.Duration, attempts int) *config.Table {
+	base := configuration("key")
+	c := config.Config{Routes: routes(), Services: base.Services, Customers: base.Customers}
+	for i := range c.Routes {
+		if r := &c.Routes[i]; r.Resumable {
+			r.MaxEventGap, r.MaxAttempts = gap, attempts
+		}
+	}
+	return config.NewTable(c)
+}
