--- a/entry/unrecorded_test.go
+++ b/entry/unrecorded_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/config"
 	"chestnutcleat.example/chestnutcleat/standin/instance"
 )
@@ -106,3 +107,18 @@
 		is.True(retried > 0)
 	})
 }
+
+// A caller's own wait must not decide for how long the replicas keep the record of its stream: with waits of an hour, 100 streams a second
+// filled them, and reservations were refused.
+func TestRecordLifeIsBounded(t *testing.T) {
+	is := is.New(t)
+	for _, tt := range []struct{ timeout, wait, want time.Duration }{
+		{4 * time.Second, 0, 4 * time.Second},
+		{4 * time.Second, time.Minute, time.Minute},
+		{4 * time.Second, time.Hour, maxTakeUpWait},
+		{time.Hour, time.Minute, time.Hour},
+	} {
+		q := &turn{call: &call{Request: &chestnutcleat.Request{Wait: tt.wait}, route: &config.Route{Timeout: tt.timeout}}}
+		is.Equal(q.streamLifetime(), tt.want+recordMargin)
+	}
+}
--- a/entry/version.go
+++ b/entry/version.go
@@ -11,6 +11,10 @@
 	"chestnutcleat.example/chestnutcleat/place"
 )
 
+// maxTakeUpWait bounds the part of a caller's wait for which its stream is recorded, so that no caller can fill the replicas with records of
+// streams that end much earlier.
+const maxTakeUpWait = 2 * time.Minute
+
 // takeUpRefusal is the reason why a stream is not taken up again.
 type takeUpRefusal string
 
@@ -118,7 +122,7 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	return min(max(t.Wait, timeout), maxProgramTime) + recordMargin
+	return max(timeout, min(t.Wait, maxTakeUpWait)) + recordMargin
 }
 
 // newBegin returns the write that records at which software version the stream begins, or nil if it needs none.
