--- a/entry/stream.go
+++ b/entry/stream.go
@@ -50,10 +50,11 @@
 	settledTokens chestnutcleat.Tokens
 	// reserved is set once the reservation is written.
 	reserved bool
-	// beginTries is the number of Begin records, begunAt the software version in the last one, and beginning its write until it is waited for.
-	beginTries       int
-	begunAt          chestnutcleat.SoftwareVersion
-	beginning        *ledger.Write
+	// beginTries is the number of Begin records of this turn, and beginVersion the software version in the last one.
+	beginTries   int
+	beginVersion chestnutcleat.SoftwareVersion
+	// beginWrite is the write of the last Begin record until a quorum holds it, and nil after that.
+	beginWrite       *ledger.Write
 	headerSent       bool
 	flusher          *http.ResponseController
 	timeToFirstEvent time.Duration
@@ -93,7 +94,7 @@
 			}
 			return err
 		}
-		if err := t.record(assignment); err != nil {
+		if err := t.recordAttempt(assignment); err != nil {
 			assignment.End(place.Neutral)
 			return err
 		}
@@ -257,7 +258,7 @@
 	t.copyHeader(a).Del("Content-Length")
 	t.w.WriteHeader(a.response.Status)
 	_, _ = t.w.Write(body)
-	t.log(event.Answered, "status", a.response.Status, "instance", a.assignment.ID, "version", a.assignment.Version, "bytes", len(body))
+	t.logAnswered(a, "bytes", len(body))
 	return nil
 }
 
@@ -275,6 +276,12 @@
 		t.w.WriteHeader(http.StatusOK)
 	}
 	t.Metrics.streamed(t.timeToFirstEvent, time.Since(t.Received))
-	t.log(event.Answered, "status", http.StatusOK, "instance", a.assignment.ID, "version", a.assignment.Version, "events", t.events, "first", t.timeToFirstEvent.Milliseconds())
+	t.logAnswered(a, "events", t.events, "first", t.timeToFirstEvent.Milliseconds())
 	return nil
 }
+
+// logAnswered emits the event of an answer that was passed on in full.
+func (t *turn) logAnswered(a *attempt, attributes ...any) {
+	instance := []any{"status", a.response.Status, "instance", a.assignment.ID, "version", a.assignment.Version}
+	t.log(event.Answered, append(instance, attributes...)...)
+}
