--- a/entry/refusal_test.go
+++ b/entry/refusal_test.go
@@ -24,7 +24,7 @@
 	earlierID   = "Chestnutcleat-Request-Id: r0\r\n"
 )
 
-// Guards against a refusal that an instance wrote once more being taken for the refusal of a request that it runs (issue 33): callers
+// Guards against a refusal that an instance wrote once more being taken for the refusal of a request that it runs: callers
 // were told "not run", or a request that may not be repeated ran at a second instance. Only the echoed id proves which request a
 // refusal answers.
 func TestRefusalOfAnotherRequest(t *testing.T) {
@@ -66,7 +66,7 @@
 	}
 }
 
-// Guards against a copy of the first answer to an id being taken for the answer to a second request with that id (issue 33): a caller
+// Guards against a copy of the first answer to an id being taken for the answer to a second request with that id: a caller
 // that repeats its id was told "not run", or got the first answer, while the second request ran.
 func TestCopyOfAnAnswerToTheSameID(t *testing.T) {
 	const answer = "HTTP/1.1 200 OK\r\n" + ownID + sealHeader + "Content-Length: 5\r\n\r\nfirst"
--- a/exchange/copies_test.go
+++ b/exchange/copies_test.go
@@ -26,7 +26,7 @@
 	r.Close()
 }
 
-// Guards against a second copy of an answer being taken for the answer to a repeated request with the same id (issue 33): the id
+// Guards against a second copy of an answer being taken for the answer to a repeated request with the same id: the id
 // can't tell them apart, so such a request needs a connection that has not carried the id.
 func TestSameIDIsNotSentTwiceOnAConnection(t *testing.T) {
 	is := is.New(t)
