--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -197,7 +197,8 @@
 	if c.r.Context().Err() != nil {
 		return
 	}
-	c.log(event.AttemptFailed, "instance", assignment.ID, "version", assignment.Version, "address", assignment.Address, "ran", mayHaveRun, "error", err)
+	c.log(event.AttemptFailed, "instance", assignment.ID, "version", assignment.Version, "address", assignment.Address,
+		"ran", mayHaveRun, "error", err)
 }
 
 // retryOrFail returns nil if the request may be sent to another instance, or else the error for the caller.
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// reserve reserves the turn's output limit from its program's token budget.
+// reserve reserves the turn's output limit from its program's token budget before the turn is sent to an instance.
 func (t *turn) reserve(assignment *place.Assignment) error {
 	fits, pending, err := t.tryReserve(assignment)
 	if err == nil && !fits && pending {
@@ -63,8 +63,8 @@
 	return nil
 }
 
-// tryReserve writes the reservation, together with the software version of a stream, and checks it against the other attempts of the program; pending is set if some of them
-// are not settled yet.
+// tryReserve writes the reservation, together with the software version of a stream, and checks it against the other attempts of the
+// program; pending is set if some of them are not settled yet.
 func (t *turn) tryReserve(assignment *place.Assignment) (fits, pending bool, err error) {
 	ctx, cancel := context.WithTimeout(t.ctx, recordTimeout)
 	defer cancel()
--- a/entry/buffered.go
+++ b/entry/buffered.go
@@ -77,7 +77,7 @@
 	return nil
 }
 
-// attemptTimeout returns after which time this attempt is given up in favour of another instance, at the latest at the deadline.
+// attemptTimeout returns the time after which this attempt is given up in favour of another instance, at the latest at the deadline.
 func (c *call) attemptTimeout() time.Duration {
 	left := time.Until(c.deadline)
 	if c.route.Type != config.Idempotent || c.runs+1 >= c.route.MaxAttempts || c.route.LatencyTarget <= 0 {
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -28,5 +28,6 @@
 	if d == nil || time.Now().Before(d.strictFrom) || !c.deadline.After(d.end) {
 		return nil
 	}
-	return problem(chestnutcleat.CodeLeaving, chestnutcleat.NotRun, "the VM shuts down in %v, before the deadline of the request", time.Until(d.end)).WithRetry(drainRetryAfter)
+	p := problem(chestnutcleat.CodeLeaving, chestnutcleat.NotRun, "the VM shuts down in %v, before the deadline of the request", time.Until(d.end))
+	return p.WithRetry(drainRetryAfter)
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -70,7 +70,7 @@
 	route    *config.Route
 	customer *config.Customer
 	service  chestnutcleat.ServiceName
-	// version is the software version that must serve the request; nil for any. Timers read it, too.
+	// version is the software version that must serve the request; nil for any. It is atomic because timers read it as well.
 	version atomic.Pointer[chestnutcleat.SoftwareVersion]
 	body    []byte
 	// memory is what the bodies of the request and its answer take.
@@ -170,7 +170,8 @@
 func (c *call) routeUnknown() error {
 	if c.Previous != "" {
 		// A turn was stored for it, so another VM knows a route: this VM's configuration may be behind.
-		return problem(chestnutcleat.CodeNotReady, chestnutcleat.NotRun, "turn %s has no route at configuration %d, which may be behind", c.Previous, c.table.Number).WithRetry(configRetryAfter)
+		p := problem(chestnutcleat.CodeNotReady, chestnutcleat.NotRun, "turn %s has no route at configuration %d, which may be behind", c.Previous, c.table.Number)
+		return p.WithRetry(configRetryAfter)
 	}
 	return problem(chestnutcleat.CodeRouteUnknown, chestnutcleat.NotRun, "no route for this host and path at configuration %d", c.table.Number)
 }
