--- a/ledger/fetch.go
+++ b/ledger/fetch.go
@@ -133,8 +133,11 @@
 	return read[FetchReply](ctx, c, replica, &set, methodFetch, q)
 }
 
+// checkedReply is a reply that embeds a VersionCheck.
+type checkedReply interface{ versionCheck() VersionCheck }
+
 // read calls a replica with a request that is made for the given set.
-func read[R interface{ check() VersionCheck }](ctx context.Context, c *Client, replica chestnutcleat.Replica, set *chestnutcleat.ReplicaSet, m chestnutcleat.Method, q any) (R, error) {
+func read[R checkedReply](ctx context.Context, c *Client, replica chestnutcleat.Replica, set *chestnutcleat.ReplicaSet, m chestnutcleat.Method, q any) (R, error) {
 	var none R
 	// One round may find the replica's set outdated and update it; the next one reads.
 	for range 2 {
@@ -142,7 +145,7 @@
 		if err := c.Peers.Call(ctx, replica.Address, m, q, &r); err != nil {
 			return none, err
 		}
-		switch v := r.check(); {
+		switch v := r.versionCheck(); {
 		case v.Newer != nil:
 			c.SetReplicaSet(*v.Newer)
 			return none, ErrNoQuorum
--- a/ledger/log.go
+++ b/ledger/log.go
@@ -145,9 +145,8 @@
 	return nil
 }
 
-// scan visits the records of a segment and returns the offset after the last complete one. A record whose checksum is right but that can't
-// be decoded was written so, on every replica, and none could ever read it: it is left out, as its error would end the process at each
-// start.
+// scan visits the records of a segment and returns the offset after the last complete one. It leaves out a record whose checksum is
+// right but that can't be decoded: it was written so on every replica, and its error would end the process at each start.
 func (s *segment) scan(visit func(*Record, location)) (int64, error) {
 	s.unreadable, s.scanErr = 0, nil
 	r := bufio.NewReaderSize(io.NewSectionReader(s.file, 0, 1<<62), readBufferBytes)
--- a/ledger/message.go
+++ b/ledger/message.go
@@ -26,7 +26,8 @@
 	Behind bool `json:"b,omitempty"`
 }
 
-func (c VersionCheck) check() VersionCheck { return c }
+// versionCheck gives access to the check that is embedded in a reply.
+func (c VersionCheck) versionCheck() VersionCheck { return c }
 
 // AppendRequest writes records to a replica.
 type AppendRequest struct {
@@ -59,7 +60,7 @@
 	Complete bool `json:"w,omitempty"`
 }
 
-// OriginQuery asks at which software version the stream of an attempt began, and those of a route.
+// OriginQuery asks at which software versions the stream of an attempt and all streams of a route began.
 type OriginQuery struct {
 	Customer chestnutcleat.CustomerID `json:"c"`
 	// Attempt is empty if it is not known.
--- a/ledger/origin.go
+++ b/ledger/origin.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
 )
 
-// ErrContradiction is returned for an attempt whose records name several origins of its stream.
-var ErrContradiction = errors.New("records name several origins of the stream")
-
 const (
 	// originOverheadBytes estimates the memory of an index entry of a stream, excluding its ids.
 	originOverheadBytes = 320
@@ -19,8 +15,6 @@
 	routeOverheadBytes = 160
 	// maxOrigins is the number of origins that are kept of an attempt: two are enough to know that they contradict each other.
 	maxOrigins = 2
-	// originRetryDelay is the time between two rounds of reading an origin while too few replicas answer.
-	originRetryDelay = 25 * time.Millisecond
 )
 
 // streamState is the index entry of an attempt that began a stream.
@@ -62,6 +56,7 @@
 
 func (r *Record) origin() Origin { return Origin{Service: r.Service, Software: r.Software, Try: r.Try} }
 
+// applyBegin adds the origin of a Begin record to its stream. A higher try replaces the origins of lower ones.
 func (s *state) applyBegin(r *Record, loc location) {
 	k := turnKey{s.intern(r.Customer), r.Attempt}
 	b := s.streams[k]
@@ -123,7 +118,8 @@
 
 func (o originState) record(k turnKey, expiresAt int64) Record {
 	return Record{
-		Kind: Begin, Customer: k.customer, Attempt: k.turn, Route: o.route, Service: o.Service, Software: o.Software, Try: o.Try, ExpiresAt: expiresAt,
+		Kind: Begin, Customer: k.customer, Attempt: k.turn, Route: o.route,
+		Service: o.Service, Software: o.Software, Try: o.Try, ExpiresAt: expiresAt,
 	}
 }
 
@@ -185,89 +181,3 @@
 	}
 	return r, nil
 }
-
-// FindOrigin returns the origin of an attempt's stream, as a read quorum knows it. If a read quorum lacks the attempt, it returns the only
-// origin of all streams of the route, and byRoute is set, or chestnutcleat.ErrNotFound. It returns ErrContradiction if the records of the
-// attempt's highest try don't agree.
-func (c *Client) FindOrigin(ctx context.Context, q OriginQuery) (o Origin, byRoute bool, err error) {
-	for {
-		o, byRoute, err = c.findOriginOnce(ctx, q)
-		if !errors.Is(err, ErrNoQuorum) && !errors.Is(err, ErrNoReplicaSet) {
-			return o, byRoute, err
-		}
-		// The replica set may have changed, or a replica may be about to answer again.
-		if chestnutcleat.Sleep(ctx, originRetryDelay) != nil {
-			return Origin{}, false, err
-		}
-	}
-}
-
-// findOriginOnce asks all replicas at once. A positive answer of one replica is not enough, as it may have an older try only.
-func (c *Client) findOriginOnce(ctx context.Context, query OriginQuery) (o Origin, byRoute bool, err error) {
-	set := c.ReplicaSet()
-	if set.Version == 0 {
-		return Origin{}, false, ErrNoReplicaSet
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	type result struct {
-		disk  chestnutcleat.DiskID
-		reply OriginReply
-		err   error
-	}
-	all := set.All()
-	answers := make(chan result, len(all))
-	for _, replica := range all {
-		go func() {
-			q := OriginRequest{Target: Target{Disk: replica.Disk, Version: set.Version}, OriginQuery: query}
-			r, err := read[OriginReply](ctx, c, replica, &set, methodOrigin, q)
-			answers <- result{replica.Disk, r, err}
-		}()
-	}
-	answered, complete := map[chestnutcleat.DiskID]bool{}, map[chestnutcleat.DiskID]bool{}
-	var origins, ofRoute []originState
-	for range all {
-		select {
-		case <-ctx.Done():
-			return Origin{}, false, ErrNoQuorum
-		case a := <-answers:
-			if a.err != nil {
-				continue
-			}
-			for _, o := range a.reply.Origins {
-				origins, _ = mergeOrigin(origins, o)
-			}
-			for _, o := range a.reply.OfRoute {
-				ofRoute, _ = mergeOrigin(ofRoute, o)
-			}
-			answered[a.disk], complete[a.disk] = true, a.reply.Complete
-			if originsKnown(&set, answered, complete) {
-				return agreed(origins, ofRoute)
-			}
-		}
-	}
-	return Origin{}, false, ErrNoQuorum
-}
-
-// originsKnown reports whether the answers of some replicas include every written origin. During a change the current replicas have
-// them all. The next ones, which may still copy, only show by answering that the change is not finished.
-func originsKnown(set *chestnutcleat.ReplicaSet, answered, complete map[chestnutcleat.DiskID]bool) bool {
-	if !set.HasReadQuorum(func(d chestnutcleat.DiskID) bool { return complete[d] }) {
-		return false
-	}
-	next := chestnutcleat.ReplicaSet{Disks: set.NextDisks}
-	return len(set.NextDisks) == 0 || next.HasReadQuorum(func(d chestnutcleat.DiskID) bool { return answered[d] })
-}
-
-// agreed returns the only origin of a stream or, if there is none, the only one of its route.
-func agreed(stream, ofRoute []originState) (o Origin, byRoute bool, err error) {
-	switch {
-	case len(stream) == 1:
-		return stream[0].Origin, false, nil
-	case len(stream) > 1:
-		return Origin{}, false, ErrContradiction
-	case len(ofRoute) == 1:
-		return ofRoute[0].Origin, true, nil
-	}
-	return Origin{}, false, chestnutcleat.ErrNotFound
-}
--- a/ledger/repair.go
+++ b/ledger/repair.go
@@ -43,8 +43,8 @@
 	s.gaps[k] = g
 }
 
-// repair copies the turns that this replica missed, while others held their chain, until ctx is done. Without them the replica would
-// not extend the lifetime of the turns before.
+// repair copies the turns that this replica missed until ctx is done. Without a missing turn the replica can't extend the lifetime of
+// the turns before it when a later one is stored.
 func (s *Store) repair(ctx context.Context) {
 	for chestnutcleat.Sleep(ctx, repairInterval) == nil {
 		gaps, set := s.gapsToRepair()
