--- a/place/leaving.go
+++ b/place/leaving.go
@@ -33,6 +33,11 @@
 	return process{id: i.ID, address: i.Address}
 }
 
+// covers reports whether q leaves if p does. A registration that doesn't tell the start is not taken for a new one.
+func (p process) covers(q process) bool {
+	return p == q || p.id == q.id && p.startedAt != 0 && q.startedAt == 0
+}
+
 // ProcessHash identifies one start of an instance in reports between VMs.
 type ProcessHash uint32
 
@@ -42,20 +47,15 @@
 
 // departure is the knowledge that an instance leaves, which only a new start of the instance ends.
 type departure struct {
-	// observed is set if this VM got the instance's own word, and not that of another VM.
+	// observed is set if this VM has it from an answer of the instance, and not only from another VM.
 	observed bool
 	since    time.Time
 	// unlistedSince is the time of the first list without the instance, or zero while it is listed.
 	unlistedSince time.Time
 }
 
-// covers reports whether q leaves if p does. A registration that doesn't tell the start is not taken for a new one.
-func (p process) covers(q process) bool {
-	return p == q || p.id == q.id && p.startedAt != 0 && q.startedAt == 0
-}
-
-// listed returns the listed instance that leaves if p does, or nil. The caller holds t.mu.
-func (t *Table) listed(p process) *instanceState {
+// listedProcess returns the listed instance that leaves if p does, or nil. The caller holds t.mu.
+func (t *Table) listedProcess(p process) *instanceState {
 	if s := t.byID[p.id]; s != nil && s.listed && p.covers(processOf(&s.Instance)) {
 		return s
 	}
@@ -78,7 +78,7 @@
 		t.departures[p] = d
 	}
 	d.observed = d.observed || observed
-	s := t.listed(p)
+	s := t.listedProcess(p)
 	if s == nil {
 		return !known
 	}
@@ -86,11 +86,11 @@
 	return !known && !s.Leaving
 }
 
-// applyDepartures marks the listed instances that are known to leave and forgets those that have not been listed for long. The caller
+// refreshDepartures marks the listed instances that are known to leave and forgets those that have not been listed for long. The caller
 // holds t.mu.
-func (t *Table) applyDepartures(now time.Time) {
+func (t *Table) refreshDepartures(now time.Time) {
 	for p, d := range t.departures {
-		s := t.listed(p)
+		s := t.listedProcess(p)
 		switch {
 		case s != nil:
 			s.departed = true
@@ -103,11 +103,11 @@
 	}
 }
 
-// undeparted returns the listed instances that have not said themselves that they leave. The caller holds t.mu.
-func (t *Table) undeparted(list []process) []chestnutcleat.InstanceID {
+// notYetDeparted returns the listed instances that have not said themselves that they leave. The caller holds t.mu.
+func (t *Table) notYetDeparted(list []process) []chestnutcleat.InstanceID {
 	var ids []chestnutcleat.InstanceID
 	for _, p := range list {
-		if s := t.listed(p); s != nil && !s.departed {
+		if s := t.listedProcess(p); s != nil && !s.departed {
 			ids = append(ids, p.id)
 		}
 	}
@@ -121,7 +121,7 @@
 	defer t.mu.Unlock()
 	var list []process
 	for p, d := range t.departures {
-		if d.observed && t.listed(p) != nil {
+		if d.observed && t.listedProcess(p) != nil {
 			list = append(list, p)
 		}
 	}
--- a/place/table.go
+++ b/place/table.go
@@ -93,14 +93,14 @@
 	t.versions.note(t.byID, time.Now())
 	services := map[chestnutcleat.ServiceName][]*instanceState{}
 	byID := make(map[chestnutcleat.InstanceID]*instanceState, len(list))
-	var news []process
+	var leaving []process
 	for _, i := range list {
 		s := t.byID[i.ID]
 		if s == nil || s.StartedAt != i.StartedAt || s.Address != i.Address {
 			s = &instanceState{hash: xxhash.Sum64String(string(i.ID))}
 		}
 		if i.Leaving && !s.Leaving {
-			news = append(news, processOf(&i))
+			leaving = append(leaving, processOf(&i))
 		}
 		s.Instance, s.listed = i, true
 		byID[i.ID] = s
@@ -113,8 +113,8 @@
 		}
 	}
 	t.services, t.byID = services, byID
-	t.applyDepartures(time.Now())
-	return t.undeparted(news)
+	t.refreshDepartures(time.Now())
+	return t.notYetDeparted(leaving)
 }
 
 // SetRemoteLoad sets the load that other VMs report at each instance.
@@ -171,7 +171,8 @@
 	var available, unavailable []*instanceState
 	for _, s := range t.services[r.Service] {
 		switch {
-		case s.Leaving || s.departed || slices.Contains(r.Exclude, s.ID), r.Version != nil && s.Version != *r.Version:
+		case s.Leaving || s.departed:
+		case slices.Contains(r.Exclude, s.ID), r.Version != nil && s.Version != *r.Version:
 		case now.Before(s.backoffUntil), now.Before(s.ejectedUntil), s.onProbation(now) && !probationRequest:
 			unavailable = append(unavailable, s)
 		default:
--- a/place/version.go
+++ b/place/version.go
@@ -17,7 +17,7 @@
 	lastSeen map[chestnutcleat.ServiceName]map[chestnutcleat.SoftwareVersion]time.Time
 }
 
-// note records the versions of the instances of a list that is about to be replaced.
+// note records the versions of the instances in a list that is about to be replaced, and forgets old ones.
 func (h *versionHistory) note(list map[chestnutcleat.InstanceID]*instanceState, now time.Time) {
 	if h.since.IsZero() {
 		h.restart(now)
@@ -39,6 +39,7 @@
 	}
 }
 
+// restart forgets all versions, as registrations may have been missed until now.
 func (h *versionHistory) restart(now time.Time) {
 	h.since, h.lastSeen = now, map[chestnutcleat.ServiceName]map[chestnutcleat.SoftwareVersion]time.Time{}
 }
@@ -52,8 +53,8 @@
 	}
 }
 
-// OtherVersion reports whether an instance of a service, one that left included, has had another software version within the given time, as
-// far as this VM knows.
+// OtherVersion reports whether an instance of a service, one that left included, has had another software version within the given
+// time, as far as this VM knows.
 func (t *Table) OtherVersion(service chestnutcleat.ServiceName, version chestnutcleat.SoftwareVersion, within time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -91,7 +92,7 @@
 	return version, len(found) == 1
 }
 
-// Current reports whether the instance's registration is the one of when it was picked, or was removed since.
+// Current reports whether the instance's registration is the same as when the instance was picked, or was removed since.
 func (a *Assignment) Current() bool {
 	a.table.mu.Lock()
 	defer a.table.mu.Unlock()
