--- a/accept/connections.go
+++ b/accept/connections.go
@@ -73,7 +73,7 @@
 	return c.TCPConn.Close()
 }
 
-// awaitsRequest reports whether the first request may still be in transit, and for how long that is assumed.
+// awaitsRequest reports whether the first request may still be in transit, and for how much longer that is assumed.
 func (c *conn) awaitsRequest() (left time.Duration, awaits bool) {
 	left = time.Until(c.accepted.Add(firstByteTimeout))
 	return left, c.state.Load() == stateNew && left > 0
--- a/accept/server.go
+++ b/accept/server.go
@@ -44,15 +44,21 @@
 		return fmt.Errorf("stop listening at %s: %w", s.Listener.Addr(), err)
 	}
 	<-s.served
-	s.conns.closingIdle.Store(true)
-	s.HTTP.SetKeepAlivesEnabled(false)
-	s.conns.closingIdle.Store(false)
+	s.disableKeepAlives()
 	if err := s.awaitResponses(ctx); err != nil {
 		return errors.Join(s.listener.drainErr, err)
 	}
 	return errors.Join(s.listener.drainErr, s.Close())
 }
 
+// disableKeepAlives makes every further response the last one on its connection. net/http also closes the connections that it takes
+// for idle then, where a request may have begun.
+func (s *Server) disableKeepAlives() {
+	s.conns.closingIdle.Store(true)
+	defer s.conns.closingIdle.Store(false)
+	s.HTTP.SetKeepAlivesEnabled(false)
+}
+
 // awaitResponses closes the idle connections and waits until no response is due.
 func (s *Server) awaitResponses(ctx context.Context) error {
 	for {
