--- a/caller/chatexchange.go
+++ b/caller/chatexchange.go
@@ -111,16 +111,20 @@
 	}
 }
 
+// noIdleTimeout is longer than any call.
+const noIdleTimeout time.Duration = math.MaxInt64
+
 // idleTimeout returns how long to wait for the next event. Where no further attempt may follow, only the end of the call's time ends a
 // stream: a late answer is better than none.
 func (x *chatExchange) idleTimeout() time.Duration {
 	if !x.c.call.Repeatable || len(x.c.avoid)+1 >= x.c.h.MaxAttempts {
-		return math.MaxInt64
+		return noIdleTimeout
 	}
 	return x.c.h.StreamIdleTimeout
 }
 
-// streamError converts the error of a stream. One that was given up for its silence is not broken, as after a crash.
+// streamError converts the error of a stream. The error of a stream that was given up for its silence gets a kind of its own, as its
+// connection did not break as after a crash.
 func streamError(ctx context.Context, err error) *upstream.Error {
 	e := asUpstreamError(err)
 	if context.Cause(ctx) != errStreamIdle {
--- a/config/table.go
+++ b/config/table.go
@@ -14,7 +14,7 @@
 	Config
 	routesByHost   map[string][]*Route
 	customersByKey map[string]*Customer
-	loaded         time.Time
+	createdAt      time.Time
 }
 
 // NewTable returns the index of a configuration.
@@ -23,7 +23,7 @@
 		Config:         c,
 		routesByHost:   map[string][]*Route{},
 		customersByKey: map[string]*Customer{},
-		loaded:         time.Now(),
+		createdAt:      time.Now(),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -42,7 +42,7 @@
 }
 
 // Age returns the time since the table was made.
-func (t *Table) Age() time.Duration { return time.Since(t.loaded) }
+func (t *Table) Age() time.Duration { return time.Since(t.createdAt) }
 
 // MatchRoute returns the route of the host with the longest matching path prefix.
 func (t *Table) MatchRoute(host, path string) (*Route, bool) {
