--- a/entry/version.go
+++ b/entry/version.go
@@ -14,11 +14,7 @@
 
 // streamLifetime is how long after its begin a stream may be taken up again.
 func (t *turn) streamLifetime() time.Duration {
-	timeout := t.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	return min(max(t.Wait, timeout), maxProgramTime) + recordMargin
+	return min(max(t.Wait, t.routeTimeout()), maxProgramTime) + recordMargin
 }
 
 // newBegin returns the write that records at which software version the stream begins, or nil if it needs none.
