--- a/entry/crashes_test.go
+++ b/entry/crashes_test.go
@@ -134,7 +134,8 @@
 				}
 				ended <- err
 			}()
-			_, err = exchange.NewPool(net.KeepAliveConfig{}).Do(t.Context(), chestnutcleat.Address(l.Addr().String()), &exchange.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+			q := &exchange.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}}
+			_, err = exchange.NewPool(net.KeepAliveConfig{}).Do(t.Context(), chestnutcleat.Address(l.Addr().String()), q)
 			is.NoErr(<-ended)
 			is.True(err != nil)
 			t.Log(err)
--- a/entry/cut_fuzz_test.go
+++ b/entry/cut_fuzz_test.go
@@ -64,8 +64,8 @@
 	return head + "\r\n" + body
 }
 
-// parsePlainly returns what arrived of the body of an answer, and whether that is the whole body. It shares nothing with the code under test. It
-// returns false if the head is not whole.
+// parsePlainly returns what arrived of the body of an answer, and whether that is the whole body. It shares nothing with the code under
+// test. ok is false if the head is not whole.
 func parsePlainly(received string) (body string, whole, ok bool) {
 	head, rest, ok := strings.Cut(received, "\r\n\r\n")
 	if !ok {
--- a/ledger/fetch_test.go
+++ b/ledger/fetch_test.go
@@ -79,8 +79,8 @@
 	return nil
 }
 
-// A change of the replica set must not fail the reads of turns at each VM that has yet to learn of it: their callers were refused though the
-// new set was known by then.
+// A change of the replica set must not fail the reads of turns at each VM that has yet to learn of it: their callers were refused
+// though the new set was known by then.
 func TestFetchWhileTheSetChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
