--- a/accept/server_test.go
+++ b/accept/server_test.go
@@ -225,6 +225,28 @@
 	is.NoErr(<-done)
 }
 
+// sendUntilClosed sends one request after another until the server ends the connection, and a value to answered for each that is
+// answered before. It returns the path of a request without an answer, if there is one.
+func (c *testCaller) sendUntilClosed(caller int, answered chan<- struct{}) (failed string) {
+	for n := 0; ; n++ {
+		path := fmt.Sprintf("/%d/%d", caller, n)
+		if c.send("POST "+path+" HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello") != nil {
+			return ""
+		}
+		_, last, err := c.readStatus()
+		if err != nil {
+			return path
+		}
+		if last {
+			return ""
+		}
+		select {
+		case answered <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // No request that reached the handler on a kept connection may go without its answer, whenever the shutdown begins: with the state that
 // net/http gives to connections, a quarter of the requests that crossed the close were handled and not answered.
 func TestShutdownLosesNoHandledRequest(t *testing.T) {
@@ -246,25 +268,10 @@
 		for i := range connections {
 			c := dial(t, s)
 			callers.Go(func() {
-				for n := 0; ; n++ {
-					path := fmt.Sprintf("/%d/%d", i, n)
-					if c.send("POST "+path+" HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello") != nil {
-						return
-					}
-					_, last, err := c.readStatus()
-					if err != nil {
-						mu.Lock()
-						failed = append(failed, path)
-						mu.Unlock()
-						return
-					}
-					if last {
-						return
-					}
-					select {
-					case answered <- struct{}{}:
-					default:
-					}
+				if path := c.sendUntilClosed(i, answered); path != "" {
+					mu.Lock()
+					defer mu.Unlock()
+					failed = append(failed, path)
 				}
 			})
 		}
