Name and split what VMs of both roles report

Comments say which texts are bounded in characters and what a field is for. Nothing changes in behaviour.

--- a/role/base.go
+++ b/role/base.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"net"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,7 +14,6 @@
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/event"
-	"chestnutcleat.example/chestnutcleat/guard"
 	"chestnutcleat.example/chestnutcleat/mirror"
 	"chestnutcleat.example/chestnutcleat/peer"
 	"chestnutcleat.example/chestnutcleat/platform"
@@ -32,17 +27,6 @@
 const (
 	vmPrefix       = "vm-"
 	replicaSetName = "copies"
-	// announceInterval is the time between checks of this VM's own object.
-	announceInterval = time.Second
-	// memberExpiry is how long a VM must be silent before its object is removed; a VM that is still running announces itself
-	// again.
-	memberExpiry = 30 * time.Second
-	// memberExpiryInterval is the time between checks for expired VMs.
-	memberExpiryInterval = 5 * time.Second
-	// unreadReportInterval is the minimum time between two reports of unreadable datagrams, and of nameless objects of a kind.
-	unreadReportInterval = 10 * time.Second
-	// panicReportInterval is the minimum time between two reports of panics at the same place.
-	panicReportInterval = time.Second
 )
 
 // base is the part that entry and storage VMs share.
@@ -65,7 +49,12 @@
 	// started is the start time of the process.
 	started time.Time
 
-	// knownMembers holds the VMs of the last change of the fleet's objects, of which one is handled at a time.
+	// panicReports limits the reports of panics, by place.
+	panicReports throttle
+	// datagramReports limits the reports of unreadable datagrams, and namelessReports those of nameless objects, by kind.
+	datagramReports, namelessReports throttle
+
+	// knownMembers holds the VMs as of the last change of the fleet's objects. Changes are handled one at a time.
 	knownMembers map[chestnutcleat.VMID]peer.Member
 	// status returns the present status of this VM.
 	status func() Status
@@ -74,11 +63,6 @@
 	ownObject chestnutcleat.StoredObject
 	// memberVersions holds the versions of the VMs' objects.
 	memberVersions map[chestnutcleat.VMID]chestnutcleat.Version
-	// lastUnreadReport is the time of the last report of an unreadable datagram, and lastPanicReports those of panics by place.
-	lastUnreadReport time.Time
-	lastPanicReports map[string]time.Time
-	// lastNamelessReports has the times of the last reports of nameless objects by kind.
-	lastNamelessReports map[chestnutcleat.ObjectKind]time.Time
 	// announced is the data of this VM's object as it announces it.
 	announced string
 	// leaving is set once the graceful shutdown has begun.
@@ -150,72 +134,6 @@
 	return nil
 }
 
-// reportPanic reports a recovered panic with its stack, at most one per place in panicReportInterval; other errors are ignored.
-func (b *base) reportPanic(place string, err error) {
-	var p *guard.Panic
-	if !errors.As(err, &p) {
-		return
-	}
-	b.mu.Lock()
-	tooSoon := time.Since(b.lastPanicReports[place]) < panicReportInterval
-	if !tooSoon {
-		if b.lastPanicReports == nil {
-			b.lastPanicReports = map[string]time.Time{}
-		}
-		b.lastPanicReports[place] = time.Now()
-	}
-	b.mu.Unlock()
-	if !tooSoon {
-		b.Observer.Emit(event.Panicked, "at", place, "error", err, "stack", string(p.Stack))
-	}
-}
-
-// guarded calls f and reports a panic.
-func (b *base) guarded(place string, f func()) {
-	if err := guard.Call(f); err != nil {
-		b.reportPanic(place, err)
-	}
-}
-
-// repeat calls f after each interval until ctx is done. A panic costs one call.
-func (b *base) repeat(ctx context.Context, interval time.Duration, place string, f func()) error {
-	for chestnutcleat.Sleep(ctx, interval) == nil {
-		b.guarded(place, f)
-	}
-	return nil
-}
-
-// reportNameless reports an object whose name can't be read, at most one of a kind per unreadReportInterval.
-func (b *base) reportNameless(k chestnutcleat.ObjectKind, reason string) {
-	b.mu.Lock()
-	tooSoon := time.Since(b.lastNamelessReports[k]) < unreadReportInterval
-	if !tooSoon {
-		if b.lastNamelessReports == nil {
-			b.lastNamelessReports = map[chestnutcleat.ObjectKind]time.Time{}
-		}
-		b.lastNamelessReports[k] = time.Now()
-	}
-	b.mu.Unlock()
-	if !tooSoon {
-		b.Observer.Emit(event.ObjectInvalid, "kind", k, "object", "", "error", reason)
-	}
-}
-
-// reportUnreadDatagram counts an unreadable datagram and reports at most one per unreadReportInterval.
-func (b *base) reportUnreadDatagram(err error) {
-	b.Metrics.GetOrCreateCounter("datagrams_unread_total").Inc()
-	b.reportPanic("datagram", err)
-	b.mu.Lock()
-	tooSoon := time.Since(b.lastUnreadReport) < unreadReportInterval
-	if !tooSoon {
-		b.lastUnreadReport = time.Now()
-	}
-	b.mu.Unlock()
-	if !tooSoon {
-		b.Observer.Emit(event.DatagramInvalid, "error", err)
-	}
-}
-
 // start runs the tasks that both roles share.
 func (b *base) start(ctx context.Context, g *errgroup.Group) {
 	g.Go(func() error { return vm.Serve(ctx, b.tcp, b.mux) })
@@ -229,113 +147,3 @@
 		g.Go(func() error { return b.serveMetrics(ctx) })
 	}
 }
-
-// members decodes the VMs among the fleet's objects and stores this VM's own object and the versions of all. An object that can't be
-// decoded leaves what was known of its VM, which writes it again; without its disk the replica set would change.
-func (b *base) members(s mirror.Snapshot) ([]peer.Member, []invalidObject) {
-	var invalid []invalidObject
-	var own chestnutcleat.StoredObject
-	known := map[chestnutcleat.VMID]peer.Member{}
-	versions := map[chestnutcleat.VMID]chestnutcleat.Version{}
-	for _, o := range s.Objects {
-		name, ok := strings.CutPrefix(o.Name, vmPrefix)
-		if !ok {
-			continue
-		}
-		id := chestnutcleat.VMID(name)
-		if id == b.self.VM {
-			own = o
-		}
-		m, err := decodeMember(o, id)
-		if err != nil {
-			invalid = append(invalid, invalidObject{o, err})
-			if m, ok = b.knownMembers[id]; !ok {
-				continue
-			}
-		}
-		known[id], versions[id] = m, o.Version
-	}
-	b.knownMembers = known
-	b.mu.Lock()
-	b.ownObject, b.memberVersions = own, versions
-	b.mu.Unlock()
-	return slices.Collect(maps.Values(known)), invalid
-}
-
-func decodeMember(o chestnutcleat.StoredObject, id chestnutcleat.VMID) (peer.Member, error) {
-	if err := o.Err(); err != nil {
-		return peer.Member{}, err
-	}
-	var m peer.Member
-	if err := json.Unmarshal(o.Data, &m); err != nil {
-		return peer.Member{}, err
-	}
-	if m.VM != id {
-		return peer.Member{}, fmt.Errorf("object of VM %q describes VM %q", id, m.VM)
-	}
-	return m, nil
-}
-
-// removeSilentVMs removes the objects of VMs of this role that have been silent for memberExpiry, so that their shares of rates
-// are used again. Only the first of the VMs that are heard does so, and only while it hears more than half of them.
-func (b *base) removeSilentVMs(ctx context.Context) {
-	rank, heard := b.rankHeard()
-	if rank != 0 || 2*heard <= b.fleet.Count()+1 {
-		return
-	}
-	for _, p := range b.fleet.Peers() {
-		if p.SilentFor() > memberExpiry {
-			b.removeVM(ctx, &p)
-		}
-	}
-}
-
-func (b *base) removeVM(ctx context.Context, p *peer.Peer) {
-	b.mu.Lock()
-	v := b.memberVersions[p.VM]
-	b.mu.Unlock()
-	if v == 0 {
-		return
-	}
-	err := b.objects.Remove(ctx, fleetKind, vmPrefix+string(p.VM), v)
-	b.Observer.Emit(event.PeerForgotten, "peer", p.VM, "silent", p.SilentFor().Seconds(), "version", v, "error", err)
-}
-
-// announce keeps this VM's object at the platform up to date. While the VM leaves, its object may already be that of a process which
-// takes its name.
-func (b *base) announce(ctx context.Context) error {
-	data, err := json.Marshal(b.self)
-	if err != nil {
-		return err
-	}
-	b.mu.Lock()
-	b.announced = string(data)
-	b.mu.Unlock()
-	m := b.mirrors[fleetKind]
-	failed := false
-	for ctx.Err() == nil {
-		b.mu.Lock()
-		own := b.ownObject
-		b.mu.Unlock()
-		if m.Version() > 0 && string(own.Data) != string(data) && !b.leaving.Load() {
-			v, err := b.objects.Write(ctx, fleetKind, chestnutcleat.StoredObject{Name: vmPrefix + string(b.self.VM), Version: own.Version, Data: data})
-			switch {
-			case err == nil:
-				b.Observer.Emit(event.Announced, "version", v)
-				b.mu.Lock()
-				b.ownObject = chestnutcleat.StoredObject{Name: own.Name, Version: v, Data: data}
-				b.mu.Unlock()
-				failed = false
-			case !failed:
-				b.Observer.Emit(event.AnnounceFailed, "error", err)
-				failed = true
-			}
-		}
-		wait := announceInterval
-		if m.Version() == 0 {
-			wait = announceInterval / 10
-		}
-		_ = chestnutcleat.Sleep(ctx, wait)
-	}
-	return nil
-}
--- a/role/entry.go
+++ b/role/entry.go
@@ -59,14 +59,13 @@
 	// checkpoint reports the use of customers' rates to storage VMs.
 	checkpoint *checkpoint.Client
 	handler    *entry.Handler
-	// share is this VM's claim to a share of rates; only trackFleet uses it.
-	share shareClaim
-	// lastFleetCheck is when trackFleet ran last; only it uses this.
+	// share is this VM's claim to a share of rates, and lastFleetCheck the time of the last trackFleet; nothing else uses them.
+	share          shareClaim
 	lastFleetCheck time.Time
 	// servers are the HTTP servers for callers, readiness and the registry.
 	servers []*accept.Server
-	// invalidConfig is the last version of the configuration that could not be decoded.
-	invalidConfig chestnutcleat.Version
+	// reportedConfig is the last version of the configuration that was reported as invalid.
+	reportedConfig chestnutcleat.Version
 }
 
 // Run serves until ctx is done or the graceful shutdown is complete.
@@ -290,12 +289,12 @@
 	return nil
 }
 
-// reportInvalidConfig reports a version of the configuration that can't be decoded once.
+// reportInvalidConfig reports a configuration that can't be decoded, once for each version.
 func (e *Entry) reportInvalidConfig(v chestnutcleat.Version, err error) {
-	if e.invalidConfig != v {
-		e.Observer.Emit(event.ConfigInvalid, "version", v, "error", fmt.Sprintf("%.*s", maxReportedError, err.Error()))
+	if e.reportedConfig != v {
+		e.Observer.Emit(event.ConfigInvalid, "version", v, "error", shortError(err))
 	}
-	e.invalidConfig = v
+	e.reportedConfig = v
 }
 
 // instancesChanged updates the list of instances. An object that can't be decoded names no instance, whatever it said before.
--- a/role/invalid.go
+++ b/role/invalid.go
@@ -11,7 +11,7 @@
 const (
 	// maxInvalidReports bounds the objects of a kind that are reported after one change; the others follow after later changes.
 	maxInvalidReports = 16
-	// maxReportedError bounds the text of an error, in bytes, as it may quote the object.
+	// maxReportedError bounds the text of an error, in characters, as it may quote the object.
 	maxReportedError = 200
 )
 
@@ -21,7 +21,10 @@
 	err    error
 }
 
-// reportInvalidAfter returns a function that applies a change and reports each version of an object that can't be decoded once.
+// shortError returns the start of an error's text, at most maxReportedError.
+func shortError(err error) string { return fmt.Sprintf("%.*s", maxReportedError, err.Error()) }
+
+// reportInvalidAfter returns a function that applies a change, and then reports the objects that can't be decoded, each version of them once.
 func (b *base) reportInvalidAfter(k chestnutcleat.ObjectKind, apply func(mirror.Snapshot) []invalidObject) func(mirror.Snapshot) {
 	r := invalidReports{kind: k, observer: b.Observer}
 	return func(s mirror.Snapshot) {
@@ -43,7 +46,7 @@
 	reported map[string]chestnutcleat.Version
 }
 
-// report reports the objects that are not reported yet; the list may name an object twice.
+// report reports the objects whose present version is not reported yet; the list may name an object twice.
 func (r *invalidReports) report(list []invalidObject) {
 	reported := map[string]chestnutcleat.Version{}
 	left := maxInvalidReports
@@ -58,8 +61,7 @@
 				continue
 			}
 			left--
-			text := fmt.Sprintf("%.*s", maxReportedError, i.err.Error())
-			r.observer.Emit(event.ObjectInvalid, "kind", r.kind, "object", o.Name, "version", o.Version, "error", text)
+			r.observer.Emit(event.ObjectInvalid, "kind", r.kind, "object", o.Name, "version", o.Version, "error", shortError(i.err))
 		}
 		reported[o.Name] = o.Version
 	}
--- a/role/metrics.go
+++ b/role/metrics.go
@@ -15,25 +15,32 @@
 	"chestnutcleat.example/chestnutcleat/event"
 )
 
-// metricsHeaderTimeout bounds the reading of a request's header.
-const metricsHeaderTimeout = 5 * time.Second
-
-// metricsRetryInterval is the time between attempts to open the metrics address.
-const metricsRetryInterval = time.Second
+const (
+	// metricsHeaderTimeout bounds the reading of a request's header.
+	metricsHeaderTimeout = 5 * time.Second
+	// metricsRetryInterval is the time between attempts to open the metrics address.
+	metricsRetryInterval = time.Second
+)
 
-// serveMetrics serves the metrics and the status of this process until ctx is done. Callers don't need them, so an address that is in use
-// is tried again.
-func (b *base) serveMetrics(ctx context.Context) error {
+// metricsHandler serves the metrics and the status of this process.
+func (b *base) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		b.Metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
 	mux.HandleFunc("GET "+statusPath, func(w http.ResponseWriter, _ *http.Request) { writeStatus(w, b.status()) })
+	return mux
+}
+
+// serveMetrics serves the metrics and the status of this process until ctx is done. Callers don't need them, so a failure, such as an
+// address that is in use, does not end the process; the first one is reported.
+func (b *base) serveMetrics(ctx context.Context) error {
+	handler := b.metricsHandler()
 	address := net.JoinHostPort(b.Settings.IP, strconv.Itoa(b.Settings.MetricsPort))
 	failed := false
 	for ctx.Err() == nil {
-		s := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: metricsHeaderTimeout}
+		s := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: metricsHeaderTimeout}
 		stop := context.AfterFunc(ctx, func() { s.Close() })
 		err := s.ListenAndServe()
 		stop()
--- a/role/share.go
+++ b/role/share.go
@@ -12,8 +12,8 @@
 
 // shareClaim decides whether this VM may use its share of rates.
 type shareClaim struct {
-	// confirmedAt is when the VM was last in touch with the platform or with other VMs that would tell it of changes there.
-	confirmedAt time.Time
+	// inTouchAt is when the VM was last in touch with the platform or with other VMs that would tell it of changes there.
+	inTouchAt time.Time
 	// wasListed is set once this VM's object was listed.
 	wasListed bool
 }
@@ -21,11 +21,11 @@
 // holds reports whether the VM may use its share now: its object is listed, or not listed yet, and others can't have removed it
 // unnoticed. lastInTouch is when the VM was last in touch.
 func (c *shareClaim) holds(listed bool, lastInTouch time.Time) bool {
-	if lastInTouch.After(c.confirmedAt) {
-		c.confirmedAt = lastInTouch
+	if lastInTouch.After(c.inTouchAt) {
+		c.inTouchAt = lastInTouch
 	}
 	c.wasListed = c.wasListed || listed
-	return (listed || !c.wasListed) && time.Since(c.confirmedAt) < shareExpiry
+	return (listed || !c.wasListed) && time.Since(c.inTouchAt) < shareExpiry
 }
 
 // shareHolders returns the VMs that share the rates, without this one while it may not use its share.
@@ -37,7 +37,8 @@
 	return holders
 }
 
-// isListed reports whether this VM's object is at the platform, as far as is known, and not that of its successor.
+// isListed reports whether, as far as is known, an object with this VM's name is at the platform and is not that of a process which
+// took the name of a VM that leaves.
 func (b *base) isListed() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -64,7 +65,7 @@
 	return b.lastContact()
 }
 
-// lastContact returns when the platform or, with something new, another VM answered last.
+// lastContact returns when this VM last got an answer of the platform, or newer objects from another VM.
 func (b *base) lastContact() time.Time {
 	var last time.Time
 	for _, m := range b.mirrors {
--- a/role/shutdown.go
+++ b/role/shutdown.go
@@ -49,9 +49,14 @@
 		e.Observer.Emit(event.RequestsInterrupted, "requests", e.handler.ReportInterrupted(maxInterruptedReported), "error", err)
 	}
 	e.close()
-	flush, cancel := context.WithTimeout(ctx, flushTimeout)
+	e.flushRecords(ctx)
+}
+
+// flushRecords waits until the records of the last requests are written, at most flushTimeout.
+func (e *Entry) flushRecords(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
-	if left := e.ledger.Flush(flush); left > 0 {
+	if left := e.ledger.Flush(ctx); left > 0 {
 		e.Observer.Emit(event.RecordLost, "records", left, "error", "the process ends")
 	}
 }
