--- a/peer/digest.go
+++ b/peer/digest.go
@@ -16,6 +16,8 @@
 	maxRemoteDigestsPerSecond = 60
 	// maxDepartures bounds the leaving instances in a digest.
 	maxDepartures = 128
+	// maxCount bounds the counts that other VMs report, so that sums over all VMs can't overflow.
+	maxCount = 1 << 20
 	// ageShift is the position of the age in a vmState, and ageLimit the exclusive bound of ages, in milliseconds.
 	ageShift = 8
 	ageLimit = 1 << 16
@@ -92,8 +94,7 @@
 	addCounts(d.CrashCounts, s.CrashCounts)
 	d.Outcomes.Add(s.Outcomes)
 	d.Activities.Add(s.Activities)
-	// A VM that reports more than it should must not displace what others report.
-	d.addDepartures(s.Departures[:min(len(s.Departures), place.MaxReportedLeaving)])
+	d.addDepartures(s.boundedDepartures())
 }
 
 // addDigest adds the digest of another group.
@@ -120,22 +121,19 @@
 	}
 }
 
-// maxCount bounds the counts that other VMs report, so that sums over all VMs can't overflow.
-const maxCount = 1 << 20
-
-// plausible returns a reported count within its bounds.
-func plausible(n int) int { return min(max(0, n), maxCount) }
+// plausibleCount returns a reported count within its bounds.
+func plausibleCount(n int) int { return min(max(0, n), maxCount) }
 
 func addCounts[K comparable](into, from map[K]int) {
 	for k, n := range from {
-		into[k] += plausible(n)
+		into[k] += plausibleCount(n)
 	}
 }
 
 // addLoad adds a VM's requests at each instance to sums by hash of id.
 func addLoad(into map[uint32]int, from map[chestnutcleat.InstanceID]int) {
 	for id, n := range from {
-		into[hashID(string(id))] += plausible(n)
+		into[hashID(string(id))] += plausibleCount(n)
 	}
 }
 
--- a/peer/summary.go
+++ b/peer/summary.go
@@ -47,6 +47,12 @@
 	Departures []place.ProcessHash `json:"left,omitempty"`
 }
 
+// boundedDepartures returns the departures without those beyond place.MaxReportedLeaving. A VM that reports more than it should must not
+// displace what others report.
+func (s *Summary) boundedDepartures() []place.ProcessHash {
+	return s.Departures[:min(len(s.Departures), place.MaxReportedLeaving)]
+}
+
 // Bits of a VM's flags in digests.
 const (
 	flagLeaving = 1 << iota
--- a/peer/totals.go
+++ b/peer/totals.go
@@ -33,7 +33,7 @@
 		addLoad(t.load, p.Load)
 		t.Outcomes.Add(p.Outcomes)
 		t.Activities.Add(p.Activities)
-		t.addDepartures(p.Departures[:min(len(p.Departures), place.MaxReportedLeaving)])
+		t.addDepartures(p.boundedDepartures())
 		if p.Domain == f.Self.Domain {
 			t.DomainOutcomes.Add(p.Outcomes)
 		}
@@ -48,6 +48,7 @@
 	return t
 }
 
+// addDepartures adds instances that leave, at most maxDepartures of a list.
 func (t *Totals) addDepartures(list []place.ProcessHash) {
 	for _, p := range list[:min(len(list), maxDepartures)] {
 		t.Departures[p] = true
