--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -123,7 +123,7 @@
 	return nil
 }
 
-// guarded calls f, reports a panic and returns it as an error, so that one answer of the platform or of another VM costs only itself.
+// guarded calls f. It reports a panic and returns it as an error, so that a panic over one answer loses only this answer.
 func (m *Mirror) guarded(f func() error) error {
 	var err error
 	if p := guard.Call(func() { err = f() }); p != nil {
@@ -252,14 +252,14 @@
 			return false, reconnected
 		}
 		missing := m.replaceObjects(next, nil, s.Version)
-		m.retainMissing(missing, reconnected || lostMany(missing, next))
+		m.retainMissing(missing, reconnected || isLossOfMany(missing, next))
 		m.version = s.Version
 		return true, reconnected
 	})
 }
 
-// isOlder reports whether an object is older than the known one. One whose version can't be read counts as newer: what was known of it
-// must not be used.
+// isOlder reports whether an object is older than the known one. An object whose version can't be read, which is zero, counts as newer, as
+// what was known of it must no longer be used.
 func isOlder(o, known chestnutcleat.StoredObject) bool {
 	return o.Version > 0 && o.Version < known.Version
 }
@@ -338,7 +338,7 @@
 	}
 }
 
-// updateState runs f under the lock and returns what it returned, and all objects if they changed.
+// updateState runs f under the lock. It returns the results of f, and a snapshot of all objects if they changed.
 func (m *Mirror) updateState(contacted bool, f func() (changed, reconnected bool)) (s Snapshot, changed, reconnected bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/mirror/retention.go
+++ b/mirror/retention.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// lostMany reports whether the objects that a complete list lacks are a mass deletion.
-func lostMany(missing []chestnutcleat.StoredObject, next map[string]chestnutcleat.StoredObject) bool {
+// isLossOfMany reports whether the objects that are missing in a complete list are a mass deletion.
+func isLossOfMany(missing []chestnutcleat.StoredObject, next map[string]chestnutcleat.StoredObject) bool {
 	return isMassDeletion(countReadable(slices.Values(missing)), countReadable(maps.Values(next)))
 }
 
@@ -61,8 +61,8 @@
 	return deleted >= minMassDeletion && deleted*massDeletionDivisor >= deleted+remaining
 }
 
-// countReadable returns how many objects can be read. The others don't count in mass deletions: many of them, of another writer, would
-// hide one or be taken for one.
+// countReadable returns how many objects can be read. Only these count in mass deletions: many unreadable ones, left by another writer,
+// would hide a mass deletion, and their removal would be taken for one.
 func countReadable(objects iter.Seq[chestnutcleat.StoredObject]) int {
 	n := 0
 	for o := range objects {
--- a/mirror/snapshot.go
+++ b/mirror/snapshot.go
@@ -15,6 +15,7 @@
 func (m *Mirror) snapshot(since chestnutcleat.Version) Snapshot {
 	s := Snapshot{Version: m.version, Since: since, Objects: []chestnutcleat.StoredObject{}}
 	for _, o := range m.objects {
+		// An object whose version can't be read may have changed.
 		if since == 0 || o.Version > since || o.Version == 0 {
 			s.Objects = append(s.Objects, o)
 		}
@@ -73,7 +74,7 @@
 			}
 		}
 		missing := m.replaceObjects(next, s.Retained, s.Version)
-		m.retainMissing(missing, lostMany(missing, next))
+		m.retainMissing(missing, isLossOfMany(missing, next))
 		if m.RetainAfterOutage {
 			for _, name := range s.Retained {
 				m.retain(name)
