Split the faults of the soak by what they act on

The stand-in of the platform names its kinds of objects for the soak and for a test. Nothing changes in behaviour.

--- a/role/odd_test.go
+++ b/role/odd_test.go
@@ -24,7 +24,7 @@
 	entries := store.OddEntries()
 	maps.DeleteFunc(entries, func(_, entry string) bool { return len(entry) > maxOddEntry })
 	for i, odd := range slices.Sorted(maps.Keys(entries)) {
-		for _, kind := range []string{"servers", "config", "fleet", "retirements"} {
+		for _, kind := range store.Kinds() {
 			s.SetEntry(kind, fmt.Sprint("odd-", i), entries[odd])
 		}
 	}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
@@ -21,6 +20,8 @@
 
 const (
 	entryCount, storeCount, toolCount, modelCount = 4, 3, 3, 4
+	// versionCount is the number of software versions of each service.
+	versionCount = 2
 
 	internalPort, callersPort, readyPort, registryPort, metricsPort = 7780, 8368, 8369, 8360, 9464
 	// processMemoryMB is the memory limit of each process, and graceSeconds the time that a graceful shutdown may take.
@@ -102,8 +103,8 @@
 	return f, nil
 }
 
-// version returns the software version of an instance: two versions of each service run side by side.
-func version(i int) string { return fmt.Sprint("v", 1+i/domainCount%2) }
+// softwareVersion returns the software version of instance i. The versions of each service run side by side.
+func softwareVersion(i int) string { return fmt.Sprint("v", 1+i/domainCount%versionCount) }
 
 func domain(i int) string { return fmt.Sprint("domain-", i%domainCount) }
 
@@ -126,7 +127,7 @@
 	if inst.listener, err = f.serveStandin(inst.Server); err != nil {
 		return err
 	}
-	inst.SetVersion(version(len(f.standinInstances)))
+	inst.SetVersion(softwareVersion(len(f.standinInstances)))
 	f.standinInstances[id] = inst
 	f.register(inst, instance.StateReady)
 	return nil
@@ -135,7 +136,8 @@
 // register writes an instance's registration to the platform.
 func (f *fleet) register(inst *standinInstance, state string) {
 	service, _, _ := strings.Cut(inst.ID, "-")
-	f.platform.Set("servers", inst.ID, instance.Registration(service, inst.Version(), inst.listener.Addr().String(), inst.domain, state, inst.startedAt))
+	address := inst.listener.Addr().String()
+	f.platform.Set("servers", inst.ID, instance.Registration(service, inst.Version(), address, inst.domain, state, inst.startedAt))
 }
 
 // updateConfig changes the configuration at the platform, as an operator does.
@@ -236,95 +238,3 @@
 	f.goroutines.Wait()
 	return f.errors
 }
-
-// leaveOddEntries writes odd entries among the objects of all kinds and removes them after a duration.
-func (f *fleet) leaveOddEntries(ctx context.Context, d time.Duration) {
-	entries := store.OddEntries()
-	kinds := []string{"servers", "config", "fleet", "retirements"}
-	for name, entry := range entries {
-		for _, kind := range kinds {
-			f.platform.SetEntry(kind, "odd "+name, entry)
-		}
-	}
-	_ = chestnutcleat.Sleep(ctx, d)
-	for name := range entries {
-		for _, kind := range kinds {
-			f.platform.Delete(kind, "odd "+name)
-		}
-	}
-}
-
-// inject applies a fault, and reverts it after its duration if it has one.
-func (f *fleet) inject(ctx context.Context, fault Fault) {
-	duration := time.Duration(fault.Duration)
-	withInstanceFaults := func(faults instance.Faults) {
-		inst := f.standinInstances[fault.Target]
-		inst.SetFaults(faults)
-		_ = chestnutcleat.Sleep(ctx, duration)
-		inst.SetFaults(instance.Faults{})
-	}
-	withPlatformFaults := func(faults store.Faults) {
-		f.platform.SetFaults(faults)
-		_ = chestnutcleat.Sleep(ctx, duration)
-		f.platform.SetFaults(store.Faults{})
-	}
-	switch fault.Kind {
-	case Kill:
-		f.processes[fault.Target].signal(syscall.SIGKILL)
-	case Stop:
-		f.processes[fault.Target].signal(syscall.SIGTERM)
-	case ReloadSettings:
-		f.processes[fault.Target].signal(syscall.SIGHUP)
-	case Pause:
-		f.processes[fault.Target].signal(syscall.SIGSTOP)
-		_ = chestnutcleat.Sleep(ctx, duration)
-		f.processes[fault.Target].signal(syscall.SIGCONT)
-	case KillAll:
-		for _, p := range f.processes {
-			p.signal(syscall.SIGKILL)
-		}
-	case WipeDisk:
-		f.processes[fault.Target].wipeDisk()
-	case PlatformDown:
-		withPlatformFaults(store.Faults{Status: http.StatusServiceUnavailable})
-	case PlatformLoseAnswers:
-		withPlatformFaults(store.Faults{LoseResponses: true})
-	case PlatformStallWatches:
-		withPlatformFaults(store.Faults{StallWatches: true, StaleLists: true})
-	case PlatformCompact:
-		f.platform.Compact()
-	case OddEntries:
-		f.leaveOddEntries(ctx, duration)
-	case InstanceErrors:
-		withInstanceFaults(instance.Faults{ErrorRate: 0.5})
-	case LoseAnswers:
-		withInstanceFaults(instance.Faults{ConnectionLossRate: 0.3})
-	case DuplicateAnswers:
-		withInstanceFaults(instance.Faults{DuplicateRate: 0.5})
-	case EndlessAnswers:
-		withInstanceFaults(instance.Faults{EndlessRate: 0.5})
-	case RepeatRefusals:
-		withInstanceFaults(instance.Faults{RepeatedRefusalRate: 0.5})
-	case DelayAnswers:
-		withInstanceFaults(instance.Faults{Delay: 120 * time.Millisecond})
-	case ChangeConfiguration:
-		f.updateConfig(func(s *instance.Sample) { s.Timeout = requestTimeout + duration })
-	case WithdrawKey:
-		f.updateConfig(func(s *instance.Sample) { s.Withdrawn = true })
-		_ = chestnutcleat.Sleep(ctx, duration)
-		f.updateConfig(func(s *instance.Sample) { s.Withdrawn = false })
-	case DrainInstance:
-		inst := f.standinInstances[fault.Target]
-		f.register(inst, instance.StateDraining)
-		_ = chestnutcleat.Sleep(ctx, duration)
-		f.register(inst, instance.StateReady)
-	case LeavingAnswers:
-		f.letLeave(ctx, f.standinInstances[fault.Target], duration)
-	case UnframedAnswers:
-		withInstanceFaults(instance.Faults{UnframedRate: 0.7, CutRate: 0.3})
-	case ResetConnections:
-		f.standinInstances[fault.Target].listener.resetFor(duration)
-	case StallConnections:
-		f.standinInstances[fault.Target].listener.stallFor(duration)
-	}
-}
--- a/soak/leaving.go
+++ b/soak/leaving.go
@@ -45,6 +45,7 @@
 	startedAt         int64
 }
 
+// departureOf returns what a VM that passed on the answer of a run would know.
 func departureOf(a *attempt, run *instance.Run) departure {
 	return departure{address: a.Address, instance: run.Instance, startedAt: run.StartedAt}
 }
@@ -56,19 +57,28 @@
 	for _, a := range r.attempts {
 		h := histories[a.Address]
 		for _, run := range log.Runs(a.ID) {
-			for _, passedOn := range known[departureOf(a, &run)] {
-				if a.start <= passedOn+maxDrainDelay {
-					break
-				}
-				if !h.startedWithin(r.start.Add(passedOn), r.start.Add(a.end)) && !p.pauses(h.vm, passedOn, a.end) {
-					r.addAttemptViolation(a, "%s sent it to %s, %v after the VM had passed on that the instance leaves", h.vm, run.Instance, a.start-passedOn)
-					break
-				}
+			if passedOn, ok := r.ignoredDeparture(a, known[departureOf(a, &run)], p, h); ok {
+				r.addAttemptViolation(a, "%s sent it to %s, %v after the VM had passed on that the instance leaves",
+					h.vm, run.Instance, a.start-passedOn)
 			}
 		}
 	}
 }
 
+// ignoredDeparture returns the first of the times at which the VM passed on that the instance leaves, in their order, that the VM should
+// have known when it got the attempt.
+func (r *recorder) ignoredDeparture(a *attempt, times []time.Duration, p *Plan, h vmHistory) (time.Duration, bool) {
+	for _, passedOn := range times {
+		if a.start <= passedOn+maxDrainDelay {
+			break
+		}
+		if !h.startedWithin(r.start.Add(passedOn), r.start.Add(a.end)) && !p.pauses(h.vm, passedOn, a.end) {
+			return passedOn, true
+		}
+	}
+	return 0, false
+}
+
 // departures returns when VMs had passed on answers in which instances say that they leave, the first ones first. Attempts that ran
 // several times are left out, as one of their answers may not have been passed on.
 func (r *recorder) departures(log *instance.Log) map[departure][]time.Duration {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -65,25 +65,31 @@
 // targets maps each kind of fault to what it acts on.
 var targets = map[FaultKind]targetKind{
 	Kill: targetAnyVM, Stop: targetEntry, Pause: targetAnyVM, KillAll: targetNone, WipeDisk: targetStore, ReloadSettings: targetEntry,
-	PlatformDown: targetNone, PlatformLoseAnswers: targetNone, PlatformStallWatches: targetNone, PlatformCompact: targetNone, OddEntries: targetNone,
-	InstanceErrors: targetInstance, LoseAnswers: targetInstance, DuplicateAnswers: targetInstance, DelayAnswers: targetInstance, EndlessAnswers: targetInstance,
-	RepeatRefusals: targetInstance, ResetConnections: targetInstance, StallConnections: targetInstance,
+	PlatformDown: targetNone, PlatformLoseAnswers: targetNone, PlatformStallWatches: targetNone, PlatformCompact: targetNone,
+	OddEntries:     targetNone,
+	InstanceErrors: targetInstance, LoseAnswers: targetInstance, DuplicateAnswers: targetInstance, DelayAnswers: targetInstance,
+	EndlessAnswers: targetInstance, RepeatRefusals: targetInstance, ResetConnections: targetInstance, StallConnections: targetInstance,
 	ChangeConfiguration: targetNone, WithdrawKey: targetNone, DrainInstance: targetInstance,
 	LeavingAnswers: targetInstance, UnframedAnswers: targetInstance,
 }
 
 // checkDelays are added to the duration of changes, which can only be checked after the delay in which they take effect.
-var checkDelays = map[FaultKind]time.Duration{WithdrawKey: maxApplyDelay, DrainInstance: maxApplyDelay, LeavingAnswers: maxDrainDelay + drainingTime}
+var checkDelays = map[FaultKind]time.Duration{
+	WithdrawKey: maxApplyDelay, DrainInstance: maxApplyDelay, LeavingAnswers: maxDrainDelay + drainingTime,
+}
 
-// changeSubject is what a change acts on; only one change acts on it at a time.
+// changeSubject is what a change acts on; a plan has only one change of each subject at a time.
 type changeSubject int
 
 const (
-	changesKey changeSubject = iota
-	changesRegistration
+	subjectKey changeSubject = iota
+	subjectRegistrations
 )
 
-var subjects = map[FaultKind]changeSubject{WithdrawKey: changesKey, DrainInstance: changesRegistration, LeavingAnswers: changesRegistration}
+// changeSubjects maps the kinds in checkDelays to what they change.
+var changeSubjects = map[FaultKind]changeSubject{
+	WithdrawKey: subjectKey, DrainInstance: subjectRegistrations, LeavingAnswers: subjectRegistrations,
+}
 
 type targetKind int
 
@@ -105,7 +111,7 @@
 	maxFaultDuration = 4 * time.Second
 	// storeRecoveryTime is how long a storage VM counts as unavailable after its fault; only one may be unavailable at a time.
 	storeRecoveryTime = 8 * time.Second
-	// drainingTime is how long a leaving instance is registered as draining at its end.
+	// drainingTime is how long an instance that leaves is registered as draining before its registration goes.
 	drainingTime = time.Second
 )
 
@@ -156,11 +162,11 @@
 		duration := minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration)))
 		f.Duration = chestnutcleat.Duration(min(duration, length-quietPeriod-at))
 		if delay := checkDelays[f.Kind]; delay > 0 {
-			if at < changedUntil[subjects[f.Kind]] {
+			if at < changedUntil[changeSubjects[f.Kind]] {
 				continue
 			}
 			f.Duration = chestnutcleat.Duration(min(duration+delay, length-quietPeriod-at))
-			changedUntil[subjects[f.Kind]] = at + time.Duration(f.Duration)
+			changedUntil[changeSubjects[f.Kind]] = at + time.Duration(f.Duration)
 		}
 		f.Target = names.drawTarget(random, targets[f.Kind])
 		if slices.Contains(names.stores, f.Target) || f.Kind == KillAll {
--- a/standin/instance/server.go
+++ b/standin/instance/server.go
@@ -41,8 +41,8 @@
 	LastEventID int
 	// At is the start time.
 	At time.Time
-	// StartedAt is the start of the instance that ran the request, in Unix milliseconds, and Leaving is set if its answer says that
-	// it leaves.
+	// StartedAt is the time at which the instance that ran the request started, in Unix milliseconds, and Leaving is set if its answer
+	// says that it leaves.
 	StartedAt int64
 	Leaving   bool
 }
@@ -218,13 +218,13 @@
 	}
 	defer c.Close()
 	start := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\n", headerNotExecuted)
-	rests := []string{
+	endings := []string{
 		"Content-Length: 0\r\n\r\n",
 		fmt.Sprintf("%s: earlier\r\nContent-Length: 0\r\n\r\n", HeaderID),
 		fmt.Sprintf("X: HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\nContent-Length: 0\r\n\r\n", HeaderID, id, HeaderSignature),
 	}
 	// A write error means that the connection is closed.
-	_, _ = io.WriteString(c, start+rests[rand.IntN(len(rests))])
+	_, _ = io.WriteString(c, start+endings[rand.IntN(len(endings))])
 }
 
 // writeEndlessly sends one part of a response without end, until the connection is closed.
--- a/standin/instance/unframed.go
+++ b/standin/instance/unframed.go
@@ -16,7 +16,7 @@
 // lingerer is a connection whose Close can reset it.
 type lingerer interface{ SetLinger(seconds int) error }
 
-// writeUnframed sends an answer without length and chunks, which ends with its connection. The fraction cutRate of them is cut: a
+// writeUnframed sends an answer without length and chunks, which ends with its connection. The fraction CutRate is cut: a
 // stream inside an event or by a reset, and any other answer by a reset.
 func writeUnframed(w http.ResponseWriter, id string, run *Run, f *Faults) {
 	c, _, err := http.NewResponseController(w).Hijack()
@@ -24,38 +24,51 @@
 		return
 	}
 	defer c.Close()
-	header := w.Header().Clone()
-	if rand.IntN(2) == 0 {
-		header.Set("Connection", "close")
-	}
-	var head strings.Builder
-	fmt.Fprintf(&head, "%s 200 OK\r\n", unframedProtocols[rand.IntN(len(unframedProtocols))])
-	parts := []string{Answer(id, run.Body)}
-	if strings.HasPrefix(run.Path, StreamPrefix) {
+	header, parts := w.Header().Clone(), []string{Answer(id, run.Body)}
+	isStream := strings.HasPrefix(run.Path, StreamPrefix)
+	if isStream {
 		header.Set("Content-Type", "text/event-stream")
 		parts = eventsAfter(StreamName(run.Path, id), run)
 	}
-	if err := header.Write(&head); err != nil {
-		return
-	}
 	cut := rand.Float64() < f.CutRate
 	if cut {
 		parts = cutParts(parts)
 	}
-	for i, part := range append([]string{head.String() + "\r\n"}, parts...) {
+	if writeParts(c, append([]string{unframedHead(header)}, parts...), eventInterval+f.Delay) != nil {
+		return
+	}
+	isCutInEvent := isStream && len(parts) > 0 && parts[len(parts)-1] != ""
+	if cut && !(isCutInEvent && rand.IntN(2) == 0) {
+		reset(c)
+	}
+}
+
+// unframedHead returns the head of an answer; half of the answers say that the connection is closed.
+func unframedHead(header http.Header) string {
+	if rand.IntN(2) == 0 {
+		header.Set("Connection", "close")
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s 200 OK\r\n", unframedProtocols[rand.IntN(len(unframedProtocols))])
+	// Writing to a Builder does not fail.
+	_ = header.Write(&b)
+	return b.String() + "\r\n"
+}
+
+// writeParts writes the parts with a pause between them.
+func writeParts(w io.Writer, parts []string, pause time.Duration) error {
+	for i, part := range parts {
 		if i > 0 {
-			time.Sleep(eventInterval + f.Delay)
+			time.Sleep(pause)
 		}
-		if _, err := io.WriteString(c, part); err != nil {
-			return
+		if _, err := io.WriteString(w, part); err != nil {
+			return err
 		}
 	}
-	if isStream := len(parts) > 0 && strings.HasPrefix(run.Path, StreamPrefix); cut && !(isStream && endsInsideEvent(parts) && rand.IntN(2) == 0) {
-		reset(c)
-	}
+	return nil
 }
 
-// eventsAfter returns the events of a stream that a run sends.
+// eventsAfter returns the events that a run of a stream sends, those after the last one that the client has.
 func eventsAfter(name string, run *Run) []string {
 	var list []string
 	for n := max(1, run.LastEventID+1); n <= EventCount(name); n++ {
@@ -64,6 +77,7 @@
 	return list
 }
 
+// eventText returns event n of a stream as it is sent.
 func eventText(name, version string, n int) string {
 	return fmt.Sprintf("id: %d\ndata: %s\n\n", n, EventData(name, version, n))
 }
@@ -78,9 +92,6 @@
 	return append(parts[:i:i], part[:rand.IntN(len(part))])
 }
 
-// endsInsideEvent reports whether the last part of a stream is a piece of an event.
-func endsInsideEvent(parts []string) bool { return parts[len(parts)-1] != "" }
-
 // reset lets the end of the connection be a reset.
 func reset(c net.Conn) {
 	if l, ok := c.(lingerer); ok {
--- a/standin/store/odd.go
+++ b/standin/store/odd.go
@@ -9,10 +9,22 @@
 	"strings"
 )
 
+const (
+	// nestingLevels is more than decoders of JSON accept, and longTextBytes more than any entry needs.
+	nestingLevels = 20_000
+	longTextBytes = 1 << 20
+)
+
+// soundMembers are the members of the spec of a sound instance.
+const soundMembers = `"service":"tool","address":"10.0.0.9:80","zone":"a","slots":6,"state":"ready","born":1,"sequence":1`
+
+// Kinds returns the kinds of objects that the platform holds for a deployment.
+func Kinds() []string { return []string{"servers", "config", "fleet", "retirements"} }
+
 // OddEntries returns entries as another writer may leave them, by what is odd about them. Each is the JSON of a whole object, in which
 // NAME and REVISION stand for its name and revision.
 func OddEntries() map[string]string {
-	nested := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	nested := strings.Repeat("[", nestingLevels) + strings.Repeat("]", nestingLevels)
 	entries := map[string]string{
 		"no metadata":               `{"spec":{}}`,
 		"metadata is a number":      `{"metadata":7,"spec":{}}`,
@@ -34,7 +46,7 @@
 		"spec is null":              `{"metadata":{"name":"NAME","revision":REVISION},"spec":null}`,
 		"spec is no JSON":           `{"metadata":{"name":"NAME","revision":REVISION},"spec":{"a":[}]}`,
 		"spec has a broken literal": `{"metadata":{"name":"NAME","revision":REVISION},"spec":{"a":tru}}`,
-		"spec of a megabyte":        `{"metadata":{"name":"NAME","revision":REVISION},"spec":{"service":"` + strings.Repeat("x", 1<<20) + `"}}`,
+		"spec of a megabyte":        `{"metadata":{"name":"NAME","revision":REVISION},"spec":{"service":"` + strings.Repeat("x", longTextBytes) + `"}}`,
 		"invalid UTF-8":             "{\"metadata\":{\"name\":\"NAME\",\"revision\":REVISION},\"spec\":{\"service\":\"\xff\",\"\xfe\":\"\xc0\"}}",
 	}
 	for name, member := range map[string]string{
@@ -52,7 +64,7 @@
 		"a member nested too deep": `"extra":` + nested,
 	} {
 		// The last of several members of a name counts.
-		entries[name] = `{"metadata":{"name":"NAME","revision":REVISION},"spec":{"service":"tool","address":"10.0.0.9:80","zone":"a","slots":6,"state":"ready","born":1,"sequence":1,` + member + `}}`
+		entries[name] = `{"metadata":{"name":"NAME","revision":REVISION},"spec":{` + soundMembers + `,` + member + `}}`
 	}
 	return entries
 }
@@ -79,9 +91,10 @@
 	return data
 }
 
-// writeList writes an answer with a list of values that are JSON already, as an encoder would reject the odd ones.
-func writeList(w http.ResponseWriter, name string, list [][]byte, rest string) {
+// writeList writes an answer with a list under the given name and the other members of the answer, all of them JSON already: an encoder
+// would reject odd entries.
+func writeList(w http.ResponseWriter, name string, list [][]byte, others string) {
 	w.Header().Set("Content-Type", "application/json")
 	// A write error means that the client disconnected.
-	_, _ = io.WriteString(w, `{"`+name+`":[`+string(bytes.Join(list, []byte(",")))+`],`+rest+`}`)
+	_, _ = io.WriteString(w, `{"`+name+`":[`+string(bytes.Join(list, []byte(",")))+`],`+others+`}`)
 }
