--- a/logs/timeline.go
+++ b/logs/timeline.go
@@ -16,7 +16,8 @@
 const (
 	// maxLine bounds a log line in bytes.
 	maxLine = 1 << 20
-	// departureSpan is how far a failed attempt and the line that its instance leaves may be apart: an instance may start again later.
+	// departureSpan is the longest time between a failed attempt and the line that says that its instance leaves. A line further away may be
+	// about another start of the instance.
 	departureSpan = 10 * time.Minute
 )
 
@@ -93,8 +94,8 @@
 }
 
 // Timeline selects the log lines with an attribute that equals the id, for example a request or program, and the lines not
-// about requests that the same VMs wrote from the given time before the first to the same time after the last of them. For each instance
-// that failed a request or declined it, it adds the line by which the VM first learned that the instance leaves.
+// about requests that the same VMs wrote from the given time before the first to the same time after the last of them. For each failed
+// attempt it adds the line by which its VM learned that the instance leaves, if there is one.
 // It returns the lines sorted by time and the number of lines that could not be parsed.
 func Timeline(id string, around time.Duration, logs ...io.Reader) (list []Line, unparsed int, err error) {
 	var matched, unmatched, departures []Line
@@ -123,8 +124,8 @@
 	return list, unparsed, nil
 }
 
-// splitDepartures selects, of the lines about instances that leave, those of the instances and VMs of failed attempts in the matched
-// lines.
+// splitDepartures divides the lines about instances that leave into those of the instances and VMs of failed attempts in the matched
+// lines, and the others.
 func splitDepartures(matched, departures []Line) (related, others []Line) {
 	for _, d := range departures {
 		isRelated := func(l Line) bool {
