--- a/standin/instance/server.go
+++ b/standin/instance/server.go
@@ -29,6 +29,9 @@
 	headerLastEventID      = "Last-Event-Id"
 )
 
+// signature is the signature of all answers.
+const signature = "seal"
+
 // eventInterval is the time between two events of a stream.
 const eventInterval = 15 * time.Millisecond
 
@@ -149,7 +152,7 @@
 		f = *p
 	}
 	time.Sleep(f.Delay)
-	w.Header().Set(HeaderSignature, "seal")
+	w.Header().Set(HeaderSignature, signature)
 	switch {
 	case rand.Float64() < f.ErrorRate:
 		http.Error(w, "failed", http.StatusInternalServerError)
@@ -200,7 +203,8 @@
 		return
 	}
 	defer c.Close()
-	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\nContent-Length: %d\r\n\r\n%s", HeaderID, id, HeaderSignature, len(body), body)
+	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		HeaderID, id, HeaderSignature, signature, len(body), body)
 	for range 2 {
 		if _, err := io.WriteString(c, answer); err != nil {
 			return
@@ -217,14 +221,14 @@
 		return
 	}
 	defer c.Close()
-	start := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\n", headerNotExecuted)
+	beginning := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\n", headerNotExecuted)
 	endings := []string{
 		"Content-Length: 0\r\n\r\n",
 		fmt.Sprintf("%s: earlier\r\nContent-Length: 0\r\n\r\n", HeaderID),
-		fmt.Sprintf("X: HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\nContent-Length: 0\r\n\r\n", HeaderID, id, HeaderSignature),
+		fmt.Sprintf("X: HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", HeaderID, id, HeaderSignature, signature),
 	}
 	// A write error means that the connection is closed.
-	_, _ = io.WriteString(c, start+endings[rand.IntN(len(endings))])
+	_, _ = io.WriteString(c, beginning+endings[rand.IntN(len(endings))])
 }
 
 // writeEndlessly sends one part of a response without end, until the connection is closed.
@@ -234,7 +238,7 @@
 		return
 	}
 	defer c.Close()
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\n", HeaderID, id, HeaderSignature)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n", HeaderID, id, HeaderSignature, signature)
 	starts := []string{"HTTP/1.1 200 ", head + "X: ", head + "\r\n", head + "\r\ndata: "}
 	_, err = io.WriteString(c, starts[rand.IntN(len(starts))])
 	for junk := strings.Repeat("x", 4<<10); err == nil; {
