Keep crashes that a VM saw after a reported answer

Cause: a VM that saw a request answered reports a count of zero for 5 s, and each such report removed the counts of crashes that other VMs saw after it, so 10 crashes at one VM in that time never blocked the request (threshold 3) and went on to crash instances. Ruled out: reports from before the answer, which are still ignored (entry.TestAnswerEndsCountAcrossVMs).

Change: a report of an answer that is known already changes nothing.

Test: entry.TestRepeatedAnswerReportKeepsLaterCrashes, not blocked before.

--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -152,7 +152,8 @@
 }
 
 // Merge merges the crash counts of another VM, or the sums of a group of VMs, under its name. A count of zero means that the request
-// was answered there; for a while after that, counts that others reported before they knew may still arrive and are ignored.
+// was answered there; for a while after that, counts that others reported before they knew may still arrive and are ignored. Repeats of
+// such a report tell of the same answer, so they leave the crashes that this VM has seen since.
 func (t *CrashTracker) Merge(name string, counts map[uint64]int) {
 	if len(counts) == 0 {
 		return
@@ -169,11 +170,11 @@
 	}
 	for k, n := range counts {
 		f := Fingerprint(k)
-		if n == 0 {
+		switch known := time.Since(t.answered[f]) < reportWindow; {
+		case n == 0 && !known:
 			t.forget(f)
 			continue
-		}
-		if time.Since(t.answered[f]) < reportWindow {
+		case known:
 			continue
 		}
 		m[f] = crashCount{count: max(n, m[f].count), last: time.Now()}
--- a/entry/crashes_test.go
+++ b/entry/crashes_test.go
@@ -210,3 +210,21 @@
 		}
 	})
 }
+
+// An answer ends the count of the crashes before it only, although it is reported for a while.
+func TestRepeatedAnswerReportKeepsLaterCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var a, b CrashTracker
+		f := FingerprintOf("c", "GET", "/x", "", nil)
+		a.RecordCrash(f)
+		a.RecordAnswer(f)
+		b.Merge("a", a.RecentCounts())
+		for range crashThreshold {
+			time.Sleep(reportWindow / (crashThreshold + 1))
+			b.RecordCrash(f)
+			b.Merge("a", a.RecentCounts())
+		}
+		is.True(b.Blocked(f))
+	})
+}
