--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -141,7 +141,7 @@
 // nonDisruptive are the kinds of faults that must not interrupt any request.
 var nonDisruptive = map[FaultKind]bool{
 	Stop: true, ReloadSettings: true, PlatformDown: true, PlatformLoseAnswers: true, PlatformStallWatches: true, PlatformCompact: true,
-	ChangeConfiguration: true, WithdrawKey: true, DrainInstance: true, LeavingAnswers: true, UnframedAnswers: true,
+	ChangeConfiguration: true, WithdrawKey: true, DrainInstance: true, LeavingAnswers: true, UnframedAnswers: true, OddEntries: true,
 }
 
 // settleTime is how long a fault may have effects after its end.
