Set the link rate of a simulated network under its lock

The race is in the test's network, not in the product.

Ruled out: the change of the replica set itself; the race detector names only this field.

The rate is set by SetBytesPerSecond under the network's lock, as the loss is. Delay and Rand are set before the network is used everywhere (read through all tests).

--- a/keeper/reconciler_test.go
+++ b/keeper/reconciler_test.go
@@ -375,7 +375,7 @@
 		const turns, size, catchUpTime = 400, 8 << 10, 4 * time.Second
 		is := is.New(t)
 		is.NoErr(c.writeLarge(ctx, turns, size))
-		c.network.BytesPerSecond = turns * size / 5
+		c.network.SetBytesPerSecond(turns * size / 5)
 		c.stopVM(c.vms[4])
 		c.wipeDisk(c.vms[4])
 		c.startVM(c.vms[4])
--- a/role/fetch_test.go
+++ b/role/fetch_test.go
@@ -74,7 +74,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n := vm.NewNetwork(1)
-		n.Delay, n.BytesPerSecond = time.Millisecond, linkBytesPerSecond
+		n.Delay = time.Millisecond
+		n.SetBytesPerSecond(linkBytesPerSecond)
 		relay := newFetchingVM(n, "relay")
 		var list []*fetchingVM
 		for i := range members {
--- a/vm/network.go
+++ b/vm/network.go
@@ -22,15 +22,15 @@
 type Network struct {
 	// Delay is the one-way delay of a message.
 	Delay time.Duration
-	// BytesPerSecond is the rate at which each VM can send replies; zero means no limit.
-	BytesPerSecond int
 	// Rand determines which messages are lost.
 	Rand *rand.Rand
 
 	mu sync.Mutex
 	// lossRate is the fraction of messages that are lost, in each direction.
 	lossRate float64
-	muxes    map[chestnutcleat.Address]*Mux
+	// bytesPerSecond is the rate at which each VM can send replies; zero means no limit.
+	bytesPerSecond int
+	muxes          map[chestnutcleat.Address]*Mux
 	// stopped holds a channel per address that is closed when the process there stops.
 	stopped map[chestnutcleat.Address]chan struct{}
 	blocked map[link]bool
@@ -65,6 +65,13 @@
 	n.lossRate = share
 }
 
+// SetBytesPerSecond sets the rate at which each VM can send replies; zero means no limit.
+func (n *Network) SetBytesPerSecond(rate int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.bytesPerSecond = rate
+}
+
 // Attach connects a VM, whose requests m handles, at an address.
 func (n *Network) Attach(a chestnutcleat.Address, m *Mux) {
 	n.mu.Lock()
@@ -145,17 +152,17 @@
 
 // queueReply returns the time until a VM has sent a reply of some bytes after those that it sends already.
 func (n *Network) queueReply(from chestnutcleat.Address, size int) time.Duration {
-	if n.BytesPerSecond == 0 {
-		return 0
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.bytesPerSecond == 0 {
+		return 0
+	}
 	now := time.Now()
 	until := n.sendingUntil[from]
 	if until.Before(now) {
 		until = now
 	}
-	until = until.Add(time.Duration(float64(size) / float64(n.BytesPerSecond) * float64(time.Second)))
+	until = until.Add(time.Duration(float64(size) / float64(n.bytesPerSecond) * float64(time.Second)))
 	n.sendingUntil[from] = until
 	return until.Sub(now)
 }
