Reserve all addresses of a VM of a test at once

The test chose each free port by opening and closing a listener, and the kernel may give a closed port out again; package role chose ports the same way, at 127.0.0.1, where outgoing connections take ports as well.

Package standin/loopback gives each process loopback addresses of its own, as the soak had, and keeps the listeners open until all ports are chosen. Ruled out: an error of the settings check, which was right to refuse the file.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -13,6 +12,7 @@
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/settings"
+	"chestnutcleat.example/chestnutcleat/standin/loopback"
 )
 
 const customerKey = "key-of-grower-7c1d9a40b2"
@@ -47,7 +47,7 @@
 	f.serviceAddress = f.startStandin("service")
 	var seeds []chestnutcleat.Address
 	for i := range domains {
-		addresses := settings.Addresses{Callers: f.reserveAddress(i), Operators: f.reserveAddress(i), VMs: f.reserveAddress(i)}
+		addresses := f.reserveAddresses(i)
 		seeds = append(seeds, addresses.VMs)
 		f.vms = append(f.vms, &vmProcess{settings: settings.Settings{
 			VM: chestnutcleat.VMID(fmt.Sprintf("vm%d", i+1)), Domain: domains[i], Region: "nordeste", Addresses: addresses,
@@ -85,15 +85,14 @@
 	return address
 }
 
-// reserveAddress returns a free address for VM i, which it keeps over restarts.
-func (f *fleet) reserveAddress(i int) chestnutcleat.Address {
+// reserveAddresses returns free addresses for VM i, which it keeps over restarts.
+func (f *fleet) reserveAddresses(i int) settings.Addresses {
 	f.t.Helper()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:0", 11+i))
+	a, err := loopback.Reserve(loopback.IP(1+i), 3)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	defer l.Close()
-	return chestnutcleat.Address(l.Addr().String())
+	return settings.Addresses{Callers: a[0], Operators: a[1], VMs: a[2]}
 }
 
 func (f *fleet) writeJSON(name string, v any) string {
--- a/role/fleet_test.go
+++ b/role/fleet_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -19,6 +18,7 @@
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/role"
 	"chestnutcleat.example/chestnutcleat/settings"
+	"chestnutcleat.example/chestnutcleat/standin/loopback"
 	"chestnutcleat.example/chestnutcleat/standin/program"
 	"chestnutcleat.example/chestnutcleat/standin/store"
 )
@@ -44,16 +44,18 @@
 	ended    chan error
 }
 
-// freeAddress returns a loopback address with a free port. Settings need fixed ports, because VMs tell their addresses to each
-// other and to callers.
-func freeAddress(t *testing.T) (a chestnutcleat.Address, port int) {
+// reserveAddresses returns a free port for messages between VMs and free addresses for the rest. Settings need fixed ports, because VMs
+// tell their addresses to each other and to callers.
+func reserveAddresses(t *testing.T, ip string) (port int, listen settings.Listen) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := loopback.Reserve(ip, 4)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return chestnutcleat.Address(l.Addr().String()), l.Addr().(*net.TCPAddr).Port
+	if port, err = loopback.Port(a[0]); err != nil {
+		t.Fatal(err)
+	}
+	return port, settings.Listen{Callers: a[1], Ready: a[2], Registry: a[3]}
 }
 
 // newFleet starts a fleet after prepare has changed its platform.
@@ -83,15 +85,19 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	t.Cleanup(func() { cancel(); running.Wait() })
-	common := func(id, kind string) settings.Role {
-		_, port := freeAddress(t)
+	count := 0
+	// vmSettings returns the settings of a new VM with an IP address of its own.
+	vmSettings := func(id, kind string) settings.Role {
+		count++
+		ip := loopback.IP(count)
+		port, listen := reserveAddresses(t, ip)
 		return settings.Role{
-			VM: chestnutcleat.VMID(id), Role: kind, Domain: "a", Region: "r", IP: "127.0.0.1", Ports: []int{port, port},
+			VM: chestnutcleat.VMID(id), Role: kind, Domain: "a", Region: "r", IP: ip, Ports: []int{port, port}, Listen: listen,
 			Platform: chestnutcleat.Address(strings.TrimPrefix(platform.URL, "http://")), MemoryMB: 64, Grace: 4.5, MaxAddressTTL: 1, ApplyMS: 2000, DrainMS: 2000, RateWindow: 5,
 		}
 	}
-	s := common("s1", settings.RoleStore)
-	s.DataFolder = t.TempDir()
+	s := vmSettings("s1", settings.RoleStore)
+	s.Listen, s.DataFolder = settings.Listen{}, t.TempDir()
 	running.Go(func() {
 		p := role.Store{Stop: make(chan struct{})}
 		p.Settings, p.Observer = s, discardObserver{}
@@ -100,11 +106,7 @@
 		}
 	})
 	for i := range entries {
-		e := &entry{settings: common(fmt.Sprint("e", i), settings.RoleEntry), stop: make(chan struct{}), ended: make(chan error, 1)}
-		l := &e.settings.Listen
-		for _, a := range []*chestnutcleat.Address{&l.Callers, &l.Ready, &l.Registry} {
-			*a, _ = freeAddress(t)
-		}
+		e := &entry{settings: vmSettings(fmt.Sprint("e", i), settings.RoleEntry), stop: make(chan struct{}), ended: make(chan error, 1)}
 		f.entries = append(f.entries, e)
 		running.Go(func() {
 			p := role.Entry{Stop: e.stop}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -15,6 +15,7 @@
 	"chestnutcleat.example/chestnutcleat/role"
 	"chestnutcleat.example/chestnutcleat/settings"
 	"chestnutcleat.example/chestnutcleat/standin/instance"
+	"chestnutcleat.example/chestnutcleat/standin/loopback"
 	"chestnutcleat.example/chestnutcleat/standin/store"
 )
 
@@ -151,7 +152,7 @@
 
 // vmSettings returns the settings of a VM. Each VM has its own loopback address, so that all use the same ports.
 func vmSettings(id, kind string, i int, platform, dir string) settings.Role {
-	ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()/250%64, 1+os.Getpid()%250, i+1)
+	ip := loopback.IP(i + 1)
 	address := func(port int) chestnutcleat.Address {
 		return chestnutcleat.Address(net.JoinHostPort(ip, fmt.Sprint(port)))
 	}
