Let all starts until an answer leave, whichever is listed

A VM kept the start (id and born) that its list named when it picked the instance. If the list was old, as the instance had started again under its id and the VM could not reach the platform, the answer that said "I leave" came from a later start than the one remembered. The next list named that later start, which counted as new, and it got requests again, later than drain_ms after the answer was passed on. The same happened with an older list that named an earlier start of the id (the process at the address is the one that leaves), and with a registration of another writer without born that was whole again afterwards. Other VMs were told the hash of the remembered start, which they do not list.

Cause: the knowledge was bound to what a list said, and not to the time of the answer. Now a departure covers all starts of the id until the request was sent (an earlier process under the id has ended, so only the last one can have answered), and others are told of the start that is listed. A start after that is new, as before.

place.TestDepartureIsOfOneStart expected that an earlier start in an older list is used again. That was wrong: an older list undid the knowledge. The row now expects the opposite; rows that stood for "a new start" by born + 1 now start after the answer. With the old rules: TestDepartureIsOfOneStart fails in 2 rows (earlier start; start between the listed one and the answer), TestDepartureOutlastsRegistrationWithoutStart in 1, TestReportedDepartureIsOfTheListedStart fails.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -130,12 +130,13 @@
 		ID: c.ID, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: c.Codec.ForwardHeader(c.r.Header, f), Body: body,
 	}
 	c.sent = true
+	sentAt := time.Now()
 	response, err := c.Pool.Do(ctx, assignment.Address, q)
 	if err != nil {
 		return nil, c.endFailed(assignment, err)
 	}
 	a := &attempt{assignment: assignment, response: response, meta: c.Codec.DecodeResponse(response.Status, response.Header)}
-	c.noteDeparture(a)
+	c.noteDeparture(a, sentAt)
 	if f := c.checkResponse(a); f != nil {
 		// The body is not read, so this closes the connection: no second copy of a refusal can be the next response on it.
 		response.Close()
@@ -166,11 +167,11 @@
 
 // noteDeparture records that the instance leaves if its answer to this request says so. The answers of others that use its address, and
 // late copies of answers to other requests, say nothing about it.
-func (c *call) noteDeparture(a *attempt) {
+func (c *call) noteDeparture(a *attempt, sentAt time.Time) {
 	if !a.meta.Leaving || a.meta.ID != c.ID || a.meta.AddressReused {
 		return
 	}
-	if a.assignment.MarkLeaving() {
+	if a.assignment.MarkLeaving(sentAt) {
 		c.Metrics.Departed(DepartureByAnswer)
 		c.log(event.InstanceDeparted, "instance", a.assignment.ID, "by", DepartureByAnswer, "status", a.response.Status)
 	}
--- a/peer/departure_test.go
+++ b/peer/departure_test.go
@@ -30,7 +30,7 @@
 				for n := range 5 {
 					teller := (n * 7) % count
 					var a *place.Assignment
-					for a == nil || !a.MarkLeaving() {
+					for a == nil || !a.MarkLeaving(time.Now()) {
 						a = tables[teller].Pick(place.Request{Service: "s"})
 					}
 					nodes[teller].setSummary(Summary{Departures: tables[teller].ObservedDepartures()})
--- a/place/leaving.go
+++ b/place/leaving.go
@@ -33,11 +33,6 @@
 	return process{id: i.ID, address: i.Address}
 }
 
-// covers reports whether q leaves if p does. A registration that doesn't tell the start is not taken for a new one.
-func (p process) covers(q process) bool {
-	return p == q || p.id == q.id && p.startedAt != 0 && q.startedAt == 0
-}
-
 // ProcessHash identifies one start of an instance in reports between VMs.
 type ProcessHash uint32
 
@@ -47,50 +42,70 @@
 
 // departure is the knowledge that an instance leaves, which only a new start of the instance ends.
 type departure struct {
-	// observed is set if this VM has it from an answer of the instance, and not only from another VM.
-	observed bool
-	since    time.Time
+	process
+	// toldAt is the latest time at which this VM sent a request whose answer says that the instance leaves; zero if it knows that from
+	// others only.
+	toldAt time.Time
+	since  time.Time
 	// unlistedSince is the time of the first list without the instance, or zero while it is listed.
 	unlistedSince time.Time
 }
 
-// listedProcess returns the listed instance that leaves if p does, or nil. The caller holds t.mu.
-func (t *Table) listedProcess(p process) *instanceState {
-	if s := t.byID[p.id]; s != nil && s.listed && p.covers(processOf(&s.Instance)) {
+// covers reports whether q leaves as well. A registration that doesn't tell the start is not taken for a new one. Of all starts until
+// toldAt only the last one can have answered, whichever of them was listed then.
+func (d *departure) covers(q process) bool {
+	switch {
+	case d.id != q.id:
+		return false
+	case q.startedAt == 0:
+		return d.startedAt != 0 || d.address == q.address
+	case q.startedAt <= d.startedAt:
+		return true
+	}
+	return !d.toldAt.IsZero() && q.startedAt <= d.toldAt.UnixMilli()
+}
+
+// listed returns the listed instance that a departure covers, or nil. The caller holds t.mu.
+func (t *Table) listed(d *departure) *instanceState {
+	if s := t.byID[d.id]; s != nil && s.listed && d.covers(processOf(&s.Instance)) {
 		return s
 	}
 	return nil
 }
 
-// MarkLeaving records that the assignment's instance said that it leaves. It reports whether that is news.
-func (a *Assignment) MarkLeaving() bool {
+// MarkLeaving records that the assignment's instance said that it leaves, in the answer to a request that was sent at the given time. It
+// reports whether that is news.
+func (a *Assignment) MarkLeaving(sentAt time.Time) bool {
 	t := a.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.markLeaving(processOf(&a.Instance), true)
+	return t.markLeaving(processOf(&a.Instance), sentAt)
 }
 
-// markLeaving records a departure and reports whether it is news. The caller holds t.mu.
-func (t *Table) markLeaving(p process, observed bool) bool {
+// markLeaving records a departure and reports whether it is news. toldAt is zero if another VM reported it. The caller holds t.mu.
+func (t *Table) markLeaving(p process, toldAt time.Time) bool {
 	d, known := t.departures[p]
 	if !known {
-		d = &departure{since: time.Now()}
+		d = &departure{process: p, since: time.Now()}
 		t.departures[p] = d
 	}
-	d.observed = d.observed || observed
-	s := t.listedProcess(p)
+	if toldAt.After(d.toldAt) {
+		d.toldAt = toldAt
+	}
+	s := t.listed(d)
 	if s == nil {
 		return !known
 	}
+	news := !known && !s.departed && !s.Leaving
 	s.departed = true
-	return !known && !s.Leaving
+	return news
 }
 
 // refreshDepartures marks the listed instances that are known to leave and forgets those that have not been listed for long. The caller
 // holds t.mu.
 func (t *Table) refreshDepartures(now time.Time) {
 	for p, d := range t.departures {
-		s := t.listedProcess(p)
+		s := t.listed(d)
 		switch {
 		case s != nil:
 			s.departed = true
@@ -103,15 +118,9 @@
 	}
 }
 
-// notYetDeparted returns the listed instances that have not said themselves that they leave. The caller holds t.mu.
-func (t *Table) notYetDeparted(list []process) []chestnutcleat.InstanceID {
-	var ids []chestnutcleat.InstanceID
-	for _, p := range list {
-		if s := t.listedProcess(p); s != nil && !s.departed {
-			ids = append(ids, p.id)
-		}
-	}
-	return ids
+// notYetDeparted returns those of the listed instances that have not said themselves that they leave. The caller holds t.mu.
+func (t *Table) notYetDeparted(list []chestnutcleat.InstanceID) []chestnutcleat.InstanceID {
+	return slices.DeleteFunc(list, func(id chestnutcleat.InstanceID) bool { return t.byID[id].departed })
 }
 
 // ObservedDepartures returns the listed instances that told this VM that they leave, the latest ones first, at most
@@ -119,18 +128,18 @@
 func (t *Table) ObservedDepartures() []ProcessHash {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []process
-	for p, d := range t.departures {
-		if d.observed && t.listedProcess(p) != nil {
-			list = append(list, p)
+	var list []*departure
+	for _, d := range t.departures {
+		if !d.toldAt.IsZero() && t.listed(d) != nil {
+			list = append(list, d)
 		}
 	}
-	slices.SortFunc(list, func(a, b process) int {
-		return cmp.Or(t.departures[b].since.Compare(t.departures[a].since), cmp.Compare(a.id, b.id))
+	slices.SortFunc(list, func(a, b *departure) int {
+		return cmp.Or(b.since.Compare(a.since), cmp.Compare(a.id, b.id))
 	})
 	var out []ProcessHash
-	for _, p := range list[:min(len(list), MaxReportedLeaving)] {
-		out = append(out, p.hash())
+	for _, d := range list[:min(len(list), MaxReportedLeaving)] {
+		out = append(out, processOf(&t.listed(d).Instance).hash())
 	}
 	return out
 }
@@ -144,7 +153,7 @@
 	defer t.mu.Unlock()
 	var news []chestnutcleat.InstanceID
 	for id, s := range t.byID {
-		if p := processOf(&s.Instance); !s.departed && reported[p.hash()] && t.markLeaving(p, false) {
+		if p := processOf(&s.Instance); !s.departed && reported[p.hash()] && t.markLeaving(p, time.Time{}) {
 			news = append(news, id)
 		}
 	}
--- a/place/leaving_test.go
+++ b/place/leaving_test.go
@@ -44,13 +44,13 @@
 			time.Sleep(2 * maxEjectionTime)
 		}, false},
 		{"started again", func(table *Table, _ *Assignment) {
-			table.SetInstances(changed(func(i *chestnutcleat.Instance) { i.StartedAt++ }))
+			table.SetInstances(changed(func(i *chestnutcleat.Instance) { i.StartedAt = later() }))
 		}, true},
 		{"started again elsewhere", func(table *Table, _ *Assignment) {
 			table.SetInstances(changed(func(i *chestnutcleat.Instance) { i.Address = "10.9.9.9:80" }))
 		}, true},
 		{"the earlier start is listed again", func(table *Table, _ *Assignment) {
-			table.SetInstances(changed(func(i *chestnutcleat.Instance) { i.StartedAt++ }))
+			table.SetInstances(changed(func(i *chestnutcleat.Instance) { i.StartedAt = later() }))
 			table.SetInstances(instances(1))
 		}, false},
 	}
@@ -60,8 +60,8 @@
 				is := is.New(t)
 				table := newTable(1)
 				a := table.Pick(Request{Service: "s"})
-				is.True(a.MarkLeaving())
-				is.True(!a.MarkLeaving()) // known
+				is.True(a.MarkLeaving(time.Now()))
+				is.True(!a.MarkLeaving(time.Now())) // known
 				is.Equal(table.Pick(Request{Service: "s"}), nil)
 				tt.after(table, a)
 				is.Equal(table.Pick(Request{Service: "s"}) != nil, tt.used)
@@ -75,7 +75,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		table := newTable(1)
-		is.True(table.Pick(Request{Service: "s"}).MarkLeaving())
+		is.True(table.Pick(Request{Service: "s"}).MarkLeaving(time.Now()))
 		table.SetInstances(nil)
 		time.Sleep(leavingMemory + time.Second)
 		table.SetInstances(nil)
@@ -88,7 +88,7 @@
 	is := is.New(t)
 	a, b := newTable(3), newTable(3)
 	assignment := a.Pick(Request{Service: "s"})
-	assignment.MarkLeaving()
+	assignment.MarkLeaving(time.Now())
 	reported := map[ProcessHash]bool{}
 	for _, p := range a.ObservedDepartures() {
 		reported[p] = true
@@ -111,7 +111,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		table := newTable(1)
-		is.True(table.Pick(Request{Service: "s"}).MarkLeaving())
+		is.True(table.Pick(Request{Service: "s"}).MarkLeaving(time.Now()))
 		time.Sleep(leavingMemory + time.Minute)
 		for range 2 {
 			table.SetInstances(nil)
@@ -122,8 +122,12 @@
 	})
 }
 
+// later returns the time of a start after all answers so far, in Unix milliseconds.
+func later() int64 { return time.Now().Add(time.Minute).UnixMilli() }
+
 // A registration that changes in anything but the start of its instance must not undo that this start leaves: one from another writer
-// without a start, and one with another address, made a leaving instance get requests again.
+// without a start, and one with another address, made a leaving instance get requests again. The start that answered may not be the listed
+// one, if the list is old: the next list, which named it, made it get requests again.
 func TestDepartureIsOfOneStart(t *testing.T) {
 	for _, tt := range []struct {
 		name   string
@@ -134,8 +138,9 @@
 		{"no start, other address", func(i *chestnutcleat.Instance) { i.StartedAt, i.Address = 0, "10.9.9.9:80" }, false},
 		{"other address", func(i *chestnutcleat.Instance) { i.Address = "10.9.9.9:80" }, false},
 		{"other service", func(i *chestnutcleat.Instance) { i.Service = "s2" }, false},
-		{"earlier start", func(i *chestnutcleat.Instance) { i.StartedAt-- }, true},
-		{"later start", func(i *chestnutcleat.Instance) { i.StartedAt++ }, true},
+		{"earlier start, in an older list", func(i *chestnutcleat.Instance) { i.StartedAt-- }, false},
+		{"start after the listed one and before the answer", func(i *chestnutcleat.Instance) { i.StartedAt++ }, false},
+		{"start after the answer", func(i *chestnutcleat.Instance) { i.StartedAt = later() }, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
@@ -143,7 +148,7 @@
 			i.StartedAt = 1000
 			table := NewTable()
 			table.SetInstances([]chestnutcleat.Instance{i})
-			is.True(table.Pick(Request{Service: "s"}).MarkLeaving())
+			is.True(table.Pick(Request{Service: "s"}).MarkLeaving(time.Now()))
 			tt.change(&i)
 			table.SetInstances([]chestnutcleat.Instance{i})
 			is.Equal(table.Pick(Request{Service: i.Service}) != nil, tt.used)
@@ -158,11 +163,11 @@
 		is := is.New(t)
 		table := NewTable()
 		const lifetime = 2 * time.Second
-		for n := range 5000 {
+		for range 5000 {
 			i := instances(1)[0]
-			i.StartedAt = int64(n + 1)
+			i.StartedAt = time.Now().UnixMilli()
 			table.SetInstances([]chestnutcleat.Instance{i})
-			is.True(table.Pick(Request{Service: "s"}).MarkLeaving())
+			is.True(table.Pick(Request{Service: "s"}).MarkLeaving(time.Now()))
 			is.Equal(len(table.ObservedDepartures()), 1)
 			time.Sleep(lifetime)
 		}
@@ -183,8 +188,52 @@
 	for b.ID == a.ID {
 		b = table.Pick(Request{Service: "s"})
 	}
-	is.True(a.MarkLeaving())
+	is.True(a.MarkLeaving(time.Now()))
 	is.Equal(table.SetInstances(draining), []chestnutcleat.InstanceID{b.ID}) // the word of a was known
 	is.Equal(len(table.SetInstances(draining)), 0)
-	is.True(!b.MarkLeaving())
+	is.True(!b.MarkLeaving(time.Now()))
+}
+
+// A registration that gains the start of its instance must not undo that the instance leaves, unless it started after the answer: with the
+// whole registration back, after one of another writer, a leaving instance got requests again.
+func TestDepartureOutlastsRegistrationWithoutStart(t *testing.T) {
+	for name, tt := range map[string]struct {
+		start int64
+		used  bool
+	}{
+		"start before the answer": {1000, false},
+		"start after the answer":  {later(), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTable(1)
+			is.True(table.Pick(Request{Service: "s"}).MarkLeaving(time.Now()))
+			i := instances(1)[0]
+			i.StartedAt = tt.start
+			table.SetInstances([]chestnutcleat.Instance{i})
+			is.Equal(table.Pick(Request{Service: "s"}) != nil, tt.used)
+		})
+	}
+}
+
+// A VM with an old list must tell the others of the start that is listed now: they got the hash of a start that they did not know.
+func TestReportedDepartureIsOfTheListedStart(t *testing.T) {
+	is := is.New(t)
+	listed := func(start int64) *Table {
+		i := instances(1)[0]
+		i.StartedAt = start
+		table := NewTable()
+		table.SetInstances([]chestnutcleat.Instance{i})
+		return table
+	}
+	a, b := listed(1000), listed(2000)
+	is.True(a.Pick(Request{Service: "s"}).MarkLeaving(time.Now()))
+	i := instances(1)[0]
+	i.StartedAt = 2000
+	a.SetInstances([]chestnutcleat.Instance{i})
+	reported := map[ProcessHash]bool{}
+	for _, p := range a.ObservedDepartures() {
+		reported[p] = true
+	}
+	is.Equal(b.ApplyDepartures(reported), []chestnutcleat.InstanceID{i.ID})
 }
--- a/place/table.go
+++ b/place/table.go
@@ -93,14 +93,14 @@
 	t.versions.note(t.byID, time.Now())
 	services := map[chestnutcleat.ServiceName][]*instanceState{}
 	byID := make(map[chestnutcleat.InstanceID]*instanceState, len(list))
-	var leaving []process
+	var leaving []chestnutcleat.InstanceID
 	for _, i := range list {
 		s := t.byID[i.ID]
 		if s == nil || s.StartedAt != i.StartedAt || s.Address != i.Address {
 			s = &instanceState{hash: xxhash.Sum64String(string(i.ID))}
 		}
 		if i.Leaving && !s.Leaving {
-			leaving = append(leaving, processOf(&i))
+			leaving = append(leaving, i.ID)
 		}
 		s.Instance, s.listed = i, true
 		byID[i.ID] = s
