Reset connections of HTTP/1.0 callers whose stream breaks off

Callers by HTTP/1.0 saw a stream that broke off end just like a complete one. Such an answer has neither chunks nor a length, so that its connection's end is its end, and the VM delivers whole events only: what broke off at the instance inside an event ended between two events at the caller.

Cause: net/http ends the connection of an aborted handler with a plain close. Now it is taken over and reset. By HTTP/1.1 the missing last chunk tells the same, as before. accept marks a connection that was taken over as closed, so that a shutdown that begins meanwhile does not keep it open.

Not covered: a process that is killed while it sends such a stream.

--- a/accept/connections.go
+++ b/accept/connections.go
@@ -119,6 +119,8 @@
 		_ = wrapped.closeNow()
 		c.forget(wrapped)
 	case http.StateHijacked:
+		// Handlers take a connection over only to end it.
+		wrapped.state.Store(stateClosed)
 		c.forget(wrapped)
 	default:
 		// Bytes that are read mark the other states.
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -78,7 +78,7 @@
 	}
 	if t.headerSent {
 		// The header was sent, so only an aborted connection can tell the caller that the stream is incomplete.
-		c.log(event.AttemptFailed, "events", t.events, "error", err)
+		c.log(event.AttemptFailed, "events", t.events, "error", errors.Join(err, c.resetUnlessFramed()))
 		panic(http.ErrAbortHandler)
 	}
 	return c.abortIfCallerGone(err)
