Send plain answers of streaming routes with their length

A plain answer (an error of the instance) on a streaming route went to callers by HTTP/1.0 without a length, so that a part of it looked complete; those on other routes had theirs. The whole body is known here, too. entry.TestPlainAnswerOfStreamHasLength got length -1 before.

--- a/entry/caller_framing_test.go
+++ b/entry/caller_framing_test.go
@@ -84,3 +84,17 @@
 		}
 	}
 }
+
+// A plain answer on a streaming route must have its length, so that a caller can tell a part of it: a long one had none by HTTP/1.0.
+func TestPlainAnswerOfStreamHasLength(t *testing.T) {
+	text := strings.Repeat("x", 5000)
+	runInBubble(t, func(_ *receivedRequest, q *http.Request, w io.Writer) bool {
+		respond(q, w, 400, sealHeader, text)
+		return true
+	}, func(is *is.I, h *harness) {
+		response, _ := h.ask("HTTP/1.0", "/kept/")
+		r, err := http.ReadResponse(bufio.NewReader(strings.NewReader(response)), nil)
+		is.NoErr(err)
+		is.Equal(r.ContentLength, int64(len(text)))
+	})
+}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
@@ -255,7 +256,7 @@
 	if t.headerSent || t.shouldRetryError(a) {
 		return t.discardError(a)
 	}
-	t.copyHeader(a).Del("Content-Length")
+	t.copyHeader(a).Set("Content-Length", strconv.Itoa(len(body)))
 	t.w.WriteHeader(a.response.Status)
 	_, _ = t.w.Write(body)
 	t.logAnswered(a, "bytes", len(body))
