Move turns whose instance leaves before they are sent

A turn picks its instance and then writes its reservation, up to 0.7 s. If the instance said meanwhile, in another answer, that it leaves, the turn was still sent to it, and was cut when it ended. Cause: the choice was not checked again after the wait. Now the turn picks another instance at once; if none is left it is refused as not run, and its reservation is settled with nothing.

entry.TestTurnMovesBeforeItIsSent: before, both rows fail (sent to the leaving instance; 200 in place of 503).

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -76,6 +76,7 @@
 // Errors of exchanges whose response cannot be passed to the caller.
 var (
 	errNotRun            = errors.New("instance did not run the request")
+	errDeparts           = errors.New("instance said that it leaves before the request was sent")
 	errRequestIDMismatch = errors.New("answer belongs to another request")
 	errUnsigned          = errors.New("answer is not signed")
 	errInstanceError     = errors.New("instance answered with an error of its own")
--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat/place"
 )
 
 const leavingHeader = "Server-Leaving: 1\r\n"
@@ -93,3 +95,47 @@
 		is.Equal(len(h.instances.received()), 3)
 	})
 }
+
+// A turn that waits for its records when its instance says that it leaves must go to another one, and be refused as not run if there is
+// none: it was sent to an instance that was about to end.
+func TestTurnMovesBeforeItIsSent(t *testing.T) {
+	for name, tt := range map[string]struct {
+		leave  int
+		status int
+	}{
+		"its instance leaves": {1, 200},
+		"all leave":           {3, 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInBubble(t, func(_ *receivedRequest, q *http.Request, w io.Writer) bool {
+				writeEvents(q, w, 1, 3, true)
+				return true
+			}, func(is *is.I, h *harness) {
+				turn := func(id string) int {
+					resp, _, err := h.do(h.t.Context(), "/plan/", "b", "Chestnutcleat-Request-Id", id, "Chestnutcleat-Program-Id", "p",
+						"Chestnutcleat-Token-Budget", "1000", "Chestnutcleat-Token-Count", "9,50")
+					is.NoErr(err)
+					return resp.StatusCode
+				}
+				is.Equal(turn("t1"), 200)
+				time.Sleep(100 * time.Millisecond)
+				const write = 300 * time.Millisecond
+				h.appends.delay.Store(int64(write))
+				time.AfterFunc(write/2, func() {
+					q := place.Request{Service: "model", Key: "c/p"}
+					for range tt.leave {
+						h.handler.Instances.Pick(q).MarkLeaving(time.Now())
+					}
+				})
+				is.Equal(turn("t2"), tt.status)
+				list := h.instances.received()
+				if tt.status == 200 {
+					is.Equal(len(list), 2)
+					is.True(list[1].instance != list[0].instance)
+				} else {
+					is.Equal(len(list), 1)
+				}
+			})
+		})
+	}
+}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -99,6 +99,11 @@
 			assignment.End(place.Neutral)
 			return err
 		}
+		if assignment.Departs() {
+			assignment.End(place.Neutral)
+			t.recordFailure(assignment, false, errDeparts)
+			continue
+		}
 		f := t.tryStream(assignment)
 		if f == nil {
 			return nil
--- a/place/leaving.go
+++ b/place/leaving.go
@@ -82,6 +82,15 @@
 	return t.markLeaving(processOf(&a.Instance), sentAt)
 }
 
+// Departs reports whether the assignment's instance is known to leave, by now.
+func (a *Assignment) Departs() bool {
+	t := a.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.byID[a.ID]
+	return s != nil && (s.Leaving || s.departed)
+}
+
 // markLeaving records a departure and reports whether it is news. toldAt is zero if another VM reported it. The caller holds t.mu.
 func (t *Table) markLeaving(p process, toldAt time.Time) bool {
 	d, known := t.departures[p]
