Report more than 64 leaving instances in turns

A VM reported the 64 latest of the instances that told it that they leave. When more left at a time, the others were never reported while the latest stayed listed: other VMs gave them requests until their registrations changed, and a VM that restarted learned of the latest 64 only. Cause: a bound that always cut the same ones. Now half of a report has the latest, and the others take turns of a second, in which each other VM sees a report several times. What a VM was told it keeps, so all VMs know all after some seconds.

--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -37,6 +37,8 @@
 
 	mu      sync.Mutex
 	content Summary
+	// placement reports the departures if it is set.
+	placement *place.Table
 }
 
 func (n *node) describe(s *Summary) {
@@ -44,6 +46,9 @@
 	defer n.mu.Unlock()
 	s.Load, s.Leaving, s.Outcomes, s.CrashCounts = n.content.Load, n.content.Leaving, n.content.Outcomes, n.content.CrashCounts
 	s.Activities, s.Departures = n.content.Activities, n.content.Departures
+	if n.placement != nil {
+		s.Departures = n.placement.ObservedDepartures()
+	}
 }
 
 func (n *node) setSummary(s Summary) {
--- a/place/leaving.go
+++ b/place/leaving.go
@@ -16,6 +16,8 @@
 	leavingMemory = 10 * time.Minute
 	// MaxReportedLeaving bounds the number of leaving instances in a report to other VMs.
 	MaxReportedLeaving = 64
+	// reportTurn is for how long the same ones are reported if there are more, in seconds. Other VMs see a report several times meanwhile.
+	reportTurn = 1
 )
 
 // process identifies one start of an instance.
@@ -132,8 +134,8 @@
 	return slices.DeleteFunc(list, func(id chestnutcleat.InstanceID) bool { return t.byID[id].departed })
 }
 
-// ObservedDepartures returns the listed instances that told this VM that they leave, the latest ones first, at most
-// MaxReportedLeaving.
+// ObservedDepartures returns listed instances that told this VM that they leave, at most MaxReportedLeaving. If there are more, half of
+// them are the latest and the others take turns, so that repeated reports have all.
 func (t *Table) ObservedDepartures() []ProcessHash {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -146,8 +148,13 @@
 	slices.SortFunc(list, func(a, b *departure) int {
 		return cmp.Or(b.since.Compare(a.since), cmp.Compare(a.id, b.id))
 	})
+	if len(list) > MaxReportedLeaving {
+		const half = MaxReportedLeaving / 2
+		turns := slices.Collect(slices.Chunk(list[half:], half))
+		list = slices.Concat(list[:half], turns[time.Now().Unix()/reportTurn%int64(len(turns))])
+	}
 	var out []ProcessHash
-	for _, d := range list[:min(len(list), MaxReportedLeaving)] {
+	for _, d := range list {
 		out = append(out, processOf(&t.listed(d).Instance).hash())
 	}
 	return out
