Draw what a digest has of leaving instances when there are too many

A digest holds 128 leaving instances and took those of the group's VMs in a fixed order. Several VMs of one group that report too many (a fault, or many instances that leave) filled it each time, and what the others of the group were told never reached other groups. Now the digest takes a part of all that is drawn anew each time.

peer.TestDeparturesOfFaultyVM becomes TestDeparturesOfFaultyVMs: the case of one VM is as strict as before and counts what all VMs know (the faulty VM's node included); the case of four VMs of one group is new.

--- a/peer/departure_test.go
+++ b/peer/departure_test.go
@@ -113,38 +113,68 @@
 	}
 }
 
-// A VM that reports more instances than a summary may hold must not make messages grow without bound, nor its reports displace those
-// of others.
-func TestDeparturesOfFaultyVM(t *testing.T) {
-	const maxDelay, settle = time.Second, 3 * time.Second
-	var many []place.ProcessHash
-	for i := range 2000 {
-		many = append(many, place.ProcessHash(1000+i))
+// VMs that report more instances than a summary may hold must not make messages grow without bound, nor their reports displace those of
+// others: several in one group filled its digest each time.
+func TestDeparturesOfFaultyVMs(t *testing.T) {
+	const settle = 3 * time.Second
+	for _, tt := range []struct {
+		faulty   int
+		maxDelay time.Duration
+	}{{1, time.Second}, {4, 10 * time.Second}} {
+		t.Run(fmt.Sprint(tt.faulty, " faulty VMs"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				_, nodes := connectedFleet(t, 40)
+				// All faulty VMs are of one failure domain and so of one group.
+				isFaulty := func(i int) bool { return i%testDomains == 3 && i/testDomains < tt.faulty }
+				for i, n := range nodes {
+					if isFaulty(i) {
+						n.setSummary(Summary{Departures: departuresFrom(1000*(i+1), 2000)})
+					}
+				}
+				time.Sleep(settle)
+				for i, n := range nodes {
+					if !isFaulty(i) {
+						n.setSummary(Summary{Departures: departuresFrom(i, 1)})
+					}
+				}
+				known := map[*node]map[int]bool{}
+				took := timeUntil(nodes, -1, func(n *node) bool {
+					if n == nodes[0] {
+						noteDepartures(nodes, known)
+					}
+					return len(known[n]) >= len(nodes)-tt.faulty-1 // all but its own and those of faulty VMs
+				})
+				t.Logf("known after %v", took)
+				is.True(took <= tt.maxDelay)
+				for _, n := range nodes {
+					is.True(len(n.Totals().Departures) <= (tt.faulty+1)*maxDepartures)
+				}
+				stopAll(nodes)
+			})
+		})
 	}
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		_, nodes := connectedFleet(t, 40)
-		nodes[3].setSummary(Summary{Departures: many})
-		time.Sleep(settle)
-		for i, n := range nodes {
-			if i != 3 {
-				n.setSummary(Summary{Departures: []place.ProcessHash{place.ProcessHash(i)}})
-			}
+}
+
+func departuresFrom(first, count int) []place.ProcessHash {
+	var list []place.ProcessHash
+	for i := range count {
+		list = append(list, place.ProcessHash(first+i))
+	}
+	return list
+}
+
+// noteDepartures adds which VMs' departures each node knows by now.
+func noteDepartures(nodes []*node, known map[*node]map[int]bool) {
+	for _, n := range nodes {
+		if known[n] == nil {
+			known[n] = map[int]bool{}
 		}
-		took := timeUntil(nodes, 3, func(n *node) bool {
-			known := 0
-			for i := range nodes {
-				if n.Totals().Departures[place.ProcessHash(i)] {
-					known++
-				}
+		totals := n.Totals()
+		for i := range nodes {
+			if totals.Departures[place.ProcessHash(i)] {
+				known[n][i] = true
 			}
-			return known >= len(nodes)-2 // all but its own and that of the faulty VM
-		})
-		t.Logf("known after %v", took)
-		is.True(took <= maxDelay)
-		for _, n := range nodes {
-			is.True(len(n.Totals().Departures) <= 2*maxDepartures)
 		}
-		stopAll(nodes)
-	})
+	}
 }
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -60,6 +62,9 @@
 	Departures []place.ProcessHash `json:"left,omitempty"`
 	// Versions are the versions of the platform's objects that the relay has.
 	Versions map[chestnutcleat.ObjectKind]chestnutcleat.Version `json:"versions,omitempty"`
+
+	// departed collects the instances from which sampleDepartures selects Departures.
+	departed map[place.ProcessHash]bool
 }
 
 // receivedDigest is a digest and the time of its arrival.
@@ -76,6 +81,7 @@
 	return &Digest{
 		From: f.Self.VM, Incarnation: f.incarnation, Sequence: f.sequence, Group: g, Versions: versions,
 		Load: map[uint32]int{}, CrashCounts: map[uint64]int{}, Activities: rate.Activities{},
+		departed: map[place.ProcessHash]bool{},
 	}
 }
 
@@ -109,15 +115,20 @@
 	}
 }
 
-// addDepartures adds instances that leave, at most maxDepartures.
+// addDepartures adds instances that leave.
 func (d *Digest) addDepartures(list []place.ProcessHash) {
-	for _, p := range list {
-		if len(d.Departures) >= maxDepartures {
-			return
-		}
-		if !slices.Contains(d.Departures, p) {
-			d.Departures = append(d.Departures, p)
-		}
+	for _, p := range list[:min(len(list), maxDepartures)] {
+		d.departed[p] = true
+	}
+}
+
+// sampleDepartures selects the departures that the digest reports. If there are too many they are drawn anew for each digest, so that
+// repeated digests have all, whoever reports them.
+func (d *Digest) sampleDepartures() {
+	d.Departures = slices.Sorted(maps.Keys(d.departed))
+	if len(d.Departures) > maxDepartures {
+		rand.Shuffle(len(d.Departures), func(i, j int) { d.Departures[i], d.Departures[j] = d.Departures[j], d.Departures[i] })
+		d.Departures = d.Departures[:maxDepartures]
 	}
 }
 
@@ -185,6 +196,7 @@
 			d.addSummary(&p.Summary, time.Since(p.LastHeard))
 		}
 	}
+	d.sampleDepartures()
 	return d
 }
 
@@ -204,6 +216,7 @@
 			d.addDigest(&r.Digest, f.groups.domains[g] == f.Self.Domain)
 		}
 	}
+	d.sampleDepartures()
 	f.relayViews[f.Self.VM] = &receivedDigest{Digest: *d, arrived: time.Now()}
 	return d
 }
