Test that departures keep the messages between VMs level

peer.TestDeparturesKeepMessagesLevel, in virtual time: with 64 different departures at each VM, fleets of 7, 24, 60 and 250 VMs send as many datagrams as without, and no more bytes than the bounds of reports allow.

--- a/peer/departure_scale_test.go
+++ b/peer/departure_scale_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/matryer/is"
 
+	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/place"
+	"chestnutcleat.example/chestnutcleat/vm"
 )
 
 // leaveAll lets all instances of a table say that they leave.
@@ -63,3 +65,69 @@
 		})
 	}
 }
+
+// reported counts what a network's datagrams say of departures.
+type reported struct {
+	datagrams, bytes, summaries, digests, most int
+}
+
+func (r *reported) add(t *testing.T, data []byte) {
+	m, err := vm.Decode[message](data)
+	if err != nil {
+		t.Error(err)
+	}
+	r.datagrams++
+	r.bytes += len(data)
+	r.most = max(r.most, len(data))
+	r.summaries += len(m.Forwarded)
+	if m.Summary != nil {
+		r.summaries++
+	}
+	if m.Digest != nil {
+		r.digests++
+	}
+}
+
+// Departures must cost the VMs no further messages, and bytes only within the bounds of a report: with the largest number at each VM, all
+// different, the datagrams of fleets of several sizes stay the same, and grow by no more than these bounds.
+func TestDeparturesKeepMessagesLevel(t *testing.T) {
+	const (
+		settle, span = 3 * time.Second, 4 * time.Second
+		// bytesPerDeparture is the size of a hash in CBOR, and bytesPerList that of the list around them.
+		bytesPerDeparture, bytesPerList = 5, 8
+	)
+	for _, count := range levelFleetSizes {
+		t.Run(fmt.Sprint(count, " VMs"), func(t *testing.T) {
+			measure := func(departures int) (r reported) {
+				synctest.Test(t, func(t *testing.T) {
+					network, nodes := connectedFleet(t, count)
+					for i, n := range nodes {
+						s := Summary{Load: map[chestnutcleat.InstanceID]int{"i": 1}}
+						for k := range departures {
+							s.Departures = append(s.Departures, place.ProcessHash(1<<31+i<<16+k))
+						}
+						n.setSummary(s)
+					}
+					time.Sleep(settle)
+					network.mu.Lock()
+					network.onSend = func(data []byte) { r.add(t, data) }
+					network.mu.Unlock()
+					time.Sleep(span)
+					stopAll(nodes)
+				})
+				return r
+			}
+			without, with := measure(0), measure(place.MaxReportedLeaving)
+			allowed := with.summaries*(place.MaxReportedLeaving*bytesPerDeparture+bytesPerList) + with.digests*(maxDepartures*bytesPerDeparture+bytesPerList)
+			perVM := func(n int) float64 { return float64(n) / span.Seconds() / float64(count) }
+			t.Logf("datagrams/s per VM %.1f and %.1f, bytes/s per VM %.0f and %.0f, longest %d and %d bytes",
+				perVM(without.datagrams), perVM(with.datagrams), perVM(without.bytes), perVM(with.bytes), without.most, with.most)
+			if with.datagrams > without.datagrams {
+				t.Errorf("%d datagrams with departures, %d without", with.datagrams, without.datagrams)
+			}
+			if with.bytes > without.bytes+allowed || with.most > maxDatagramBytes {
+				t.Errorf("%d bytes with departures, %d without, %d allowed; longest %d", with.bytes, without.bytes, allowed, with.most)
+			}
+		})
+	}
+}
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -28,6 +28,8 @@
 	blocked  map[[2]string]bool
 	sent     int
 	bytes    int
+	// onSend is called with each datagram; optional.
+	onSend func([]byte)
 }
 
 // memorySocket is the socket of one VM.
@@ -68,6 +70,9 @@
 	s.network.sent++
 	s.network.bytes += len(b)
 	s.sent++
+	if s.network.onSend != nil {
+		s.network.onSend(b)
+	}
 	blocked := s.network.blocked[[2]string{s.address, to.String()}] || s.network.blocked[[2]string{to.String(), s.address}]
 	if o := s.network.sockets[to.String()]; o != nil && !blocked && !s.network.isolated[s.address] && !s.network.isolated[to.String()] {
 		select {
