Count requests whose instances leave as such in accounts

explain -account counted attempts at instances that left as failures of instances, and refusals since all instances leave as a lack of instances, so that operators looked for a fault where a release ran. For the latter, event 852 has `departing`, and the caller's detail says so.

logs.TestAccountOfDepartures has a recorded log with lines of each cause and of failures that are none of them; before, these rows counted as "failed instance" and "no instance". entry.TestLastInstanceLeaves checks the attribute, too.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -115,6 +115,9 @@
 }
 
 func (c *call) noInstance(reason string) error {
+	if c.departing = c.Instances.AllDepart(c.instanceRequest("")); c.departing {
+		reason = "all instances leave"
+	}
 	if c.runs > 0 {
 		return problem(chestnutcleat.CodeUpstreamError, chestnutcleat.Unknown, "%s for service %s, and an earlier attempt may have run", reason, c.service)
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -70,6 +70,8 @@
 	// tried lists the instances that the request was sent to; runs counts those that may have run it.
 	tried []chestnutcleat.InstanceID
 	runs  int
+	// departing is set once the request found no instance, as all of its service leave.
+	departing bool
 }
 
 // ServeHTTP implements http.Handler.
--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"chestnutcleat.example/chestnutcleat/event"
 	"chestnutcleat.example/chestnutcleat/place"
 )
 
@@ -83,6 +84,8 @@
 		respond(q, w, 200, sealHeader+leavingHeader, "ok")
 		return true
 	}, func(is *is.I, h *harness) {
+		events := &recordingObserver{}
+		h.handler.Observer = events
 		for i := range 3 {
 			resp, _, err := h.do(h.t.Context(), "/book/", "b", "Chestnutcleat-Request-Id", fmt.Sprint("r", i))
 			is.NoErr(err)
@@ -93,6 +96,7 @@
 		is.Equal(resp.StatusCode, 503)
 		is.True(resp.Header.Get("Retry-After") != "")
 		is.Equal(len(h.instances.received()), 3)
+		is.Equal(events.with(event.Refused, "departing"), []any{true})
 	})
 }
 
--- a/entry/refuse.go
+++ b/entry/refuse.go
@@ -38,6 +38,10 @@
 		_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(refusedBodyTimeout))
 	}
 	c.Metrics.refused(p.Code)
-	c.log(event.Refused, "code", p.Code, "status", p.Status, "outcome", p.Outcome, "detail", p.Detail, "retry", p.Retry)
+	attributes := []any{"code", p.Code, "status", p.Status, "outcome", p.Outcome, "detail", p.Detail, "retry", p.Retry}
+	if c.departing {
+		attributes = append(attributes, "departing", true)
+	}
+	c.log(event.Refused, attributes...)
 	c.Codec.WriteProblem(c.w, p)
 }
--- a/logs/account_test.go
+++ b/logs/account_test.go
@@ -58,3 +58,32 @@
 		})
 	}
 }
+
+// departureLines is a log of requests whose instances leave: "m" is moved after the answer that said so, "n" before its VM is told by
+// another one, and "p" is refused since all leave. "q" and "s" fail for other reasons: long before the word, and at a VM that has no word.
+const departureLines = `
+{"event":864,"by":"answer","instance":"i1","program":"k","request":"1","customer":"c","time":"2026-12-04T10:00:01Z","vm":"e1"}
+{"event":851,"program":"k","request":"1","customer":"c","age":9,"time":"2026-12-04T10:00:01.01Z","vm":"e1"}
+{"event":853,"instance":"i1","ran":false,"error":"instance said that it leaves before the request was sent","program":"m","request":"2","customer":"c","time":"2026-12-04T10:00:01.1Z","vm":"e1"}
+{"event":851,"program":"m","request":"2","customer":"c","age":20,"time":"2026-12-04T10:00:01.2Z","vm":"e1"}
+{"event":853,"instance":"i2","ran":true,"error":"reset","program":"n","request":"3","customer":"c","time":"2026-12-04T10:00:02Z","vm":"e2"}
+{"event":864,"by":"peer","instance":"i2","time":"2026-12-04T10:00:02.3Z","vm":"e2"}
+{"event":852,"code":"busy","departing":true,"program":"p","request":"4","customer":"c","time":"2026-12-04T10:00:03Z","vm":"e1"}
+{"event":853,"instance":"i2","ran":true,"error":"reset","program":"q","request":"5","customer":"c","time":"2026-12-04T09:59:00Z","vm":"e2"}
+{"event":853,"instance":"i1","ran":true,"error":"reset","program":"s","request":"6","customer":"c","time":"2026-12-04T10:00:01.1Z","vm":"e2"}
+{"event":852,"code":"busy","program":"u","request":"7","customer":"c","time":"2026-12-04T10:00:03Z","vm":"e1"}
+`
+
+// Requests that are moved or refused as instances leave must not count as failures of instances or lack of them: operators looked for a
+// fault where a release ran.
+func TestAccountOfDepartures(t *testing.T) {
+	is := is.New(t)
+	rows, programs, _, err := Account(ByCustomer, 0, strings.NewReader(strings.TrimSpace(departureLines)))
+	is.NoErr(err)
+	is.Equal(programs, 7)
+	got := map[Cause]int{}
+	for _, r := range rows {
+		got[r.Cause] = r.Requests
+	}
+	is.Equal(got, map[Cause]int{CauseDeparted: 2, CauseAllDepart: 1, CauseFailedInstance: 2, CauseNoInstance: 1})
+}
--- a/place/leaving.go
+++ b/place/leaving.go
@@ -93,6 +93,24 @@
 	return s != nil && (s.Leaving || s.departed)
 }
 
+// AllDepart reports whether all instances are known to leave that could serve a request otherwise, those in Exclude included, and there
+// are some.
+func (t *Table) AllDepart(r Request) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found := false
+	for _, s := range t.services[r.Service] {
+		if r.Version != nil && s.Version != *r.Version {
+			continue
+		}
+		if !s.Leaving && !s.departed {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // markLeaving records a departure and reports whether it is news. toldAt is zero if another VM reported it. The caller holds t.mu.
 func (t *Table) markLeaving(p process, toldAt time.Time) bool {
 	d, known := t.departures[p]
