--- a/entry/stream.go
+++ b/entry/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
@@ -78,7 +79,7 @@
 	}
 	if t.headerSent {
 		// The header was sent, so only an aborted connection can tell the caller that the stream is incomplete.
-		c.log(event.AttemptFailed, "events", t.events, "error", err)
+		c.log(event.AttemptFailed, "events", t.events, "error", errors.Join(err, c.resetUnlessFramed()))
 		panic(http.ErrAbortHandler)
 	}
 	return c.abortIfCallerGone(err)
@@ -98,6 +99,11 @@
 			assignment.End(place.Neutral)
 			return err
 		}
+		if assignment.Departs() {
+			assignment.End(place.Neutral)
+			t.recordFailure(assignment, false, errDeparts)
+			continue
+		}
 		f := t.tryStream(assignment)
 		if f == nil {
 			return nil
@@ -255,7 +261,7 @@
 	if t.headerSent || t.shouldRetryError(a) {
 		return t.discardError(a)
 	}
-	t.copyHeader(a).Del("Content-Length")
+	t.copyHeader(a).Set("Content-Length", strconv.Itoa(len(body)))
 	t.w.WriteHeader(a.response.Status)
 	_, _ = t.w.Write(body)
 	t.logAnswered(a, "bytes", len(body))
