Forget the version of a record that could not be sent

turn.beginVersion and call.begun held the same version, and only the number of tries was reset after a failed send: a later attempt looked for an instance of a version that nothing names. One field is left, and it is reset. entry.TestUnsentVersionIsNotPreferred failed before (begun was still set).

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -50,9 +50,8 @@
 	settledTokens chestnutcleat.Tokens
 	// reserved is set once the reservation is written.
 	reserved bool
-	// beginTries is the number of Begin records of this turn, and beginVersion the software version in the last one.
-	beginTries   int
-	beginVersion chestnutcleat.SoftwareVersion
+	// beginTries is the number of Begin records of this turn.
+	beginTries int
 	// beginWrite is the write of the last Begin record until a quorum holds it, and nil after that.
 	beginWrite       *ledger.Write
 	headerSent       bool
--- a/entry/unrecorded_test.go
+++ b/entry/unrecorded_test.go
@@ -8,6 +8,8 @@
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/config"
+	"chestnutcleat.example/chestnutcleat/ledger"
+	"chestnutcleat.example/chestnutcleat/place"
 	"chestnutcleat.example/chestnutcleat/standin/instance"
 )
 
@@ -122,3 +124,13 @@
 		is.Equal(q.streamLifetime(), tt.want+recordMargin)
 	}
 }
+
+// A version whose record could not even be sent must not be preferred for a later attempt: nothing names it.
+func TestUnsentVersionIsNotPreferred(t *testing.T) {
+	is := is.New(t)
+	h := &Handler{Ledger: &ledger.Client{}, Observer: discardObserver{}}
+	q := &turn{call: &call{Handler: h, Request: &chestnutcleat.Request{}, route: &config.Route{Resumable: true}, table: &config.Table{}}}
+	q.sendBegin(&place.Assignment{Instance: chestnutcleat.Instance{Version: "v1"}})
+	is.Equal(q.beginTries, 0)
+	is.True(q.begun == nil)
+}
--- a/entry/version.go
+++ b/entry/version.go
@@ -23,11 +23,10 @@
 
 // newBegin returns the write that records at which software version the stream begins, or nil if it needs none.
 func (t *turn) newBegin(assignment *place.Assignment) *ledger.Write {
-	if !t.route.Resumable || t.beginTries > 0 && t.beginVersion == assignment.Version {
+	if !t.route.Resumable || t.begun != nil && *t.begun == assignment.Version {
 		return nil
 	}
 	t.beginTries++
-	t.beginVersion = assignment.Version
 	t.begun = &assignment.Version
 	t.beginWrite = ledger.NewWrite(ledger.Record{
 		Kind: ledger.Begin, Customer: t.customerID(), Attempt: t.ID, Route: t.route.Name,
@@ -58,8 +57,8 @@
 		return
 	}
 	if err := t.Ledger.Send(w); err != nil && t.beginTries == 1 {
-		t.beginTries, t.beginWrite = 0, nil
-		t.log(event.StreamNotRecorded, "version", t.beginVersion, "error", err)
+		t.beginTries, t.begun, t.beginWrite = 0, nil, nil
+		t.log(event.StreamNotRecorded, "version", assignment.Version, "error", err)
 	}
 }
 
@@ -100,7 +99,7 @@
 	}
 	err := t.beginWrite.Wait(ctx)
 	if err != nil && t.beginTries == 1 {
-		t.log(event.StreamNotRecorded, "version", t.beginVersion, "error", err)
+		t.log(event.StreamNotRecorded, "version", *t.begun, "error", err)
 		err = nil
 	}
 	if err == nil {
