--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -224,17 +224,23 @@
 		Ledger: client, Crashes: &CrashTracker{}, Observer: discardObserver{}, Metrics: &Metrics{Set: metrics.NewSet()},
 		Memory: &memory.Budget{Limit: 1 << 20},
 	}
+	h.server, h.client = h.serve(h.handler)
+	time.Sleep(10 * time.Millisecond)
+	client.SetReplicaSet(replicaSet)
+	return h
+}
+
+// serve starts a server of callers, and returns it with a client whose connections are pipes to it.
+func (h *harness) serve(handler http.Handler) (*http.Server, *http.Client) {
 	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-	h.server = &http.Server{Handler: h.handler}
-	h.goroutines.Go(func() { _ = h.server.Serve(l) })
-	h.client = &http.Client{Transport: &http.Transport{DisableCompression: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
+	server := &http.Server{Handler: handler}
+	h.goroutines.Go(func() { _ = server.Serve(l) })
+	dial := func(context.Context, string, string) (net.Conn, error) {
 		a, b := net.Pipe()
 		l.conns <- b
 		return a, nil
-	}}}
-	time.Sleep(10 * time.Millisecond)
-	client.SetReplicaSet(replicaSet)
-	return h
+	}
+	return server, &http.Client{Transport: &http.Transport{DisableCompression: true, DialContext: dial}}
 }
 
 // startReplica runs a replica of the ledger at "store".
--- a/entry/version_harness_test.go
+++ b/entry/version_harness_test.go
@@ -176,14 +176,7 @@
 		Codec: platform.Codec{}, Config: h.handler.Config, Instances: table, Pool: pool, Rates: rates, Ledger: client, Crashes: &CrashTracker{},
 		Observer: events, Metrics: &Metrics{Set: metrics.NewSet()}, Memory: &memory.Budget{Limit: 1 << 20},
 	}}
-	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-	v.server = &http.Server{Handler: v.handler}
-	h.goroutines.Go(func() { _ = v.server.Serve(l) })
-	v.client = &http.Client{Transport: &http.Transport{DisableCompression: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
-		a, b := net.Pipe()
-		l.conns <- b
-		return a, nil
-	}}}
+	v.server, v.client = h.serve(v.handler)
 	time.Sleep(10 * time.Millisecond)
 	client.SetReplicaSet(h.replicas)
 	h.vms = append(h.vms, v)
