Use no instance whose registration has no version

One without a version was used as an instance of the empty version, so that while it stood a second version was registered and VMs refused take-ups without Resumes. platform.TestDecodeInstance and TestOddEntries/version_is_null failed before.

--- a/instance.go
+++ b/instance.go
@@ -15,7 +15,7 @@
 	Service ServiceName   `json:"service"`
 	Address Address       `json:"address"`
 	Domain  FailureDomain `json:"domain"`
-	// Version is the version of the instance's software; a registration without one has the empty version.
+	// Version is the version of the instance's software.
 	Version SoftwareVersion `json:"version,omitempty"`
 	// Slots is the number of requests that the instance runs concurrently.
 	Slots int `json:"slots"`
--- a/role/fleet_test.go
+++ b/role/fleet_test.go
@@ -65,7 +65,7 @@
 		s := httptest.NewServer(serve)
 		t.Cleanup(s.Close)
 		f.platform.Set("servers", fmt.Sprint("i-", i), map[string]any{
-			"service": "tool", "address": strings.TrimPrefix(s.URL, "http://"), "zone": "a", "slots": 32, "state": "ready", "born": 1,
+			"service": "tool", "address": strings.TrimPrefix(s.URL, "http://"), "zone": "a", "version": "v1", "slots": 32, "state": "ready", "born": 1,
 		})
 	}
 	f.platform.Set("config", "main", map[string]any{
--- a/role/leaving_test.go
+++ b/role/leaving_test.go
@@ -30,7 +30,7 @@
 	e := &Entry{placement: place.NewTable(), handler: &entry.Handler{Metrics: &entry.Metrics{Set: metrics.NewSet()}}}
 	e.Observer = observer
 	for _, state := range []string{"ready", "draining", "draining"} {
-		data := fmt.Appendf(nil, `{"service":"s","address":"10.0.0.1:80","slots":6,"state":%q,"born":7}`, state)
+		data := fmt.Appendf(nil, `{"service":"s","address":"10.0.0.1:80","version":"v1","slots":6,"state":%q,"born":7}`, state)
 		e.instancesChanged(mirror.Snapshot{Objects: []chestnutcleat.StoredObject{{Name: "i", Version: 1, Data: data}}})
 	}
 	is.Equal(observer.sources, []string{fmt.Sprint("instance", chestnutcleat.InstanceID("i"), "by", entry.DepartureByRegistration)})
--- a/role/odd_test.go
+++ b/role/odd_test.go
@@ -62,7 +62,7 @@
 	}))
 	t.Cleanup(s.Close)
 	f.platform.Set("servers", "i-new", map[string]any{
-		"service": "tool", "address": strings.TrimPrefix(s.URL, "http://"), "zone": "a", "slots": 32, "state": "ready", "born": 1,
+		"service": "tool", "address": strings.TrimPrefix(s.URL, "http://"), "zone": "a", "version": "v1", "slots": 32, "state": "ready", "born": 1,
 	})
 	f.platform.Delete("servers", "i-0")
 	f.platform.SetEntry("servers", "i-1", `{"metadata":{"name":"NAME","revision":REVISION},"spec":7}`)
--- a/standin/store/odd.go
+++ b/standin/store/odd.go
@@ -16,7 +16,7 @@
 )
 
 // soundMembers are the members of the spec of a sound instance.
-const soundMembers = `"service":"tool","address":"10.0.0.9:80","zone":"a","slots":6,"state":"ready","born":1,"sequence":1`
+const soundMembers = `"service":"tool","address":"10.0.0.9:80","zone":"a","version":"v1","slots":6,"state":"ready","born":1,"sequence":1`
 
 // Kinds returns the kinds of objects that the platform holds for a deployment.
 func Kinds() []string { return []string{"servers", "config", "fleet", "retirements"} }
@@ -60,6 +60,7 @@
 		"born is too large":        `"born":100000000000000000000`,
 		"sequence is too large":    `"sequence":1e999999`,
 		"state is not known":       `"state":"asleep"`,
+		"version is null":          `"version":null`,
 		"service is missing":       `"service":""`,
 		"a member nested too deep": `"extra":` + nested,
 	} {
