Tell streams apart that began under one request id

A caller that used one id for two streams at the same time, or again while its record lived, got for both the software version of the one with more tries: the record of the highest try won whichever request wrote it. Each request now draws a number for its records; a higher try replaces only those of its own request, and requests whose versions differ contradict each other, so their take-ups are refused. Records of the version before have no number and count as those of one request. entry.TestTakeUpOfIDUsedTwice failed before (the take-up was answered 200 with the other version); ledger.TestOriginsOfOneIDTwice covers orders of arrival and up to six requests.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -52,6 +53,8 @@
 	reserved bool
 	// beginTries is the number of Begin records of this turn.
 	beginTries int
+	// callID tells this turn's Begin records from those of another one with the same request id.
+	callID ledger.CallID
 	// beginWrite is the write of the last Begin record until a quorum holds it, and nil after that.
 	beginWrite       *ledger.Write
 	headerSent       bool
@@ -61,7 +64,10 @@
 
 // serveStream serves a request whose response is an event stream.
 func (c *call) serveStream() error {
-	t := &turn{call: c, input: c.body, lastEventID: -1, stalledAt: -1, settledTokens: notSettled, flusher: http.NewResponseController(c.w)}
+	t := &turn{
+		call: c, input: c.body, lastEventID: -1, stalledAt: -1, settledTokens: notSettled, callID: ledger.CallID(rand.Uint64()),
+		flusher: http.NewResponseController(c.w),
+	}
 	if err := t.locate(); err != nil {
 		return c.abortIfCallerGone(err)
 	}
--- a/entry/takeup_test.go
+++ b/entry/takeup_test.go
@@ -212,3 +212,24 @@
 		h.is.Equal(h.stream(0, once, streamID(6), busy...).status, 429)
 	})
 }
+
+// A caller that uses one request id for two streams must get neither joined with the other: the stream that began at a later try decided for
+// both.
+func TestTakeUpOfIDUsedTwice(t *testing.T) {
+	runVersions(t, 2, twoVersions[:2], func(h *versionHarness) {
+		later := 0
+		for n := range 12 {
+			id := streamID(n)
+			if h.begin(0, id) != "v1" {
+				continue
+			}
+			h.setFaults(instance.Faults{BreakAfter: 2})
+			h.servers["a1"].SetFaults(instance.Faults{ErrorRate: 1})
+			h.is.Equal(h.stream(1, moves, id).versions, []string{"v2"})
+			h.setFaults(instance.Faults{})
+			later++
+			h.expectRefused("contradiction", attemptID(id, 1), h.takeUp(1, attemptID(id, 1), id, 2))
+		}
+		h.is.True(later > 0)
+	})
+}
--- a/ledger/findorigin.go
+++ b/ledger/findorigin.go
@@ -16,7 +16,7 @@
 
 // FindOrigin returns the origin of an attempt's stream, as a read quorum knows it. If a read quorum lacks the attempt, it returns the only
 // origin of all streams of the route, and byRoute is set, or chestnutcleat.ErrNotFound. It returns ErrContradiction if the records of the
-// attempt's highest try don't agree.
+// attempt's highest tries don't agree.
 func (c *Client) FindOrigin(ctx context.Context, q OriginQuery) (o Origin, byRoute bool, err error) {
 	for {
 		o, byRoute, err = c.findOriginOnce(ctx, q)
@@ -109,13 +109,14 @@
 
 // agreed returns the only origin of the stream or, if there is none, the only one of its route.
 func (k *originKnowledge) agreed() (o Origin, byRoute bool, err error) {
-	switch {
-	case len(k.ofStream) == 1:
-		return k.ofStream[0].Origin, false, nil
-	case len(k.ofStream) > 1:
+	if o, ok := agreedOrigin(k.ofStream); ok {
+		return o, false, nil
+	}
+	if len(k.ofStream) > 0 {
 		return Origin{}, false, ErrContradiction
-	case len(k.ofRoute) == 1:
-		return k.ofRoute[0].Origin, true, nil
+	}
+	if o, ok := agreedOrigin(k.ofRoute); ok {
+		return o, true, nil
 	}
 	return Origin{}, false, chestnutcleat.ErrNotFound
 }
--- a/ledger/message.go
+++ b/ledger/message.go
@@ -74,7 +74,7 @@
 	OriginQuery
 }
 
-// OriginReply holds the origins that the replica has for the highest try of the attempt; two of them contradict each other.
+// OriginReply holds the origins that the replica has of the attempt, those of the highest try of each request.
 type OriginReply struct {
 	VersionCheck
 	Origins []Origin `json:"o,omitempty"`
--- a/ledger/origin.go
+++ b/ledger/origin.go
@@ -13,13 +13,14 @@
 	originOverheadBytes = 320
 	// routeOverheadBytes estimates the memory of the entry of a route's origin.
 	routeOverheadBytes = 160
-	// maxOrigins is the number of origins that are kept of an attempt: two are enough to know that they contradict each other.
-	maxOrigins = 2
+	// maxOrigins is the number of origins that are kept of an attempt. A caller uses an attempt's id for one request; of several, as many
+	// are told apart.
+	maxOrigins = 4
 )
 
 // streamState is the index entry of an attempt that began a stream.
 type streamState struct {
-	// origins are those of the highest try.
+	// origins are those of the highest try of each request.
 	origins   []originState
 	expiresAt int64
 }
@@ -31,20 +32,41 @@
 	loc   location
 }
 
-// mergeOrigin adds an origin to those of the highest try; it returns the index of the origin in the list, or -1 if the list needs no
-// record of it.
+// mergeOrigin adds an origin to those of an attempt's requests, and returns its index in the new list, or -1 if that needs no record of it.
+// Only a higher try of the same request replaces an origin: several requests with one id each have a stream of their own.
 func mergeOrigin(list []originState, o Origin) ([]originState, int) {
-	if len(list) > 0 && list[0].Try > o.Try {
-		return list, -1
+	merged := make([]originState, 0, len(list)+1)
+	for _, known := range list {
+		switch {
+		case known.Call == o.Call && known.Try > o.Try:
+			return list, -1
+		case known.Call != o.Call || known.Try == o.Try:
+			merged = append(merged, known)
+		}
 	}
-	if len(list) > 0 && list[0].Try < o.Try {
-		list = nil
+	if i := slices.IndexFunc(merged, func(known originState) bool { return known.Origin == o }); i >= 0 {
+		return merged, i
 	}
-	i := slices.IndexFunc(list, func(known originState) bool { return known.Origin == o })
-	if i < 0 && len(list) < maxOrigins {
-		list, i = append(list, originState{Origin: o}), len(list)
+	if len(merged) == maxOrigins {
+		if agreed, ok := agreedOrigin(merged); !ok || agreed.sameVersion(o) {
+			return list, -1
+		}
+		merged = merged[:maxOrigins-1]
 	}
-	return list, i
+	return append(merged, originState{Origin: o}), len(merged)
+}
+
+// agreedOrigin returns the origin of the highest try; ok is false if the list is empty or names several services or software versions.
+func agreedOrigin(list []originState) (o Origin, ok bool) {
+	for i, known := range list {
+		if i > 0 && !known.sameVersion(o) {
+			return Origin{}, false
+		}
+		if known.Try >= o.Try {
+			o = known.Origin
+		}
+	}
+	return o, len(list) > 0
 }
 
 // routeOrigin is an origin of a route's streams.
@@ -54,9 +76,11 @@
 	software chestnutcleat.SoftwareVersion
 }
 
-func (r *Record) origin() Origin { return Origin{Service: r.Service, Software: r.Software, Try: r.Try} }
+func (r *Record) origin() Origin {
+	return Origin{Service: r.Service, Software: r.Software, Try: r.Try, Call: r.Call}
+}
 
-// applyBegin adds the origin of a Begin record to its stream. A higher try replaces the origins of lower ones.
+// applyBegin adds the origin of a Begin record to its stream.
 func (s *state) applyBegin(r *Record, loc location) {
 	k := turnKey{s.intern(r.Customer), r.Attempt}
 	b := s.streams[k]
@@ -71,15 +95,12 @@
 	if i < 0 {
 		return
 	}
-	replaced := list[i].loc
+	s.removeOrigins(b)
 	list[i].loc, list[i].route = loc, r.Route
-	if len(b.origins) > 0 && b.origins[0].Try < r.Try {
-		s.removeOrigins(b)
-	} else if replaced != (location{}) {
-		s.removeLive(replaced)
-	}
 	b.origins = list
-	s.addLive(loc)
+	for _, o := range list {
+		s.addLive(o.loc)
+	}
 }
 
 // noteRoute records that a stream of a route began at an origin.
@@ -119,7 +140,7 @@
 func (o originState) record(k turnKey, expiresAt int64) Record {
 	return Record{
 		Kind: Begin, Customer: k.customer, Attempt: k.turn, Route: o.route,
-		Service: o.Service, Software: o.Software, Try: o.Try, ExpiresAt: expiresAt,
+		Service: o.Service, Software: o.Software, Try: o.Try, Call: o.Call, ExpiresAt: expiresAt,
 	}
 }
 
@@ -140,10 +161,9 @@
 	if b == nil || b.expiresAt < r.ExpiresAt {
 		return false
 	}
-	if b.origins[0].Try != r.Try {
-		return b.origins[0].Try > r.Try
-	}
-	return len(b.origins) == maxOrigins || b.origins[0].Origin == r.origin()
+	o := r.origin()
+	_, i := mergeOrigin(b.origins, o)
+	return i < 0 || slices.ContainsFunc(b.origins, func(known originState) bool { return known.Origin == o })
 }
 
 // liveBegin is liveRecord for Begin records.
--- a/ledger/origin_test.go
+++ b/ledger/origin_test.go
@@ -20,6 +20,12 @@
 	}
 }
 
+// ofCall returns a Begin record of another request with the same id.
+func ofCall(r *Record, c CallID) *Record {
+	r.Call = c
+	return r
+}
+
 func origin(version string, try int) Origin {
 	return Origin{Service: "s", Software: chestnutcleat.SoftwareVersion(version), Try: try}
 }
@@ -151,3 +157,41 @@
 	is.Equal(len(s.routes), 0)
 	is.Equal(s.memory, int64(0))
 }
+
+// Two requests with one id must not get each other's software version. The one with more tries won, and the caller of the other got joined
+// text. However many there are and in whatever order replicas learn of them, versions that differ contradict each other.
+func TestOriginsOfOneIDTwice(t *testing.T) {
+	const seed = 9
+	t.Logf("seed %d", seed)
+	random := rand.New(rand.NewPCG(seed, seed))
+	b := func(version string, try int, c CallID) *Record { return ofCall(beginRecord("a", version, try), c) }
+	for name, c := range map[string]struct {
+		records []*Record
+		want    chestnutcleat.SoftwareVersion // empty for a contradiction
+	}{
+		"same version":        {[]*Record{b("v1", 1, 1), b("v1", 1, 2)}, "v1"},
+		"more tries":          {[]*Record{b("v1", 1, 1), b("v1", 1, 2), b("v2", 2, 2)}, ""},
+		"as many tries":       {[]*Record{b("v1", 1, 1), b("v2", 1, 2)}, ""},
+		"later tries agree":   {[]*Record{b("v1", 1, 1), b("v2", 2, 1), b("v2", 1, 2)}, "v2"},
+		"many":                {[]*Record{b("v1", 1, 1), b("v1", 1, 2), b("v1", 1, 3), b("v1", 1, 4), b("v1", 1, 5), b("v2", 1, 6)}, ""},
+		"many, a later try":   {[]*Record{b("v1", 1, 1), b("v1", 1, 2), b("v1", 1, 3), b("v1", 1, 4), b("v1", 1, 5), b("v2", 2, 5)}, ""},
+		"many of one version": {[]*Record{b("v1", 1, 1), b("v1", 1, 2), b("v1", 2, 3), b("v1", 1, 4), b("v1", 1, 5)}, "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for range 50 {
+				list := append(slices.Clone(c.records), c.records[random.IntN(len(c.records))])
+				random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+				s := stateOf(list)
+				for _, s := range []*state{s, stateOf(pointers(s.allRecords()))} {
+					kept := s.streams[turnKey{"c", "a"}].origins
+					got, ok := agreedOrigin(kept)
+					is.Equal(got.Software, c.want)
+					is.Equal(ok, c.want != "")
+					is.True(len(kept) <= maxOrigins)
+					is.Equal(s.live[1], int64(10*len(kept)))
+				}
+			}
+		})
+	}
+}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -40,20 +40,30 @@
 	ExpiresAt int64 `json:"u,omitempty"`
 	// ReplicaSet is set in Adopt records.
 	ReplicaSet *chestnutcleat.ReplicaSet `json:"s,omitempty"`
-	// Route, Service, Software and Try are set in Begin records. A record with a higher Try replaces those of the same attempt with a
+	// Route, Service, Software, Try and Call are set in Begin records. A record with a higher Try replaces those of the same Call with a
 	// lower one.
 	Route    chestnutcleat.RouteName       `json:"h,omitempty"`
 	Service  chestnutcleat.ServiceName     `json:"e,omitempty"`
 	Software chestnutcleat.SoftwareVersion `json:"w,omitempty"`
 	Try      int                           `json:"n,omitempty"`
+	Call     CallID                        `json:"l,omitempty"`
 }
 
+// CallID is a random number that tells requests apart which came with one attempt's id.
+type CallID uint64
+
 // Origin is the service and the software version at which an attempt's stream began.
 type Origin struct {
 	Service  chestnutcleat.ServiceName     `json:"e"`
 	Software chestnutcleat.SoftwareVersion `json:"w"`
-	// Try is the number of the instance within the attempt, from 1.
-	Try int `json:"n"`
+	// Try is the number of the instance within the request, from 1.
+	Try  int    `json:"n"`
+	Call CallID `json:"l,omitempty"`
+}
+
+// sameVersion reports whether two streams fit together.
+func (o Origin) sameVersion(other Origin) bool {
+	return o.Service == other.Service && o.Software == other.Software
 }
 
 // Turn is a stored turn.
