Give origins of streams room of their own at full replicas

A replica at a limit of its memory or disk took no Begin records, so new streams could not be taken up, and a later try of another version waited for its record until the deadline. Origins are small and expire within minutes: a full replica takes them up to an eighth of its memory limit and nine tenths of its disk limit, and says so in a field of its own, as a replica of the version before drops them.

--- a/ledger/client_test.go
+++ b/ledger/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -60,3 +61,36 @@
 		cancel()
 	})
 }
+
+// fullPeers answers each append with the same reply.
+type fullPeers struct{ reply AppendReply }
+
+func (p fullPeers) Call(_ context.Context, _ chestnutcleat.Address, _ chestnutcleat.Method, request, reply any) error {
+	switch q := request.(type) {
+	case AdoptRequest:
+		reply.(*AdoptReply).ReplicaSet = q.ReplicaSet
+	case AppendRequest:
+		*reply.(*AppendReply) = p.reply
+	}
+	return nil
+}
+
+// A stream's origin must count as written only where a full replica says that it has it; one of the version before says no such thing.
+func TestOriginAtFullReplica(t *testing.T) {
+	for _, begun := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			c := &Client{Peers: fullPeers{AppendReply{Full: true, Begun: begun}}, Observer: noopObserver{}}
+			go c.Run(ctx)
+			synctest.Wait()
+			c.SetReplicaSet(chestnutcleat.ReplicaSet{Version: 1, Disks: []chestnutcleat.Replica{{Disk: "1"}}})
+			w := NewWrite(*beginRecord("a", "v1", 1))
+			is.NoErr(c.Send(w))
+			is.Equal(errors.Is(w.Wait(ctx), ErrFull), !begun)
+			_, err := c.Persist(ctx, *reserveRecord("b", 1))
+			is.True(errors.Is(err, ErrFull))
+		})
+	}
+}
--- a/ledger/compact.go
+++ b/ledger/compact.go
@@ -9,9 +9,14 @@
 const (
 	// compactionSlackBytes is how far the log may exceed twice its live bytes before live records are rewritten.
 	compactionSlackBytes = 4 * segmentBytes
-	// fullFraction is the part of DiskLimit at which a replica rejects reservations; the rest is left for settlements, turns and
-	// compaction.
+	// fullFraction is the part of DiskLimit at which a replica rejects reservations; the rest is left for settlements, turns, origins of
+	// streams and compaction.
 	fullFraction = 0.8
+	// originDiskFraction is the part of DiskLimit at which a replica rejects the origins of streams, too.
+	originDiskFraction = 0.9
+	// originMemoryDivisor divides MemoryLimit to get the memory for origins of streams at a replica that is full. They are small and expire
+	// within minutes, and without one a stream can't go on elsewhere.
+	originMemoryDivisor = 8
 	// nearLimitFraction is the part of a limit at which operators are warned.
 	nearLimitFraction = 0.7
 )
@@ -40,6 +45,16 @@
 	return s.MemoryLimit > 0 && u.Memory >= s.MemoryLimit || s.DiskLimit > 0 && float64(u.Disk) >= fullFraction*float64(s.DiskLimit)
 }
 
+// hasRoomForOrigins reports whether a full replica accepts the origins of streams.
+func (s *Store) hasRoomForOrigins() bool {
+	if s.DiskLimit > 0 && float64(s.log.bytes()) >= originDiskFraction*float64(s.DiskLimit) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.MemoryLimit <= 0 || s.state.streamBytes < s.MemoryLimit/originMemoryDivisor
+}
+
 // maintain drops expired records and dumps, compacts the log and warns when usage approaches a limit.
 func (s *Store) maintain() {
 	s.mu.Lock()
--- a/ledger/message.go
+++ b/ledger/message.go
@@ -38,11 +38,17 @@
 // AppendReply holds the other attempts of the program of each Reserve record, in the order of the request.
 type AppendReply struct {
 	VersionCheck
-	// Full is set if the replica has no room and rejected the Reserve and Begin records.
+	// Full is set if the replica has no room and rejected the Reserve records, and the Begin records unless Begun is set.
 	Full     bool        `json:"f,omitempty"`
+	Begun    bool        `json:"g,omitempty"`
 	Attempts [][]Attempt `json:"a,omitempty"`
 }
 
+// rejects reports whether the replica rejected the records of a kind, as they come before anything has run.
+func (r *AppendReply) rejects(k Kind) bool {
+	return r.Full && (k == Reserve || k == Begin && !r.Begun)
+}
+
 // FetchRequest asks for a stored turn and its predecessors.
 type FetchRequest struct {
 	Target
--- a/ledger/origin.go
+++ b/ledger/origin.go
@@ -87,7 +87,7 @@
 	if b == nil {
 		b = &streamState{}
 		s.streams[k] = b
-		s.memory += streamMemory(k)
+		s.addStreamMemory(streamMemory(k))
 	}
 	b.expiresAt = max(b.expiresAt, r.ExpiresAt)
 	s.noteRoute(r)
@@ -123,7 +123,7 @@
 	for k, b := range s.streams {
 		if now.Unix() > b.expiresAt {
 			s.removeOrigins(b)
-			s.memory -= streamMemory(k)
+			s.addStreamMemory(-streamMemory(k))
 			delete(s.streams, k)
 		}
 	}
@@ -135,6 +135,11 @@
 	}
 }
 
+func (s *state) addStreamMemory(n int64) {
+	s.memory += n
+	s.streamBytes += n
+}
+
 func streamMemory(k turnKey) int64 { return int64(originOverheadBytes + len(k.turn)) }
 
 func (o originState) record(k turnKey, expiresAt int64) Record {
--- a/ledger/origin_test.go
+++ b/ledger/origin_test.go
@@ -81,6 +81,7 @@
 				is.Equal(stateOf(pointers(s.allRecords())).origins("a"), c.want) // as another replica copies it
 				s.expire(time.Unix(1<<40+1, 0))
 				is.Equal(s.memory, int64(0))
+				is.Equal(s.streamBytes, int64(0))
 				is.Equal(s.live[1], int64(0))
 			}
 		})
@@ -138,6 +139,56 @@
 	})
 }
 
+// A replica that is full must still take the origins of streams into room of their own, and no more than that. While it took none, streams
+// that began could not be taken up, and a later try of another version waited until the deadline.
+func TestFullReplicaHasRoomForOrigins(t *testing.T) {
+	const batch = 10
+	for name, c := range map[string]struct {
+		fill func(s *Store)
+		room int
+	}{
+		"memory": {func(s *Store) { s.MemoryLimit = s.Usage().Memory }, 20},
+		"disk":   {func(s *Store) { s.DiskLimit = int64(float64(s.Usage().Disk) / 0.85) }, 20},
+		"both, nearly all of the disk": {func(s *Store) {
+			s.MemoryLimit, s.DiskLimit = s.Usage().Memory, int64(float64(s.Usage().Disk)/0.95)
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s, _ := openStore(t, t.TempDir())
+				var reservations []*Record
+				for i := range 1000 {
+					reservations = append(reservations, reserveRecord(fmt.Sprint(i), 50))
+				}
+				appendRecords(t, s, reservations...)
+				c.fill(s)
+				is.True(s.Full())
+				accepted := 0
+				for i := range 20 {
+					list := []*Record{reserveRecord("late", 1)}
+					for n := range batch {
+						list = append(list, beginRecord(fmt.Sprint("b", i, "-", n), "v1", 1))
+					}
+					r := appendRecords(t, s, list...)
+					is.True(r.Full)
+					if r.Begun {
+						accepted += batch
+					}
+				}
+				is.Equal(len(s.state.streams), accepted)
+				is.True(accepted >= c.room)
+				is.True(accepted < 20*batch)
+				if s.MemoryLimit > 0 {
+					is.True(s.Usage().Memory <= s.MemoryLimit+s.MemoryLimit/originMemoryDivisor+batch*2*originOverheadBytes)
+				}
+				_, late := s.state.programs[programKey{"c", "p"}].attempts["late"]
+				is.True(!late)
+			})
+		})
+	}
+}
+
 // The origins of a route must outlive restarts and copies, and be forgotten with the last record.
 func TestOriginsOfRoute(t *testing.T) {
 	is := is.New(t)
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -21,9 +21,6 @@
 	Begin
 )
 
-// needsRoom reports whether a full replica rejects records of the kind, as they come before anything has run.
-func (k Kind) needsRoom() bool { return k == Reserve || k == Begin }
-
 // Record is one entry of a replica's log.
 type Record struct {
 	Kind     Kind                     `json:"k"`
--- a/ledger/sender.go
+++ b/ledger/sender.go
@@ -178,7 +178,7 @@
 	defer c.mu.Unlock()
 	attempts := r.Attempts
 	for _, w := range batch {
-		if w.record.Kind.needsRoom() && r.Full {
+		if r.rejects(w.record.Kind) {
 			w.rejected[s.replica.Disk] = true
 			c.completeIfDecided(w)
 			continue
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -64,6 +64,8 @@
 	live map[int]int64
 	// memory is the estimated size of the index in bytes.
 	memory int64
+	// streamBytes is the part of memory that streams take.
+	streamBytes int64
 	// internedCustomers holds one string for each customer name, shared by the keys.
 	internedCustomers map[chestnutcleat.CustomerID]chestnutcleat.CustomerID
 }
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -227,9 +227,8 @@
 	}
 	records := pointers(q.Records)
 	r := AppendReply{Full: s.Full()}
-	if r.Full {
-		records = slices.DeleteFunc(records, func(v *Record) bool { return v.Kind.needsRoom() })
-	}
+	r.Begun = r.Full && s.hasRoomForOrigins()
+	records = slices.DeleteFunc(records, func(v *Record) bool { return r.rejects(v.Kind) })
 	if err := s.write(ctx, records); err != nil {
 		return AppendReply{}, err
 	}
