Write the origin of a stream as long as it may be taken up

A stream that began while no write quorum answered was given up by its record after 5 s: its caller could not take it up, and one that named no attempt could get the version of its route's other streams once its own had left and all VMs had restarted. The write now goes on until the record would expire; origins that a replica's queue drops leave the list of pending writes, so that they do not pile up.

--- a/entry/version_harness_test.go
+++ b/entry/version_harness_test.go
@@ -203,6 +203,15 @@
 	h.await()
 }
 
+// restartVM replaces one VM by a new one that has lost its memory.
+func (h *versionHarness) restartVM(i int) {
+	h.vms[i].stop()
+	v := h.startVM()
+	h.vms[i] = v
+	h.vms = h.vms[:len(h.vms)-1]
+	h.await()
+}
+
 // dial connects to a stand-in, each connection with a server of its own.
 func (h *versionHarness) dial(_ context.Context, a chestnutcleat.Address) (net.Conn, error) {
 	s := h.servers[a]
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	// asyncWriteTimeout is how long a write that no caller waits for is retried.
+	// asyncWriteTimeout is how long a write that no caller waits for is retried, except the origin of a stream.
 	asyncWriteTimeout = 5 * time.Second
 	// flushCheckInterval is the time between checks whether all records are written.
 	flushCheckInterval = 5 * time.Millisecond
@@ -177,9 +177,14 @@
 // Write is a record that may be waited for after it was sent.
 type Write struct{ pending *pendingWrite }
 
-// NewWrite returns a write of a record, which is sent later.
+// NewWrite returns a write of a record, which is sent later. The origin of a stream is written as long as anybody may ask for it, as one
+// that is on record late is better than none.
 func NewWrite(r Record) *Write {
-	return &Write{pending: newPendingWrite(r, time.Now().Add(asyncWriteTimeout))}
+	deadline := time.Now().Add(asyncWriteTimeout)
+	if r.Kind == Begin {
+		deadline = time.Unix(r.ExpiresAt, 0)
+	}
+	return &Write{pending: newPendingWrite(r, deadline)}
 }
 
 // Wait returns nil once a write quorum holds the record. The write goes on if ctx ends.
@@ -255,6 +260,14 @@
 	}
 }
 
+// forgetOrigin gives up the origin of a stream that a replica's queue had no room for; others may still write it. While no quorum answers,
+// origins would pile up until they expire. The caller holds mu.
+func (c *Client) forgetOrigin(w *pendingWrite) {
+	if w.record.Kind == Begin {
+		delete(c.pending, w)
+	}
+}
+
 func (c *Client) abandon(w *pendingWrite) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/ledger/client_test.go
+++ b/ledger/client_test.go
@@ -94,3 +94,15 @@
 		})
 	}
 }
+
+// Origins of streams that nobody takes must not pile up while no quorum answers.
+func TestOriginsWithoutQuorumAreBounded(t *testing.T) {
+	is := is.New(t)
+	c := &Client{Observer: noopObserver{}, pending: map[*pendingWrite]bool{}, replicas: chestnutcleat.ReplicaSet{Version: 1}}
+	c.senders = map[chestnutcleat.DiskID]*sender{"1": {client: c, wake: make(chan struct{}, 1)}, "2": {client: c, wake: make(chan struct{}, 1)}}
+	for range 3 * maxQueuedRecords {
+		is.NoErr(c.Send(NewWrite(*beginRecord("a", "v1", 1))))
+	}
+	is.True(len(c.pending) <= maxQueuedRecords)
+	is.True(len(c.senders["1"].queue) <= maxQueuedRecords)
+}
--- a/ledger/sender.go
+++ b/ledger/sender.go
@@ -42,7 +42,11 @@
 func (s *sender) enqueue(list ...*pendingWrite) {
 	if len(s.queue) >= maxQueuedRecords {
 		// A replica that is unreachable this long can do without the older half: a quorum of the others holds those records.
-		s.queue = s.queue[len(s.queue)/2:]
+		older := s.queue[:len(s.queue)/2]
+		s.queue = s.queue[len(older):]
+		for _, w := range older {
+			s.client.forgetOrigin(w)
+		}
 	}
 	s.queue = append(s.queue, list...)
 	select {
