--- a/entry/admit.go
+++ b/entry/admit.go
@@ -158,5 +158,5 @@
 
 // mayStartProgram reports whether the request may be the first one of its program: a turn that continues no stored one.
 func (c *call) mayStartProgram() bool {
-	return c.route.Type == config.Streaming && c.Previous == "" && c.Resume == 0
+	return c.route.Type == config.Streaming && c.Previous == "" && !c.TakesUp()
 }
--- a/request.go
+++ b/request.go
@@ -28,8 +28,9 @@
 	Output Tokens
 	// Previous is the stored turn that this turn continues; empty for none.
 	Previous RequestID
-	// Resume is the id of the last event that the caller received; zero for none.
-	Resume int
+	// HasEvents is set if the caller states that it has events of the stream, of which Resume is the last one's id.
+	HasEvents bool
+	Resume    int
 	// Resumes is the earlier attempt of the caller that brought the stream's first event, if the caller takes a stream up again;
 	// empty if it names none.
 	Resumes RequestID
@@ -40,7 +41,7 @@
 }
 
 // TakesUp reports whether the request takes a stream up again after an event that the caller has.
-func (r *Request) TakesUp() bool { return r.Resume > 0 || r.Resumes != "" }
+func (r *Request) TakesUp() bool { return r.HasEvents }
 
 // PromptPart is a part of a prompt that an engine's prefix cache may hold.
 type PromptPart struct {
