Let no stream go on at an instance that may have been started again

An instance that starts again with another software version under its id and address serves as the old one until its new registration arrives, and answers do not name the version. Weighed: to use it only once its registration was renewed after a failed connection. Entries change only when more than their sequence changes, so an instance that was cut off and never ended would stay out for good, and connections break for other causes (answers that are cut off). So only a connection that could not be opened counts, as nothing may be left under the registration. From then until a new registration, or until the instance has answered and the registrations have been followed for 3 s, no stream goes on there, and a stream that begins there is not recorded and goes on nowhere else.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -79,6 +79,7 @@
 	errRequestIDMismatch = errors.New("answer belongs to another request")
 	errUnsigned          = errors.New("answer is not signed")
 	errInstanceError     = errors.New("instance answered with an error of its own")
+	errUncertainVersion  = errors.New("instance may have been started again at another software version")
 )
 
 // pick selects an instance that the request was not sent to yet.
@@ -110,7 +111,9 @@
 
 // instanceRequest describes the instances to which the request may be sent.
 func (c *call) instanceRequest(key string) place.Request {
-	return place.Request{Service: c.service, Version: c.version.Load(), Key: key, Exclude: c.tried, Domain: c.Domain}
+	return place.Request{
+		Service: c.service, Version: c.version.Load(), Certain: c.begun != nil, Key: key, Exclude: c.tried, Domain: c.Domain,
+	}
 }
 
 func (c *call) noInstance(reason string) error {
@@ -135,6 +138,9 @@
 		return nil, c.endFailed(assignment, err)
 	}
 	a := &attempt{assignment: assignment, response: response, meta: c.Codec.DecodeResponse(response.Status, response.Header)}
+	if a.meta.ID == c.ID && !a.meta.AddressReused {
+		assignment.Answered()
+	}
 	c.noteDeparture(a)
 	if f := c.checkResponse(a); f != nil {
 		// The body is not read, so this closes the connection: no second copy of a refusal can be the next response on it.
@@ -155,6 +161,9 @@
 	}
 	assignment.End(outcome)
 	if outcome == place.ConnectionError {
+		if e != nil && e.DialFailed {
+			assignment.Unreached()
+		}
 		c.Pool.CloseIdle(assignment.Address)
 		if sent && mayBeCrash(err) {
 			c.Crashes.RecordCrash(c.fingerprint)
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -56,7 +56,9 @@
 	// callID tells this turn's Begin records from those of another one with the same request id.
 	callID ledger.CallID
 	// beginWrite is the write of the last Begin record until a quorum holds it, and nil after that.
-	beginWrite       *ledger.Write
+	beginWrite *ledger.Write
+	// stays is set if the stream must not go on at another instance, as the software version of its own one is not certain.
+	stays            bool
 	headerSent       bool
 	flusher          *http.ResponseController
 	timeToFirstEvent time.Duration
@@ -107,6 +109,9 @@
 		if f == nil {
 			return nil
 		}
+		if t.stays {
+			return f
+		}
 		if err := t.retryOrFail(f); err != nil {
 			return err
 		}
@@ -215,7 +220,7 @@
 // before the deadline, and only once for each event: where all instances are slow, further moves would delay the event more.
 func (t *turn) stallTimeout() time.Duration {
 	left := time.Until(t.deadline)
-	if !t.route.Resumable || t.runs+1 >= t.route.MaxAttempts || t.stalledAt == t.events {
+	if !t.route.Resumable || t.stays || t.runs+1 >= t.route.MaxAttempts || t.stalledAt == t.events {
 		return left
 	}
 	return min(left, max(stallFactor*t.route.LatencyTarget, stallFactor*t.route.MaxEventGap, minStallTimeout))
--- a/entry/version.go
+++ b/entry/version.go
@@ -23,7 +23,7 @@
 
 // newBegin returns the write that records at which software version the stream begins, or nil if it needs none.
 func (t *turn) newBegin(assignment *place.Assignment) *ledger.Write {
-	if !t.route.Resumable || t.begun != nil && *t.begun == assignment.Version {
+	if !t.route.Resumable || assignment.Uncertain || t.begun != nil && *t.begun == assignment.Version {
 		return nil
 	}
 	t.beginTries++
@@ -78,6 +78,10 @@
 		return &failure{mayHaveRun: true, err: err}
 	}
 	t.version.Store(&a.assignment.Version)
+	if a.assignment.Uncertain {
+		t.stays = true
+		t.log(event.StreamNotRecorded, "version", a.assignment.Version, "error", errUncertainVersion)
+	}
 	return nil
 }
 
--- a/place/table.go
+++ b/place/table.go
@@ -34,6 +34,8 @@
 	Service chestnutcleat.ServiceName
 	// Version is the software version that the instance must have; nil for any.
 	Version *chestnutcleat.SoftwareVersion
+	// Certain leaves out instances that may have been started again since their registration. A request with a Version is never sent there.
+	Certain bool
 	// Key keeps requests with the same key at one instance; if it is empty, the choice depends on free slots.
 	Key string
 	// Exclude lists instances to exclude, as this request was offered to them before.
@@ -45,8 +47,10 @@
 // Assignment is a request that is assigned to an instance and counts as load there until End is called.
 type Assignment struct {
 	chestnutcleat.Instance
-	table *Table
-	ended bool
+	// Uncertain is set if the instance may have been started again, at another software version, since its registration.
+	Uncertain bool
+	table     *Table
+	ended     bool
 }
 
 // Table holds the known instances, their load and their health.
@@ -75,6 +79,7 @@
 	ejectionCount int
 	// departed is set once the instance itself said that it leaves, whatever its registration says.
 	departed bool
+	reach    reachability
 }
 
 // NewTable returns a table without instances.
@@ -154,7 +159,7 @@
 		s = pickByFreeSlots(list, r.Domain)
 	}
 	s.ownLoad++
-	return &Assignment{Instance: s.Instance, table: t}
+	return &Assignment{Instance: s.Instance, Uncertain: t.uncertain(s, time.Now()), table: t}
 }
 
 // CanPick reports whether Pick would find an instance.
@@ -173,6 +178,7 @@
 		switch {
 		case s.Leaving || s.departed:
 		case slices.Contains(r.Exclude, s.ID), r.Version != nil && s.Version != *r.Version:
+		case (r.Version != nil || r.Certain) && t.uncertain(s, now):
 		case now.Before(s.backoffUntil), now.Before(s.ejectedUntil), s.onProbation(now) && !probationRequest:
 			unavailable = append(unavailable, s)
 		default:
@@ -278,8 +284,8 @@
 		return
 	}
 	a.ended = true
-	s := t.byID[a.ID]
-	if s == nil || s.StartedAt != a.StartedAt || s.Address != a.Address {
+	s := a.state()
+	if s == nil {
 		return
 	}
 	s.ownLoad--
--- a/place/version_test.go
+++ b/place/version_test.go
@@ -130,3 +130,49 @@
 		is.True(table.OtherVersion("s", "v2", time.Minute))
 	})
 }
+
+// The registration of an instance that could not be reached must name no version again before a new one had the time to arrive, for which
+// the platform must answer.
+func TestUncertainRegistration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable()
+		table.SetInstances(versioned("v1"))
+		version := chestnutcleat.SoftwareVersion("v1")
+		pick := func(r Request) *Assignment {
+			r.Service = "s"
+			a := table.Pick(r)
+			if a != nil {
+				a.End(Neutral)
+			}
+			return a
+		}
+		certain := func() bool {
+			a := pick(Request{})
+			is.Equal(pick(Request{Version: &version}) != nil, !a.Uncertain)
+			is.Equal(pick(Request{Certain: true}) != nil, !a.Uncertain)
+			return !a.Uncertain
+		}
+		time.Sleep(time.Minute)
+		is.True(certain())
+		pick(Request{}).Unreached()
+		time.Sleep(time.Minute)
+		is.True(!certain()) // it has not answered
+		pick(Request{}).Answered()
+		time.Sleep(renewalTime - 1)
+		is.True(!certain())
+		table.RestartVersionHistory()
+		time.Sleep(renewalTime - 1)
+		is.True(!certain()) // the platform did not answer for a while
+		pick(Request{}).Answered()
+		time.Sleep(1)
+		is.True(certain())
+		pick(Request{}).Unreached()
+		is.True(!certain())
+		list := versioned("v2")
+		list[0].StartedAt = 9
+		table.SetInstances(list)
+		version = "v2"
+		is.True(certain()) // it is registered anew
+	})
+}
