--- a/entry/stream.go
+++ b/entry/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -51,11 +52,14 @@
 	settledTokens chestnutcleat.Tokens
 	// reserved is set once the reservation is written.
 	reserved bool
-	// beginTries is the number of Begin records of this turn, and beginVersion the software version in the last one.
-	beginTries   int
-	beginVersion chestnutcleat.SoftwareVersion
+	// beginTries is the number of Begin records of this turn.
+	beginTries int
+	// callID tells this turn's Begin records from those of another one with the same request id.
+	callID ledger.CallID
 	// beginWrite is the write of the last Begin record until a quorum holds it, and nil after that.
-	beginWrite       *ledger.Write
+	beginWrite *ledger.Write
+	// stays is set if the stream must not go on at another instance, as the software version of its own one is not certain.
+	stays            bool
 	headerSent       bool
 	flusher          *http.ResponseController
 	timeToFirstEvent time.Duration
@@ -63,7 +67,10 @@
 
 // serveStream serves a request whose response is an event stream.
 func (c *call) serveStream() error {
-	t := &turn{call: c, input: c.body, lastEventID: -1, stalledAt: -1, settledTokens: notSettled, flusher: http.NewResponseController(c.w)}
+	t := &turn{
+		call: c, input: c.body, lastEventID: -1, stalledAt: -1, settledTokens: notSettled, callID: ledger.CallID(rand.Uint64()),
+		flusher: http.NewResponseController(c.w),
+	}
 	if err := t.locate(); err != nil {
 		return c.abortIfCallerGone(err)
 	}
@@ -108,6 +115,9 @@
 		if f == nil {
 			return nil
 		}
+		if t.stays {
+			return f
+		}
 		if err := t.retryOrFail(f); err != nil {
 			return err
 		}
@@ -216,7 +226,7 @@
 // before the deadline, and only once for each event: where all instances are slow, further moves would delay the event more.
 func (t *turn) stallTimeout() time.Duration {
 	left := time.Until(t.deadline)
-	if !t.route.Resumable || t.runs+1 >= t.route.MaxAttempts || t.stalledAt == t.events {
+	if !t.route.Resumable || t.stays || t.runs+1 >= t.route.MaxAttempts || t.stalledAt == t.events {
 		return left
 	}
 	return min(left, max(stallFactor*t.route.LatencyTarget, stallFactor*t.route.MaxEventGap, minStallTimeout))
--- a/entry/unrecorded_test.go
+++ b/entry/unrecorded_test.go
@@ -8,6 +8,8 @@
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/config"
+	"chestnutcleat.example/chestnutcleat/ledger"
+	"chestnutcleat.example/chestnutcleat/place"
 	"chestnutcleat.example/chestnutcleat/standin/instance"
 )
 
@@ -29,7 +31,7 @@
 				h.network.Detach("store")
 				id := streamID(0)
 				version := h.begin(0, id)
-				time.Sleep(6 * time.Second) // longer than the write of the record is tried
+				h.restartVM(0) // what it could not write is lost
 				h.add("b1", "v2")
 				h.add("b2", "v2")
 				h.remove("a1")
@@ -38,9 +40,10 @@
 				time.Sleep(time.Second)
 				forget(h)
 				h.begin(1, streamID(1))
-				r := h.takeUp(0, attemptID(id, 1), id, 2)
 				is.Equal(version, "v1")
-				is.Equal(r.status, 503)
+				for vm := range h.vms {
+					is.Equal(h.takeUp(vm, attemptID(id, 1+vm), id, 2).status, 503)
+				}
 			})
 		})
 	}
@@ -122,3 +125,13 @@
 		is.Equal(q.streamLifetime(), tt.want+recordMargin)
 	}
 }
+
+// A version whose record could not even be sent must not be preferred for a later attempt: nothing names it.
+func TestUnsentVersionIsNotPreferred(t *testing.T) {
+	is := is.New(t)
+	h := &Handler{Ledger: &ledger.Client{}, Observer: discardObserver{}}
+	q := &turn{call: &call{Handler: h, Request: &chestnutcleat.Request{}, route: &config.Route{Resumable: true}, table: &config.Table{}}}
+	q.sendBegin(&place.Assignment{Instance: chestnutcleat.Instance{Version: "v1"}})
+	is.Equal(q.beginTries, 0)
+	is.True(q.begun == nil)
+}
--- a/entry/version.go
+++ b/entry/version.go
@@ -23,15 +23,14 @@
 
 // newBegin returns the write that records at which software version the stream begins, or nil if it needs none.
 func (t *turn) newBegin(assignment *place.Assignment) *ledger.Write {
-	if !t.route.Resumable || t.beginTries > 0 && t.beginVersion == assignment.Version {
+	if !t.route.Resumable || assignment.Uncertain || t.begun != nil && *t.begun == assignment.Version {
 		return nil
 	}
 	t.beginTries++
-	t.beginVersion = assignment.Version
 	t.begun = &assignment.Version
 	t.beginWrite = ledger.NewWrite(ledger.Record{
 		Kind: ledger.Begin, Customer: t.customerID(), Attempt: t.ID, Route: t.route.Name,
-		Service: assignment.Service, Software: assignment.Version, Try: t.beginTries,
+		Service: assignment.Service, Software: assignment.Version, Try: t.beginTries, Call: t.callID,
 		ExpiresAt: time.Now().Add(t.streamLifetime()).Unix(),
 	})
 	return t.beginWrite
@@ -58,8 +57,8 @@
 		return
 	}
 	if err := t.Ledger.Send(w); err != nil && t.beginTries == 1 {
-		t.beginTries, t.beginWrite = 0, nil
-		t.log(event.StreamNotRecorded, "version", t.beginVersion, "error", err)
+		t.beginTries, t.begun, t.beginWrite = 0, nil, nil
+		t.log(event.StreamNotRecorded, "version", assignment.Version, "error", err)
 	}
 }
 
@@ -79,6 +78,10 @@
 		return &failure{mayHaveRun: true, err: err}
 	}
 	t.version.Store(&a.assignment.Version)
+	if a.assignment.Uncertain {
+		t.stays = true
+		t.log(event.StreamNotRecorded, "version", a.assignment.Version, "error", errUncertainVersion)
+	}
 	return nil
 }
 
@@ -100,7 +103,7 @@
 	}
 	err := t.beginWrite.Wait(ctx)
 	if err != nil && t.beginTries == 1 {
-		t.log(event.StreamNotRecorded, "version", t.beginVersion, "error", err)
+		t.log(event.StreamNotRecorded, "version", *t.begun, "error", err)
 		err = nil
 	}
 	if err == nil {
