Run no request whose connection was closed as idle before

A caller that sends a request together with the one before it (pipelining) could have it run at an instance and get no answer: between the response to the first and the begin of the second the connection counts as idle, though the second is in net/http's buffer. A stop that looked for idle connections just then closed it, and the handler still got the request. To callers the connection ends without an answer after the request was passed on.

Evidence: accept.TestClosedConnectionRunsNoRequest failed before with "2 != 1": the second request was handled on the closed connection.

Ruled out: callers that wait for each response; what they send next is read from the connection, which then does not count as idle, or the read fails.

Change: the server hands a request to its handler only while the connection is not closed. A caller may send the request again then, as it was not read. It works since the close and the begin of a request change the same state, and the handler's check comes after both.

--- a/accept/server.go
+++ b/accept/server.go
@@ -20,14 +20,34 @@
 	served   chan struct{}
 }
 
-// NewServer returns a server for a listener. It replaces the ConnState callback of h.
+// NewServer returns a server for a listener. It replaces the callbacks ConnState and ConnContext of h and wraps its handler.
 func NewServer(l *net.TCPListener, h *http.Server) *Server {
 	c := newConnections()
 	s := &Server{HTTP: h, Listener: l, listener: &listener{TCPListener: l, conns: c}, conns: c, served: make(chan struct{})}
 	h.ConnState = c.track
+	h.ConnContext = withConn
+	h.Handler = unlessClosed(h.Handler)
 	return s
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// unlessClosed handles only requests that can be answered: one that was read together with the one before it may begin after its
+// connection was closed as idle.
+func unlessClosed(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok && c.state.Load() == stateClosed {
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Serve accepts connections until Shutdown or Close is called.
 func (s *Server) Serve() error {
 	defer close(s.served)
--- a/accept/server_test.go
+++ b/accept/server_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -292,3 +293,33 @@
 		}
 	}
 }
+
+// A request that was read together with the one before it must not run once its connection was closed as idle in between: it ran at an
+// instance without anybody to answer.
+func TestClosedConnectionRunsNoRequest(t *testing.T) {
+	is := is.New(t)
+	var handled atomic.Int32
+	s := NewServer(listen(t), &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		handled.Add(1)
+		w.WriteHeader(http.StatusNoContent)
+	})})
+	ended := make(chan struct{})
+	track := s.HTTP.ConnState
+	s.HTTP.ConnState = func(c net.Conn, state http.ConnState) {
+		track(c, state)
+		switch state {
+		case http.StateIdle:
+			// The shutdown looks for idle connections at this moment.
+			s.conns.closeIdle()
+		case http.StateClosed:
+			close(ended)
+		}
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve() }()
+	is.NoErr(dial(t, s).send(request + request))
+	<-ended
+	is.Equal(handled.Load(), int32(1))
+	is.NoErr(s.Close())
+	is.NoErr(<-done)
+}
