Answer a request whose handler panics

A caller whose request made the entry VM panic after an instance had got it was left with a closed connection and no answer; the panic was in no event, and the VM counted the request at its instance for good, with its connection left open. Cause: only net/http recovers in handlers of callers' requests, by closing the connection.

Evidence: entry.TestPanicIsAnswered failed before in the request (EOF), and the instance's connection was still open at its end ("blocked goroutines remain"); entry.TestPanicInAnswer guards the case in which part of the answer is out.

Ruled out: panics in the other paths of messages, which have their guards.

Change: the handler recovers. The assignment ends and the instance's connection is closed. Why it works: 500 promises nothing, and a retry is the caller's to decide; http.ErrAbortHandler goes on as before.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -134,13 +134,19 @@
 	if err != nil {
 		return nil, c.endFailed(assignment, err)
 	}
+	usable := false
+	defer func() {
+		if !usable {
+			// The body is not read, so this closes the connection: no second copy of a refusal can be the next response on it.
+			response.Close()
+		}
+	}()
 	a := &attempt{assignment: assignment, response: response, meta: c.Codec.DecodeResponse(response.Status, response.Header)}
 	c.noteDeparture(a)
 	if f := c.checkResponse(a); f != nil {
-		// The body is not read, so this closes the connection: no second copy of a refusal can be the next response on it.
-		response.Close()
 		return nil, f
 	}
+	usable = true
 	return a, nil
 }
 
--- a/entry/buffered.go
+++ b/entry/buffered.go
@@ -49,6 +49,8 @@
 
 // tryBuffered sends the request to one instance and passes on a complete response.
 func (c *call) tryBuffered(assignment *place.Assignment) *failure {
+	// Without effect unless a panic passes.
+	defer assignment.End(place.Neutral)
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	defer c.giveUpAfter(ctx, cancel, c.attemptTimeout()).Stop()
@@ -69,7 +71,7 @@
 	}
 	h := c.copyHeader(a)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	c.w.WriteHeader(a.response.Status)
+	c.writeHeader(a.response.Status)
 	// A write error means that the caller has disconnected.
 	_, _ = c.w.Write(body)
 	c.Metrics.answered(c.route.Type, time.Since(c.Received))
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,7 @@
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/config"
 	"chestnutcleat.example/chestnutcleat/exchange"
+	"chestnutcleat.example/chestnutcleat/guard"
 	"chestnutcleat.example/chestnutcleat/ledger"
 	"chestnutcleat.example/chestnutcleat/memory"
 	"chestnutcleat.example/chestnutcleat/place"
@@ -32,6 +34,8 @@
 	Memory *memory.Budget
 	// Bounds limits the answers of instances.
 	Bounds Bounds
+	// OnPanic is called with the panic of a request that ended in one; nil means that it is dropped.
+	OnPanic func(err error)
 
 	inFlight  atomic.Int64
 	drain     atomic.Pointer[drain]
@@ -63,6 +67,8 @@
 	admission *rate.Admission
 	// sent is set once the request was sent to an instance.
 	sent bool
+	// headerSent is set once the header of the response is written.
+	headerSent bool
 	// deadline is when the caller stops waiting or the route's timeout ends, whichever is first.
 	deadline time.Time
 	// fingerprint identifies the request across its attempts.
@@ -83,13 +89,20 @@
 	}
 	c := &call{Handler: h, w: w, r: r, memory: memory.Reservation{Budget: h.Memory}}
 	defer c.release()
+	if err := guard.Call(c.serve); err != nil {
+		c.answerPanic(err)
+	}
+}
+
+// serve responds to the request.
+func (c *call) serve() {
 	err := c.prepare()
 	if err == nil {
-		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+		ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 		defer cancel()
 		c.ctx = ctx
-		h.forwarded.add(c)
-		defer h.forwarded.remove(c)
+		c.forwarded.add(c)
+		defer c.forwarded.remove(c)
 		if c.route.Type == config.Streaming {
 			err = c.serveStream()
 		} else {
@@ -101,6 +114,34 @@
 	}
 }
 
+// answerPanic ends a request that ended in a panic: with an error, unless part of the answer was sent or the panic closes the connection.
+func (c *call) answerPanic(err error) {
+	var p *guard.Panic
+	if errors.As(err, &p) && p.Value == http.ErrAbortHandler {
+		panic(http.ErrAbortHandler)
+	}
+	if c.OnPanic != nil {
+		c.OnPanic(err)
+	}
+	if c.headerSent {
+		panic(http.ErrAbortHandler)
+	}
+	// An instance's headers may be set already, and its signature says that the answer is its own.
+	clear(c.w.Header())
+	c.w.Header().Set("Connection", "close")
+	outcome := chestnutcleat.NotRun
+	if c.sent {
+		outcome = chestnutcleat.Unknown
+	}
+	c.refuse(problem(chestnutcleat.CodeInternal, outcome, "the VM failed to handle the request"))
+}
+
+// writeHeader begins the response.
+func (c *call) writeHeader(status int) {
+	c.headerSent = true
+	c.w.WriteHeader(status)
+}
+
 // release returns what the request holds of limits.
 func (c *call) release() {
 	c.memory.Release()
--- a/entry/refuse.go
+++ b/entry/refuse.go
@@ -39,5 +39,6 @@
 	}
 	c.Metrics.refused(p.Code)
 	c.log(event.Refused, "code", p.Code, "status", p.Status, "outcome", p.Outcome, "detail", p.Detail, "retry", p.Retry)
+	c.headerSent = true
 	c.Codec.WriteProblem(c.w, p)
 }
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -55,7 +55,6 @@
 	beginVersion chestnutcleat.SoftwareVersion
 	// beginWrite is the write of the last Begin record until a quorum holds it, and nil after that.
 	beginWrite       *ledger.Write
-	headerSent       bool
 	flusher          *http.ResponseController
 	timeToFirstEvent time.Duration
 }
@@ -127,6 +126,8 @@
 
 // tryStream sends the turn to one instance and relays its events.
 func (t *turn) tryStream(assignment *place.Assignment) *failure {
+	// Without effect unless a panic passes.
+	defer assignment.End(place.Neutral)
 	ctx, cancel := context.WithCancelCause(t.ctx)
 	defer cancel(nil)
 	stallTimer := t.giveUpAfter(ctx, cancel, t.stallTimeout())
@@ -222,8 +223,7 @@
 		t.timeToFirstEvent = time.Since(t.Received)
 		h := t.copyHeader(a)
 		h.Del("Content-Length")
-		t.w.WriteHeader(http.StatusOK)
-		t.headerSent = true
+		t.writeHeader(http.StatusOK)
 	}
 	if _, err := t.w.Write(e.Raw); err != nil {
 		return err
@@ -256,7 +256,7 @@
 		return t.discardError(a)
 	}
 	t.copyHeader(a).Del("Content-Length")
-	t.w.WriteHeader(a.response.Status)
+	t.writeHeader(a.response.Status)
 	_, _ = t.w.Write(body)
 	t.logAnswered(a, "bytes", len(body))
 	return nil
@@ -273,7 +273,7 @@
 	}
 	if !t.headerSent {
 		t.copyHeader(a).Del("Content-Length")
-		t.w.WriteHeader(http.StatusOK)
+		t.writeHeader(http.StatusOK)
 	}
 	t.Metrics.streamed(t.timeToFirstEvent, time.Since(t.Received))
 	t.logAnswered(a, "events", t.events, "first", t.timeToFirstEvent.Milliseconds())
--- a/role/entry.go
+++ b/role/entry.go
@@ -131,6 +131,7 @@
 		Codec: platform.Codec{}, Config: e.config.Load, Instances: e.placement, Pool: pool, Rates: e.limiter, Ledger: e.ledger,
 		Crashes: &entry.CrashTracker{}, Observer: e.Observer, Metrics: &entry.Metrics{Set: e.Metrics},
 		Domain: e.Settings.Domain, Memory: &memory.Budget{Limit: size / bodyMemoryDivisor}, Bounds: entry.Bounds{Body: answers.Body, Event: answers.Event, Output: answers.Output},
+		OnPanic: func(err error) { e.reportPanic("request of a caller", err) },
 	}
 	e.follow(platform.ConfigKind, false, e.configChanged)
 	e.follow(platform.InstanceKind, true, e.instancesChanged)
