Refuse calls that a shutdown of the older interface may interrupt

Callers of the product's own interface had calls cut: a VM that shuts down took calls of up to two minutes until it stopped listening, though its grace period is 30 s by default.

Ruled out: kept connections that are closed with a begun request; this interface uses package accept, which mended.

A call that must not be repeated may begin just before its deadline and then has the route's timeout, so both count. Calls that the program's owner knows go on, as it has their answer or their run. It works since no call lasts longer than that by the call's own limits.

--- a/caller/requesttracker.go
+++ b/caller/requesttracker.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 )
 
 // requestTracker counts the requests in progress and the background work that they leave.
@@ -12,18 +13,24 @@
 	count int
 	// draining is set once new programs are refused.
 	draining bool
-	// closeConnections makes each connection close after its next response.
-	closeConnections bool
+	// shutdown is set once the VM shuts down; each connection closes after its next response then.
+	shutdown *shutdown
 	// idle is closed when count reaches zero; it is nil while nobody waits.
 	idle chan struct{}
 }
 
+// shutdown describes a graceful shutdown of the VM.
+type shutdown struct {
+	// strictFrom is the time from which no call is admitted that may last until after end.
+	strictFrom, end time.Time
+}
+
 // add counts a request and reports whether to close its connection after the response.
 func (t *requestTracker) add() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.count++
-	return t.draining || t.closeConnections
+	return t.draining || t.shutdown != nil
 }
 
 func (t *requestTracker) done() {
@@ -36,11 +43,19 @@
 	}
 }
 
-// CloseConnections makes each connection close after its next response; new programs are still accepted.
-func (h *Handler) CloseConnections() {
+// StartShutdown prepares for the end of the VM at the given time. Each connection closes after its next response. From strictFrom on,
+// when callers have had the time to learn of other VMs, calls that may take longer than until the end are refused.
+func (h *Handler) StartShutdown(strictFrom, end time.Time) {
 	h.requests.mu.Lock()
 	defer h.requests.mu.Unlock()
-	h.requests.closeConnections = true
+	h.requests.shutdown = &shutdown{strictFrom: strictFrom, end: end}
+}
+
+// wouldInterrupt reports whether the shutdown may interrupt a call that ends at the given time at the latest.
+func (t *requestTracker) wouldInterrupt(latestEnd time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.shutdown != nil && !time.Now().Before(t.shutdown.strictFrom) && latestEnd.After(t.shutdown.end)
 }
 
 // Drain refuses new programs and waits until no request is in progress or ctx is done.
--- a/caller/run.go
+++ b/caller/run.go
@@ -12,12 +12,14 @@
 	"chestnutcleat.example/chestnutcleat/upstream"
 )
 
-// serve runs a call and responds to the caller; refuseNew refuses a call that the program's owner does not have.
+// serve runs a call and responds to the caller. refuseNew refuses a call that the program's owner does not have, and so does a shutdown
+// that may interrupt the call.
 func (c *call) serve(r *http.Request, refuseNew bool) {
 	defer c.initContext(r)()
 	c.mayHaveRun = c.explicitID && !c.call.Repeatable
+	refuseNew = refuseNew || c.h.requests.wouldInterrupt(c.latestEnd())
 	if refuseNew && !c.isKnownToOwner() {
-		c.sendProblem(notRunProblem(chestnutcleat.CodeLeaving, "the VM is leaving; use another one").WithRetry(defaultRetryDelay))
+		c.sendProblem(notRunProblem(chestnutcleat.CodeLeaving, "the VM is leaving and accepts no new programs and no long calls; use another one").WithRetry(defaultRetryDelay))
 		return
 	}
 	if p := c.takeToken(); p != nil {
@@ -98,6 +100,14 @@
 	return r
 }
 
+// latestEnd returns when the call ends at the latest: an attempt that must not be repeated may begin just before the deadline.
+func (c *call) latestEnd() time.Time {
+	if c.call.Repeatable {
+		return c.call.Deadline
+	}
+	return c.call.Deadline.Add(c.route.Timeout.OrDefault(chestnutcleat.DefaultCallTimeout))
+}
+
 // recordIntent records at the program's owner that a call that must not be repeated is about to be sent.
 func (c *call) recordIntent(g grant) *chestnutcleat.Problem {
 	if !c.tryStart() {
--- a/process/shutdown.go
+++ b/process/shutdown.go
@@ -29,7 +29,7 @@
 	defer cancel()
 	go p.announce(grace, true)
 	// Slots may move while requests still run here, because their entry VM reaches the new owners like any other entry VM.
-	p.handler.CloseConnections()
+	p.handler.StartShutdown(started.Add(caller.VMListMaxAge+staleListMargin), started.Add(p.Settings.Grace.OrDefault(0)))
 	moved := p.node.Leave(grace)
 	// Closing the listener resets connections that wait in its backlog, so callers first get the time to fetch the new address
 	// list.
