Stop listening in time in the older interface, also without a handover

A VM of the product's own interface that got SIGTERM listened until its slots had moved, and at least 6 s. If they could not move, as while the platform is away, or with a grace period under 6 s, it accepted connections until the grace period was over and then cut all that was in progress. Cause: the listener waited for the handover, and its time was not compared with the grace period.

Evidence: process.TestShutdownWithoutHandover: with the handover before the end of listening it does not end within 20 s (the grace period of the test is an hour).

Ruled out: that the end of listening hinders the handover; other VMs reach this one by its other listener, which stays open to the end.

Change: the slots move while the VM listens, and accept.ListenTime, now shared by both interfaces, leaves 3.5 s of the grace period for what is in progress. A second signal still ends the process at once with an error.

--- a/accept/server.go
+++ b/accept/server.go
@@ -9,6 +9,15 @@
 	"time"
 )
 
+// drainReserve is the part of a grace period that is left for requests in progress when the listener closes.
+const drainReserve = 3500 * time.Millisecond
+
+// ListenTime returns how long a server listens on in a grace period: as long as callers with an older list of addresses still connect,
+// but not so long that too little is left for what they send.
+func ListenTime(grace, staleLists time.Duration) time.Duration {
+	return max(0, min(staleLists, grace-drainReserve))
+}
+
 // Server serves HTTP on one listener. Its Shutdown responds on all accepted connections. http.Server.Shutdown sends no response
 // to a request that is read after the shutdown began, and closes its connection.
 type Server struct {
--- a/process/process.go
+++ b/process/process.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -41,6 +42,10 @@
 	callers   *accept.Server
 	operators *accept.Server
 	listeners listeners
+	// staleLists is how long callers may connect with an outdated address list after the shutdown began.
+	staleLists time.Duration
+	// handOver moves this VM's slots to other VMs and leaves the fleet.
+	handOver func(ctx context.Context) error
 }
 
 // listeners holds the listening sockets of a process.
@@ -131,7 +136,11 @@
 		Rand:       rand.New(rand.NewPCG(uint64(start.UnixNano()), rand.Uint64())),
 		Policy:     p.Policy,
 	}
+	p.staleLists = cmp.Or(p.staleLists, staleListTime)
 	p.node.Init()
+	if p.handOver == nil {
+		p.handOver = p.node.Leave
+	}
 	p.handler = &caller.Handler{Owners: p.node, Directory: p.node, Observer: p.Observer, ManifestReady: p.node.ManifestInEffect(), Metrics: p.Metrics}
 	p.callers = accept.NewServer(p.listeners.callers.(*net.TCPListener), p.handler.Server())
 	p.operators = accept.NewServer(p.listeners.operators.(*net.TCPListener), p.operatorServer())
--- a/process/shutdown.go
+++ b/process/shutdown.go
@@ -5,16 +5,18 @@
 	"fmt"
 	"time"
 
+	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/accept"
 	"chestnutcleat.example/chestnutcleat/caller"
 	"chestnutcleat.example/chestnutcleat/event"
 )
 
-// staleListMargin is the time allowed for requests that callers started with an outdated address list.
-const staleListMargin = time.Second
+// staleListTime is how long callers may connect with an outdated address list, with a second for what they have begun.
+const staleListTime = caller.VMListMaxAge + time.Second
 
 // shutdown waits for Stop, then ends the process gracefully: it accepts no new programs, lets requests in progress finish and
-// moves slots to other VMs. The listeners stay open until the slots have moved, because callers with an outdated address list
-// still connect here; the listener for other VMs stays open until the end.
+// moves slots to other VMs. The listener for callers stays open while callers with an outdated address list still connect here. The
+// slots move meanwhile, which may take until the end of the grace period; the listener for other VMs stays open until then.
 func (p *Process) shutdown(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
@@ -24,32 +26,35 @@
 	case <-p.node.DrainRequested():
 	}
 	p.Observer.Emit(event.Stopping)
-	started := time.Now()
-	grace, cancel := context.WithTimeout(ctx, p.Settings.Grace.OrDefault(0))
+	started, graceTime := time.Now(), p.Settings.Grace.OrDefault(0)
+	grace, cancel := context.WithTimeout(ctx, graceTime)
 	defer cancel()
 	go p.announce(grace, true)
+	listen := accept.ListenTime(graceTime, p.staleLists)
+	p.handler.StartShutdown(started.Add(listen), started.Add(graceTime))
+	moved := make(chan error, 1)
 	// Slots may move while requests still run here, because their entry VM reaches the new owners like any other entry VM.
-	p.handler.StartShutdown(started.Add(caller.VMListMaxAge+staleListMargin), started.Add(p.Settings.Grace.OrDefault(0)))
-	moved := p.node.Leave(grace)
+	go func() { moved <- p.handOver(grace) }()
 	// Closing the listener resets connections that wait in its backlog, so callers first get the time to fetch the new address
-	// list.
-	p.waitForStaleLists(grace, started)
-	// The listener closes before the drain, so that a caller with an outdated list goes to another VM; Drain would refuse its
-	// new programs.
-	if ctx.Err() != nil {
+	// list. It closes before the drain, so that a caller with an outdated list goes to another VM; Drain would refuse its new programs.
+	if chestnutcleat.Sleep(ctx, listen) != nil {
 		return p.abort()
 	}
 	drained := p.callers.Shutdown(grace)
 	if err := p.handler.Drain(grace); err != nil {
 		drained = err
 	}
+	handover := <-moved
+	if ctx.Err() != nil {
+		return p.abort()
+	}
 	p.close()
 	if drained != nil {
 		p.Observer.Emit(event.RequestsInterrupted, "error", drained)
 		return fmt.Errorf("graceful shutdown: %w", drained)
 	}
-	if moved != nil {
-		p.Observer.Emit(event.HandoverFailed, "error", moved)
+	if handover != nil {
+		p.Observer.Emit(event.HandoverFailed, "error", handover)
 	}
 	return nil
 }
@@ -62,16 +67,6 @@
 	return fmt.Errorf("graceful shutdown was interrupted with %d requests in progress", n)
 }
 
-// waitForStaleLists waits until the address lists that callers cache no longer contain this VM.
-func (p *Process) waitForStaleLists(ctx context.Context, started time.Time) {
-	t := time.NewTimer(time.Until(started.Add(caller.VMListMaxAge + staleListMargin)))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (p *Process) close() {
 	p.callers.Close()
 	p.operators.Close()
--- a/role/shutdown.go
+++ b/role/shutdown.go
@@ -5,12 +5,11 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/accept"
 	"chestnutcleat.example/chestnutcleat/event"
 )
 
 const (
-	// drainReserve is the part of the grace period reserved for requests that are in progress when the listener closes.
-	drainReserve = 3500 * time.Millisecond
 	// announceTime is the time in which the other VMs learn that this one shuts down and stop naming it to callers.
 	announceTime = 300 * time.Millisecond
 	// maxExitReserve bounds the part of the grace period reserved for the exit of the process, an exitDivisor-th of it.
@@ -64,8 +63,7 @@
 // shutdownTimes returns how long a VM listens after SIGTERM, as callers with an older list still connect for a while, and how long
 // requests may take after it.
 func shutdownTimes(grace, addressTTL time.Duration) (listen, total time.Duration) {
-	listen = max(0, min(announceTime+addressTTL, grace-drainReserve))
-	return listen, grace - min(maxExitReserve, grace/exitDivisor)
+	return accept.ListenTime(grace, announceTime+addressTTL), grace - min(maxExitReserve, grace/exitDivisor)
 }
 
 func (e *Entry) close() {
