--- a/entry/refuse.go
+++ b/entry/refuse.go
@@ -43,5 +43,6 @@
 		attributes = append(attributes, "departing", true)
 	}
 	c.log(event.Refused, attributes...)
+	c.headerSent = true
 	c.Codec.WriteProblem(c.w, p)
 }
