Keep results of a soak, and measure delays of the machine

A run that fails now keeps its result, plan and attempts beside the logs, and prints at most 80 lines. Each result says how long the machine held up the soak's own process and its syncs.

--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -85,7 +85,7 @@
 }
 
 // check compares the attempts with what the instances ran; it is called when all attempts have ended.
-func (r *recorder) check(log *instance.Log, p *Plan) []Violation {
+func (r *recorder) check(log *instance.Log, p *Plan) {
 	for _, a := range r.attempts {
 		runs := log.Runs(a.ID)
 		if a.reportsNotRun() && len(runs) > 0 {
@@ -110,7 +110,6 @@
 	r.checkWithdrawnKey(log, p)
 	r.checkDrained(log, p)
 	r.checkRateLimit(log)
-	return r.violations
 }
 
 // minServedShare is the fraction of requests that must be served once the faults are over.
--- a/soak/recorder_test.go
+++ b/soak/recorder_test.go
@@ -62,7 +62,8 @@
 			for _, v := range tt.runs {
 				log.Add(tt.a.ID, v)
 			}
-			violations := fmt.Sprint(r.check(log, p))
+			r.check(log, p)
+			violations := fmt.Sprint(r.violations)
 			if tt.want == "" && violations != "[]" || !strings.Contains(violations, tt.want) {
 				t.Errorf("found %s, expected %q", violations, tt.want)
 			}
--- a/soak/run.go
+++ b/soak/run.go
@@ -25,6 +25,9 @@
 	withdrawnCount, limitedCount = 2, 3
 )
 
+// maxResultLines bounds the printed lines of a result, which all are in resultFile.
+const maxResultLines = 80
+
 // Soak is one run of a plan.
 type Soak struct {
 	// Binary is the chestnutcleat executable that all VMs run.
@@ -46,9 +49,11 @@
 		return err
 	}
 	r := &recorder{start: time.Now()}
+	w := &watchdog{start: r.start, dir: s.Dir}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.Plan.Length))
 	defer cancel()
 	var wg sync.WaitGroup
+	wg.Go(func() { w.run(ctx) })
 	s.startCallers(ctx, &wg, f, r)
 	for _, fault := range s.Plan.Faults {
 		if chestnutcleat.Sleep(ctx, time.Duration(fault.At)-time.Since(r.start)) != nil {
@@ -65,7 +70,9 @@
 		r.addRunViolation(time.Since(r.start), "%s", excess)
 	}
 	processErrs := f.stop()
-	return s.report(f, r, processErrs)
+	r.checkDeparted(f.log, &s.Plan, f.histories())
+	r.check(f.log, &s.Plan)
+	return s.report(r, w, processErrs)
 }
 
 func (s *Soak) startCallers(ctx context.Context, wg *sync.WaitGroup, f *fleet, r *recorder) {
@@ -92,24 +99,43 @@
 	}
 }
 
-// report prints the violations, the errors of processes and a summary.
-func (s *Soak) report(f *fleet, r *recorder, processErrs []error) error {
-	r.checkDeparted(f.log, &s.Plan, f.histories())
-	violations := r.check(f.log, &s.Plan)
-	for _, v := range violations {
-		fmt.Fprintln(s.Out, "BROKEN", v)
+// report prints the violations, the errors of processes, the delays of the machine and a summary.
+func (s *Soak) report(r *recorder, w *watchdog, processErrs []error) error {
+	failed := len(r.violations) > 0 || len(processErrs) > 0
+	lines := s.resultLines(r, w, processErrs)
+	for _, line := range shorten(lines) {
+		fmt.Fprintln(s.Out, line)
+	}
+	if !failed {
+		return os.RemoveAll(s.Dir)
+	}
+	fmt.Fprintf(s.Out, "plan, all lines of the result, attempts and logs are kept in %s\n", s.Dir)
+	return errors.Join(append(processErrs, s.keep(lines, r), ErrGuaranteeViolated)...)
+}
+
+// resultLines returns the result of a run, the summary at its end.
+func (s *Soak) resultLines(r *recorder, w *watchdog, processErrs []error) []string {
+	var lines []string
+	for _, v := range r.violations {
+		lines = append(lines, fmt.Sprint("BROKEN ", v))
 	}
 	for _, err := range processErrs {
-		fmt.Fprintln(s.Out, "FAILED", err)
+		lines = append(lines, fmt.Sprint("FAILED ", err))
 	}
+	lines = append(lines, w.lines()...)
 	statuses := map[int]int{}
 	for _, a := range r.attempts {
 		statuses[a.Status]++
 	}
-	fmt.Fprintf(s.Out, "seed %d: %d faults, %d attempts, by status %v, %d broken promises\n", s.Plan.Seed, len(s.Plan.Faults), len(r.attempts), statuses, len(violations))
-	if len(violations) > 0 || len(processErrs) > 0 {
-		fmt.Fprintf(s.Out, "logs are kept in %s\n", s.Dir)
-		return errors.Join(append(processErrs, ErrGuaranteeViolated)...)
+	return append(lines, fmt.Sprintf("seed %d: %d faults, %d attempts, by status %v, %d broken promises",
+		s.Plan.Seed, len(s.Plan.Faults), len(r.attempts), statuses, len(r.violations)))
+}
+
+// shorten returns the lines without those in the middle if there are more than maxResultLines.
+func shorten(lines []string) []string {
+	if len(lines) <= maxResultLines {
+		return lines
 	}
-	return os.RemoveAll(s.Dir)
+	left := fmt.Sprintf("... %d more lines in %s ...", len(lines)-maxResultLines, resultFile)
+	return slices.Concat(lines[:maxResultLines/2], []string{left}, lines[len(lines)-maxResultLines/2:])
 }
