--- a/event/system.go
+++ b/event/system.go
@@ -46,6 +46,7 @@
 	ObjectsCopyFailed          = add(862, Warning, "newer objects could not be copied from another VM", "Check the link to the VM that is named; the next VM that reports them is asked.")
 	UsageRestored              = add(863, Info, "use of customers' rates before the start was restored", "")
 	InstanceDeparted           = add(864, Info, "instance says that it leaves and gets no new requests", "")
+	SyncSlow                   = add(865, Warning, "log of records was synced slowly", "Check the disk of this VM if it happens often; turns wait while a majority of the storage VMs is slow.")
 	StreamTakenUp              = add(871, Info, "caller takes a stream up again", "")
 	TakeUpRefused              = add(872, Info, "stream not taken up again", "")
 	StreamNotRecorded          = add(873, Warning, "stream began without a record of its software version", "Check the storage VMs; if the stream breaks off, its caller can't take it up again.")
--- a/ledger/log.go
+++ b/ledger/log.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"chestnutcleat.example/chestnutcleat/vm"
 )
@@ -58,6 +59,10 @@
 type diskLog struct {
 	folder string
 	buffer bytes.Buffer
+	// sync makes what was written to a segment durable; tests replace it.
+	sync func(*os.File) error
+	// syncTime is how long the last sync of append took.
+	syncTime time.Duration
 
 	mu sync.RWMutex
 	// segments are sorted by number; the last one is the active one, to which records are appended.
@@ -70,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &diskLog{folder: folder}
+	l := &diskLog{folder: folder, sync: (*os.File).Sync}
 	for i, n := range numbers {
 		s, err := l.openSegment(n)
 		if err != nil {
@@ -238,7 +243,10 @@
 		// s.size is unchanged, so the next append overwrites the partial write.
 		return nil, fmt.Errorf("write %s at byte %d: %w", s.file.Name(), s.size, err)
 	}
-	if err := s.file.Sync(); err != nil {
+	start := time.Now()
+	err = l.sync(s.file)
+	l.syncTime = time.Since(start)
+	if err != nil {
 		return nil, fmt.Errorf("sync %s: %w", s.file.Name(), err)
 	}
 	l.mu.Lock()
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -27,6 +27,8 @@
 	recordOverheadBytes = 128
 	// dumpIdleTimeout is how long a dump is kept after its last request.
 	dumpIdleTimeout = 30 * time.Second
+	// slowSync is the duration of a sync that turns notice.
+	slowSync = 100 * time.Millisecond
 	// joinCallTimeout bounds one call while a replica joins.
 	joinCallTimeout = 3 * time.Second
 )
@@ -186,6 +188,7 @@
 // appendAndApply appends records to the log, syncs them and applies them to the state.
 func (s *Store) appendAndApply(records []*Record) error {
 	locations, err := s.log.append(records)
+	s.reportSync(len(records))
 	if err != nil {
 		return err
 	}
@@ -197,6 +200,13 @@
 	return nil
 }
 
+// reportSync logs the last sync if it was slow. One goroutine syncs, so there are at most 1 / slowSync lines a second.
+func (s *Store) reportSync(records int) {
+	if took := s.log.syncTime; took >= slowSync {
+		s.Observer.Emit(event.SyncSlow, "disk", s.disk, "took", took.Milliseconds(), "records", records)
+	}
+}
+
 // write queues records for the log and waits until they are synced.
 func (s *Store) write(ctx context.Context, records []*Record) error {
 	c := &commit{records: records, done: make(chan error, 1)}
