Retain only objects that a VM has

The VM had just started: its list of the platform was at version 156, and a delta from a VM that retained odd entries after an outage named 20 objects that the delta, which has only changes, did not bring. The names stayed until the VM's watch of 28 s ended; until then each list counted as a change, and the names went on to other VMs. A VM now retains only objects that it has. TestRetainedNameWithoutObject failed with [gone kept] in place of [kept].

--- a/mirror/retention.go
+++ b/mirror/retention.go
@@ -73,7 +73,11 @@
 	return n
 }
 
+// retain begins the retention of a known object, unless it is retained already.
 func (m *Mirror) retain(name string) {
+	if _, known := m.objects[name]; !known {
+		return
+	}
 	if m.retainedUntil == nil {
 		m.retainedUntil = map[string]time.Time{}
 	}
--- a/mirror/snapshot_test.go
+++ b/mirror/snapshot_test.go
@@ -136,3 +136,14 @@
 		is.Equal(names(behind.SnapshotSince(0)), []string{"a", "b", "d", "e"})
 	})
 }
+
+// A VM must not retain names whose objects it doesn't have: a VM that had just started took them over with a delta, which has only the
+// changes, and listed them as retained until its watch ended, up to 28 s later; until then each list counted as a change.
+func TestRetainedNameWithoutObject(t *testing.T) {
+	is := is.New(t)
+	m := &Mirror{RetainAfterOutage: true}
+	kept := chestnutcleat.StoredObject{Name: "kept", Version: 4}
+	m.Merge(Snapshot{Version: 5, Objects: []chestnutcleat.StoredObject{kept}})
+	m.Merge(Snapshot{Version: 9, Since: 5, Retained: []string{"gone", "kept"}})
+	is.Equal(m.SnapshotSince(0).Retained, []string{"kept"})
+}
