Keep the disks of a soak in memory

The disks are now in memory where there is a file system for it, so no check depends on the machine's disk; the bound stays, and so does the measurement, of the folder of the disks. SIGKILL, the only way in which processes are killed, loses nothing of such a file system.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -74,8 +74,8 @@
 	config instance.Sample
 }
 
-// newFleet starts the stand-ins and the VMs' processes; the processes' files are in dir.
-func newFleet(binary, dir string) (*fleet, error) {
+// newFleet starts the stand-ins and the VMs' processes; the processes' files are in dir, the storage VMs' disks in another folder.
+func newFleet(binary, dir, disks string) (*fleet, error) {
 	f := &fleet{
 		log: &instance.Log{}, platform: store.New(), config: instance.Sample{Timeout: requestTimeout},
 		processes: map[string]*process{}, standinInstances: map[string]*standinInstance{},
@@ -96,7 +96,7 @@
 		if i >= entryCount {
 			kind = settings.RoleStore
 		}
-		if err := f.addProcess(binary, dir, vmSettings(id, kind, i, platform.Addr().String(), dir)); err != nil {
+		if err := f.addProcess(binary, dir, vmSettings(id, kind, i, platform.Addr().String(), disks)); err != nil {
 			return nil, err
 		}
 	}
@@ -150,7 +150,7 @@
 }
 
 // vmSettings returns the settings of a VM. Each VM has its own loopback address, so that all use the same ports.
-func vmSettings(id, kind string, i int, platform, dir string) settings.Role {
+func vmSettings(id, kind string, i int, platform, disks string) settings.Role {
 	ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()/250%64, 1+os.Getpid()%250, i+1)
 	address := func(port int) chestnutcleat.Address {
 		return chestnutcleat.Address(net.JoinHostPort(ip, fmt.Sprint(port)))
@@ -164,7 +164,7 @@
 	if kind == settings.RoleEntry {
 		s.Listen = settings.Listen{Callers: address(callersPort), Ready: address(readyPort), Registry: address(registryPort)}
 	} else {
-		s.DataFolder = filepath.Join(dir, id+".disk")
+		s.DataFolder = filepath.Join(disks, id+".disk")
 	}
 	return s
 }
--- a/soak/keep.go
+++ b/soak/keep.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -31,8 +32,29 @@
 	Error    string  `json:"error,omitempty"`
 }
 
+// memoryFolder is the root of a file system in memory, where there is one.
+const memoryFolder = "/dev/shm"
+
+// makeDiskFolder makes a folder for the disks of all storage VMs: in memory if possible, as a stall of the machine's one disk would
+// otherwise be a stall of more storage VMs than the fleet tolerates, which no plan has.
+func makeDiskFolder(dir string) (string, error) {
+	if disks, err := os.MkdirTemp(memoryFolder, "soak-"); err == nil {
+		return disks, nil
+	}
+	disks, err := os.MkdirTemp(dir, "disks-")
+	if err != nil {
+		return "", fmt.Errorf("create folder for disks: %w", err)
+	}
+	return disks, nil
+}
+
+// keepDisks copies the disks to the folder of the run.
+func (s *Soak) keepDisks(disks string) error {
+	return os.CopyFS(filepath.Join(s.Dir, "disks"), os.DirFS(disks))
+}
+
 // keep writes the result, the plan and the attempts to the folder of the run, where they outlive output that is cut.
-func (s *Soak) keep(lines []string, r *recorder) error {
+func (s *Soak) keep(lines []string, r *recorder, disks string) error {
 	plan, err := json.MarshalIndent(s.Plan, "", "  ")
 	if err != nil {
 		return err
@@ -42,6 +64,7 @@
 		s.keepFile(resultFile, []byte(header+"\n"+strings.Join(lines, "\n")+"\n")),
 		s.keepFile(planFile, plan),
 		s.keepAttempts(r.attempts),
+		s.keepDisks(disks),
 	)
 }
 
--- a/soak/keep_test.go
+++ b/soak/keep_test.go
@@ -22,7 +22,7 @@
 	}
 	var out strings.Builder
 	s := &Soak{Dir: t.TempDir(), Out: &out}
-	is.True(s.report(r, &watchdog{}, nil) != nil)
+	is.True(s.report(r, &watchdog{dir: t.TempDir()}, nil) != nil)
 	is.True(strings.Count(out.String(), "\n") < 2*maxResultLines)
 	kept, err := os.ReadFile(filepath.Join(s.Dir, resultFile))
 	is.NoErr(err)
--- a/soak/run.go
+++ b/soak/run.go
@@ -44,12 +44,17 @@
 
 // Run runs the plan and returns an error that wraps ErrGuaranteeViolated if there were violations.
 func (s *Soak) Run(ctx context.Context) error {
-	f, err := newFleet(s.Binary, s.Dir)
+	disks, err := makeDiskFolder(s.Dir)
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(disks)
+	f, err := newFleet(s.Binary, s.Dir, disks)
 	if err != nil {
 		return err
 	}
 	r := &recorder{start: time.Now()}
-	w := &watchdog{start: r.start, dir: s.Dir}
+	w := &watchdog{start: r.start, dir: disks}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.Plan.Length))
 	defer cancel()
 	var wg sync.WaitGroup
@@ -110,7 +115,7 @@
 		return os.RemoveAll(s.Dir)
 	}
 	fmt.Fprintf(s.Out, "plan, all lines of the result, attempts and logs are kept in %s\n", s.Dir)
-	return errors.Join(append(processErrs, s.keep(lines, r), ErrGuaranteeViolated)...)
+	return errors.Join(append(processErrs, s.keep(lines, r, w.dir), ErrGuaranteeViolated)...)
 }
 
 // resultLines returns the result of a run, the summary at its end.
