Find processes of a soak that end by themselves

A crash was only in the log of its process, which a run without other violations removes. A process that ends without a signal, crashes at SIGTERM or runs 1 s beyond its grace period is now a violation.

--- a/soak/process.go
+++ b/soak/process.go
@@ -21,8 +21,14 @@
 	"chestnutcleat.example/chestnutcleat/settings"
 )
 
-// restartDelay is the time between the end of a process and its next start.
-const restartDelay = 300 * time.Millisecond
+const (
+	// restartDelay is the time between the end of a process and its next start.
+	restartDelay = 300 * time.Millisecond
+	// maxStopTime is how long after SIGTERM a process may run.
+	maxStopTime = (graceSeconds + 1) * time.Second
+	// exitCrashed is the exit status of a process that ended with a panic.
+	exitCrashed = 2
+)
 
 // process runs a VM's process and starts it again whenever it ends.
 type process struct {
@@ -37,7 +43,12 @@
 	wipePending bool
 	// starts are the times at which the process was started.
 	starts []time.Time
-	done   chan struct{}
+	// killed is set if the running process was sent SIGKILL, and stoppedAt is when it was first sent SIGTERM.
+	killed    bool
+	stoppedAt time.Time
+	// oddEnds are the ends that no signal explains.
+	oddEnds []oddEnd
+	done    chan struct{}
 }
 
 func newProcess(binary, dir string, s settings.Role) (*process, error) {
@@ -96,16 +107,42 @@
 	}
 	p.cmd = cmd
 	p.starts = append(p.starts, time.Now())
+	p.killed, p.stoppedAt = false, time.Time{}
 	p.mu.Unlock()
-	// The error is ignored: faults kill the process on purpose, and any other cause is in its log.
+	// The error is ignored: faults end the process on purpose, and recordEnd looks at its state.
 	_ = cmd.Wait()
+	p.recordEnd(cmd.ProcessState)
 	return true, nil
 }
 
+// oddEnd is the end of a process that no signal explains.
+type oddEnd struct {
+	// at is the time of the end, and stoppedAt that of the SIGTERM before it, if any.
+	at, stoppedAt time.Time
+	state         string
+}
+
+// recordEnd records the end of the process if it was sent no signal to end, if it failed at SIGTERM, or if it ran beyond its grace period.
+func (p *process) recordEnd(state *os.ProcessState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	graceful := !p.stoppedAt.IsZero() && state.Exited() && state.ExitCode() != exitCrashed && now.Sub(p.stoppedAt) < maxStopTime
+	if !p.killed && !graceful {
+		p.oddEnds = append(p.oddEnds, oddEnd{at: now, stoppedAt: p.stoppedAt, state: state.String()})
+	}
+}
+
 // signal sends a signal to the process, or does nothing if it has ended.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	switch {
+	case s == syscall.SIGKILL:
+		p.killed = true
+	case s == syscall.SIGTERM && p.stoppedAt.IsZero():
+		p.stoppedAt = time.Now()
+	}
 	if p.cmd != nil && p.cmd.Process != nil {
 		_ = p.cmd.Process.Signal(s)
 	}
@@ -149,3 +186,18 @@
 	p.signal(syscall.SIGKILL)
 	<-p.done
 }
+
+// checkProcesses finds processes that ended by themselves, or ran beyond their grace period without being paused.
+func (r *recorder) checkProcesses(processes map[string]*process, p *Plan) {
+	for id, proc := range processes {
+		for _, e := range proc.oddEnds {
+			at := e.at.Sub(r.start)
+			switch {
+			case e.stoppedAt.IsZero():
+				r.addRunViolation(at, "%s ended by itself: %s", id, e.state)
+			case !p.pauses(id, e.stoppedAt.Sub(r.start), at):
+				r.addRunViolation(at, "%s ended %v after SIGTERM: %s", id, e.at.Sub(e.stoppedAt), e.state)
+			}
+		}
+	}
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -77,6 +77,7 @@
 	processErrs := f.stop()
 	r.checkDeparted(f.log, &s.Plan, f.histories())
 	r.check(f.log, &s.Plan)
+	r.checkProcesses(f.processes, &s.Plan)
 	return s.report(r, w, processErrs)
 }
 
