Inject malformed messages, dripping answers and kills of all entry VMs in a soak

Of the troubles that other operators met, the soak lacked malformed messages between our own processes, answers that send a byte now and then without end, and a kill of the entry VMs alone. Slow answers are now 0.3 s apart, sound but beyond the latency target.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -9,7 +9,8 @@
 )
 
 // soakSeeds holds the seeds and fault kinds of short soak runs: one with all kinds of faults, one with only those that must not interrupt
-// any request, and one with instances that leave by their own word while the platform is down.
+// any request, one with instances that leave by their own word while the platform is down, and one with messages and answers as other
+// operators met them.
 var soakSeeds = []struct {
 	seed  int
 	kinds string
@@ -17,6 +18,7 @@
 	{1, ""},
 	{101, "stop,reload,platform-down,platform-lost,platform-deaf,compact,change,withdraw,leave,odd-entry"},
 	{103, "leaving,unframed,stop,platform-down"},
+	{105, "malformed,slow,drip,twice,stop,kill-entries"},
 }
 
 // regressionPlans are plans that have violated a guarantee before, each with the cause.
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"syscall"
 	"time"
@@ -24,11 +25,15 @@
 	LoseAnswers:      {ConnectionLossRate: 0.3},
 	DuplicateAnswers: {DuplicateRate: 0.5},
 	EndlessAnswers:   {EndlessRate: 0.5},
+	DripAnswers:      {DripRate: 0.5},
 	RepeatRefusals:   {RepeatedRefusalRate: 0.5},
-	DelayAnswers:     {Delay: 120 * time.Millisecond},
+	DelayAnswers:     {Delay: 300 * time.Millisecond},
 	UnframedAnswers:  {UnframedRate: 0.7, CutRate: 0.3},
 }
 
+// malformedStream is the stream of random numbers of malformed messages.
+const malformedStream = 11
+
 // inject applies a fault, and reverts it after its duration if it has one.
 func (f *fleet) inject(ctx context.Context, fault Fault) {
 	duration := time.Duration(fault.Duration)
@@ -57,6 +62,14 @@
 		for _, p := range f.processes {
 			p.signal(syscall.SIGKILL)
 		}
+	case KillEntries:
+		for _, id := range fleetNames().entries {
+			f.processes[id].signal(syscall.SIGKILL)
+		}
+	case MalformedMessages:
+		ctx, cancel := context.WithTimeout(ctx, duration)
+		defer cancel()
+		f.sendMalformed(ctx, rand.New(rand.NewPCG(uint64(fault.At), malformedStream)))
 	case WipeDisk:
 		f.processes[fault.Target].wipeDisk()
 	case PlatformCompact:
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -19,6 +19,8 @@
 const (
 	// Kill kills a VM's process, which is started again.
 	Kill FaultKind = "kill"
+	// KillEntries kills the processes of all entry VMs at the same moment.
+	KillEntries FaultKind = "kill-entries"
 	// Stop shuts a VM down gracefully; its process is started again when it has ended.
 	Stop FaultKind = "stop"
 	// Pause suspends a VM's process.
@@ -38,6 +40,8 @@
 	PlatformCompact      FaultKind = "compact"
 	// OddEntries leaves entries of another writer, which can't be decoded, among the platform's objects of all kinds.
 	OddEntries FaultKind = "odd-entry"
+	// MalformedMessages sends malformed datagrams, bytes and calls to the VMs' ports for each other.
+	MalformedMessages FaultKind = "malformed"
 	// InstanceErrors lets an instance answer with errors, LoseAnswers run requests but lose their answers, DuplicateAnswers send an
 	// answer twice, DelayAnswers answer slowly, EndlessAnswers send bytes until the connection is closed, and RepeatRefusals run requests
 	// but answer with an earlier refusal. ResetConnections resets and refuses its connections.
@@ -48,6 +52,8 @@
 	EndlessAnswers   FaultKind = "endless"
 	RepeatRefusals   FaultKind = "refuse"
 	ResetConnections FaultKind = "vanish"
+	// DripAnswers lets an instance begin answers and then send a byte now and then, without end.
+	DripAnswers FaultKind = "drip"
 	// StallConnections lets an instance's connections stay open without sending.
 	StallConnections FaultKind = "mute"
 	// ChangeConfiguration changes the configuration, WithdrawKey withdraws a customer's key for a while, and DrainInstance drains
@@ -66,9 +72,10 @@
 var targets = map[FaultKind]targetKind{
 	Kill: targetAnyVM, Stop: targetEntry, Pause: targetAnyVM, KillAll: targetNone, WipeDisk: targetStore, ReloadSettings: targetEntry,
 	PlatformDown: targetNone, PlatformLoseAnswers: targetNone, PlatformStallWatches: targetNone, PlatformCompact: targetNone,
-	OddEntries:     targetNone,
+	OddEntries: targetNone, MalformedMessages: targetNone, KillEntries: targetNone,
 	InstanceErrors: targetInstance, LoseAnswers: targetInstance, DuplicateAnswers: targetInstance, DelayAnswers: targetInstance,
 	EndlessAnswers: targetInstance, RepeatRefusals: targetInstance, ResetConnections: targetInstance, StallConnections: targetInstance,
+	DripAnswers:         targetInstance,
 	ChangeConfiguration: targetNone, WithdrawKey: targetNone, DrainInstance: targetInstance,
 	LeavingAnswers: targetInstance, UnframedAnswers: targetInstance,
 }
--- a/standin/instance/server.go
+++ b/standin/instance/server.go
@@ -92,6 +92,8 @@
 	RepeatedRefusalRate float64
 	// EndlessRate is the fraction that gets bytes until the connection is closed, in the header, the body or an event.
 	EndlessRate float64
+	// DripRate is the fraction that gets a single byte now and then, without end, in the header, the body or an event.
+	DripRate float64
 	// BreakAfter is the number of events of a run after which a stream's connection is closed within the next event; zero breaks none.
 	BreakAfter int
 	// UnframedRate is the fraction whose response has neither a length nor chunks, and CutRate the fraction of these that are cut.
@@ -161,7 +163,9 @@
 	case rand.Float64() < f.RepeatedRefusalRate:
 		repeatRefusal(w, id)
 	case rand.Float64() < f.EndlessRate:
-		writeEndlessly(w, id)
+		writeEndlessly(w, id, longJunk, 0)
+	case rand.Float64() < f.DripRate:
+		writeEndlessly(w, id, "x", dripInterval)
 	case rand.Float64() < f.UnframedRate:
 		writeUnframed(w, id, &run, &f)
 	case strings.HasPrefix(r.URL.Path, StreamPrefix):
@@ -231,8 +235,13 @@
 	_, _ = io.WriteString(c, beginning+endings[rand.IntN(len(endings))])
 }
 
-// writeEndlessly sends one part of a response without end, until the connection is closed.
-func writeEndlessly(w http.ResponseWriter, id string) {
+// longJunk is what an endless response repeats at full speed; dripInterval is the time between the bytes of one that drips.
+var longJunk = strings.Repeat("x", 4<<10)
+
+const dripInterval = 100 * time.Millisecond
+
+// writeEndlessly sends one part of a response and repeats junk in it without end, with pauses, until the connection is closed.
+func writeEndlessly(w http.ResponseWriter, id, junk string, pause time.Duration) {
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
@@ -241,7 +250,8 @@
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n", HeaderID, id, HeaderSignature, signature)
 	starts := []string{"HTTP/1.1 200 ", head + "X: ", head + "\r\n", head + "\r\ndata: "}
 	_, err = io.WriteString(c, starts[rand.IntN(len(starts))])
-	for junk := strings.Repeat("x", 4<<10); err == nil; {
+	for err == nil {
+		time.Sleep(pause)
 		_, err = io.WriteString(c, junk)
 	}
 }
