Find cut answers and answers without end in a soak

The soak found a missing answer only: a stream cut in its middle, or a 500, 502 or 504 in place of an answer, counted as nothing although no fault explained it, also while instances were only slow. Callers gave up at the deadline themselves, which hid a VM that doesn't end there; they now wait 1 s more. TestCheckAttempts has the cases.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// requestTimeout is how long a caller waits for an answer.
+	// requestTimeout is the deadline of a request, and deadlineSlack how long a caller waits beyond it for the end of the answer.
 	requestTimeout = 4 * time.Second
+	deadlineSlack  = time.Second
 	// maxAttempts is how often a turn or call is sent before the program gives up.
 	maxAttempts = 3
 	// maxTurns, maxTokens (of a turn) and tokenBudget (of all turns) are the limits of a program.
@@ -67,7 +68,7 @@
 	previous, history, tokens := "", "", 0
 	for turn := range 1 + c.random.IntN(maxTurns) {
 		input := fmt.Sprintf("input of %s turn %d;", id, turn)
-		req := program.Request{Path: path + id, Body: input, Program: id, TokenBudget: tokenBudget, MaxTokens: maxTokens, Timeout: requestTimeout}
+		req := program.Request{Path: path + id, Body: input, Program: id, TokenBudget: tokenBudget, MaxTokens: maxTokens, Timeout: requestTimeout, Slack: deadlineSlack}
 		if path == instance.PathRetained {
 			req.Previous = previous
 		} else {
@@ -94,7 +95,7 @@
 		path = instance.PathNonIdempotent
 	}
 	name := fmt.Sprintf("%s-c%d", id, turn)
-	req := program.Request{Path: path + id, Body: "call of " + name, Program: id, Timeout: requestTimeout}
+	req := program.Request{Path: path + id, Body: "call of " + name, Program: id, Timeout: requestTimeout, Slack: deadlineSlack}
 	a, _ := c.sendWithRetries(ctx, req, name, req.Body)
 	return a != nil && a.Complete
 }
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -102,9 +105,8 @@
 				r.addAttemptViolation(a, "%s got %d bytes, expected %d", v.Instance, len(v.Body), len(a.input))
 			}
 		}
-		if a.Status == 0 && p.isUndisturbed(a.start, a.end) {
-			r.addAttemptViolation(a, "connection ended without an answer although no disruptive fault was active: %v", a.Err)
-		}
+		r.checkInterrupted(a, p)
+		r.checkEnded(a, p)
 	}
 	r.checkRecovery(p)
 	r.checkWithdrawnKey(log, p)
@@ -112,6 +114,44 @@
 	r.checkRateLimit(log)
 }
 
+// checkInterrupted finds answers that are missing, cut or replaced by an error while no disruptive fault was active. The end of an
+// attempt whose deadline has come is no interruption.
+func (r *recorder) checkInterrupted(a *attempt, p *Plan) {
+	switch {
+	case !a.interrupted() || !p.isUndisturbed(a.start, a.end):
+	case a.Status == 0:
+		r.addAttemptViolation(a, "connection ended without an answer although no disruptive fault was active: %v", a.Err)
+	case a.end-a.start < a.Timeout && !p.isActive(UnframedAnswers, a.start, a.end):
+		r.addAttemptViolation(a, "answer with status %d and %d events was cut or failed although no disruptive fault was active: %v", a.Status, a.Events, a.Err)
+	}
+}
+
+// interrupted reports whether the attempt has no answer, a part of one, or an error of the VM or of the instance in place of one.
+func (a *attempt) interrupted() bool {
+	switch a.Status {
+	case 0, http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout:
+		return true
+	case http.StatusOK:
+		return !a.Complete && a.Mismatch == ""
+	}
+	return false
+}
+
+// checkEnded finds attempts that had not ended when the caller had waited deadlineSlack beyond the deadline. A pause of any VM excuses it.
+func (r *recorder) checkEnded(a *attempt, p *Plan) {
+	if errors.Is(a.Err, context.DeadlineExceeded) && a.end-a.start > a.Timeout && !p.isActive(Pause, a.start, a.end) {
+		r.addAttemptViolation(a, "has not ended %v after it was sent, its deadline was %v: %v", a.end-a.start, a.Timeout, a.Err)
+	}
+}
+
+// isActive reports whether a fault of a kind was active in a span of time.
+func (p *Plan) isActive(k FaultKind, from, to time.Duration) bool {
+	return slices.ContainsFunc(p.Faults, func(f Fault) bool {
+		start, end := f.span()
+		return f.Kind == k && start <= to && from <= end+settleTime
+	})
+}
+
 // minServedShare is the fraction of requests that must be served once the faults are over.
 const minServedShare = 0.95
 
@@ -137,10 +177,10 @@
 	return strings.HasPrefix(path, instance.PathIdempotent) || strings.HasPrefix(path, instance.PathResumable)
 }
 
-// nonDisruptive are the kinds of faults that must not interrupt any request.
+// nonDisruptive are the kinds of faults that must not interrupt any request; instances that answer slowly do so within the deadline.
 var nonDisruptive = map[FaultKind]bool{
 	Stop: true, ReloadSettings: true, PlatformDown: true, PlatformLoseAnswers: true, PlatformStallWatches: true, PlatformCompact: true,
-	ChangeConfiguration: true, WithdrawKey: true, DrainInstance: true, LeavingAnswers: true, UnframedAnswers: true, OddEntries: true,
+	MalformedMessages: true, DelayAnswers: true, ChangeConfiguration: true, WithdrawKey: true, DrainInstance: true, LeavingAnswers: true, UnframedAnswers: true, OddEntries: true,
 }
 
 // settleTime is how long a fault may have effects after its end.
--- a/soak/recorder_test.go
+++ b/soak/recorder_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -16,11 +17,18 @@
 // newAttempt returns an attempt of customer alma in the middle of a run.
 func newAttempt(path string, status int) *attempt {
 	return &attempt{
-		Request: program.Request{ID: "r", Path: path}, Result: program.Result{Status: status, Complete: status == 200},
+		Request: program.Request{ID: "r", Path: path, Timeout: requestTimeout}, Result: program.Result{Status: status, Complete: status == 200},
 		customer: "alma", input: "in", start: 20 * time.Second, end: 21 * time.Second,
 	}
 }
 
+// cutStream returns an attempt with a part of its answer.
+func cutStream(length time.Duration) *attempt {
+	a := newAttempt(instance.PathResumable, 200)
+	a.Complete, a.end = false, a.start+length
+	return a
+}
+
 // Every violation must be found, and allowed behaviour must not be reported as one: a soak that misses violations proves nothing.
 func TestCheckAttempts(t *testing.T) {
 	run := instance.Run{Instance: "tool-1", Customer: "alma", Body: "in"}
@@ -29,6 +37,12 @@
 	otherBody := run
 	otherBody.Body = "in and more"
 	kill := []Fault{{At: chestnutcleat.Duration(19 * time.Second), Kind: Kill, Target: "entry-1"}}
+	unframed := []Fault{{At: chestnutcleat.Duration(19 * time.Second), Kind: UnframedAnswers, Target: "tool-1"}}
+	slow := []Fault{{At: chestnutcleat.Duration(19 * time.Second), Kind: DelayAnswers, Target: "tool-1"}}
+	drip := []Fault{{At: chestnutcleat.Duration(19 * time.Second), Kind: DripAnswers, Target: "tool-1"}}
+	pause := []Fault{{At: chestnutcleat.Duration(19 * time.Second), Kind: Pause, Target: "entry-1"}}
+	endless := cutStream(5 * time.Second)
+	endless.Err = context.DeadlineExceeded
 	stop := []Fault{{At: chestnutcleat.Duration(19 * time.Second), Kind: Stop, Target: "entry-1"}}
 	for _, tt := range []struct {
 		name   string
@@ -50,6 +64,15 @@
 		{"connection lost without a fault", newAttempt(instance.PathIdempotent, 0), []instance.Run{run}, nil, "connection ended without an answer"},
 		{"connection lost during a graceful shutdown", newAttempt(instance.PathIdempotent, 0), []instance.Run{run}, stop, "connection ended without an answer"},
 		{"connection lost after a kill", newAttempt(instance.PathIdempotent, 0), []instance.Run{run}, kill, ""},
+		{"stream cut without a fault", cutStream(time.Second), []instance.Run{run}, nil, "was cut or failed"},
+		{"stream cut during a graceful shutdown", cutStream(time.Second), []instance.Run{run}, stop, "was cut or failed"},
+		{"stream cut after a kill", cutStream(time.Second), []instance.Run{run}, kill, ""},
+		{"stream cut by its instance", cutStream(time.Second), []instance.Run{run}, unframed, ""},
+		{"stream cut at its deadline", cutStream(4 * time.Second), []instance.Run{run}, nil, ""},
+		{"slow stream cut", cutStream(time.Second), []instance.Run{run}, slow, "was cut or failed"},
+		{"error without a fault", newAttempt(instance.PathIdempotent, 502), []instance.Run{run}, nil, "was cut or failed"},
+		{"answer without end", endless, []instance.Run{run}, drip, "has not ended"},
+		{"answer without end during a pause", endless, []instance.Run{run}, pause, ""},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			p := &Plan{Length: chestnutcleat.Duration(40 * time.Second), Faults: tt.faults}
--- a/standin/program/client.go
+++ b/standin/program/client.go
@@ -33,7 +33,8 @@
 	// budget, and the maximum number of output tokens.
 	Program, Previous      string
 	TokenBudget, MaxTokens int
-	Timeout                time.Duration
+	// Timeout is the deadline that the VM is told, and Slack how long the client waits beyond it.
+	Timeout, Slack time.Duration
 	// LastEvent, Resumes and Version are set to take a stream up again: the number of events received, the attempt that brought the
 	// first one, and the software version that wrote them.
 	LastEvent        int
@@ -126,7 +127,7 @@
 
 // send sends the request to one VM.
 func (c *Client) send(ctx context.Context, address string, req *Request) Result {
-	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, req.Timeout+req.Slack)
 	defer cancel()
 	httpReq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+req.Path, strings.NewReader(req.Body))
 	if err != nil {
