--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -39,10 +39,7 @@
 	for _, tt := range soakSeeds {
 		t.Run(fmt.Sprint("seed ", tt.seed), func(t *testing.T) {
 			t.Parallel()
-			out, err := exec.Command(binary, "soak", "-seed", fmt.Sprint(tt.seed), "-for", "24s", "-kinds", tt.kinds).CombinedOutput()
-			if err != nil {
-				t.Errorf("%v\n%s", err, out)
-			}
+			runSoak(t, "-seed", fmt.Sprint(tt.seed), "-for", "24s", "-kinds", tt.kinds)
 		})
 	}
 }
@@ -68,7 +65,23 @@
 	if err := os.WriteFile(file, []byte(plan), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if out, err := exec.Command(binary, "soak", "-plan", file).CombinedOutput(); err != nil {
+	runSoak(t, "-plan", file)
+}
+
+// memoryFolder is the root of a file system in memory on Linux. A stall of the machine's one disk would be a stall of all storage VMs.
+const memoryFolder = "/dev/shm"
+
+func runSoak(t *testing.T, arguments ...string) {
+	t.Helper()
+	if disks, err := os.MkdirTemp(memoryFolder, "chestnutcleat-soak-"); err == nil {
+		t.Cleanup(func() {
+			if err := os.RemoveAll(disks); err != nil {
+				t.Error(err)
+			}
+		})
+		arguments = append(arguments, "-disks", disks)
+	}
+	if out, err := exec.Command(binary, append([]string{"soak"}, arguments...)...).CombinedOutput(); err != nil {
 		t.Errorf("%v\n%s", err, out)
 	}
 }
--- a/place/version_test.go
+++ b/place/version_test.go
@@ -159,13 +159,13 @@
 		time.Sleep(time.Minute)
 		is.True(!certain()) // it has not answered
 		pick(Request{}).Answered()
-		time.Sleep(renewalTime - 1)
+		time.Sleep(renewalTime - time.Nanosecond)
 		is.True(!certain())
 		table.RestartVersionHistory()
-		time.Sleep(renewalTime - 1)
+		time.Sleep(renewalTime - time.Nanosecond)
 		is.True(!certain()) // the platform did not answer for a while
 		pick(Request{}).Answered()
-		time.Sleep(1)
+		time.Sleep(time.Nanosecond)
 		is.True(certain())
 		pick(Request{}).Unreached()
 		is.True(!certain())
--- a/soak/keep.go
+++ b/soak/keep.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -32,16 +33,9 @@
 	Error    string  `json:"error,omitempty"`
 }
 
-// memoryFolder is the root of a file system in memory, where there is one.
-const memoryFolder = "/dev/shm"
-
-// makeDiskFolder makes a folder for the disks of all storage VMs: in memory if possible, as a stall of the machine's one disk would
-// otherwise be a stall of more storage VMs than the fleet tolerates, which no plan has.
-func makeDiskFolder(dir string) (string, error) {
-	if disks, err := os.MkdirTemp(memoryFolder, "soak-"); err == nil {
-		return disks, nil
-	}
-	disks, err := os.MkdirTemp(dir, "disks-")
+// makeDiskFolder makes a folder for the disks of all storage VMs.
+func (s *Soak) makeDiskFolder() (string, error) {
+	disks, err := os.MkdirTemp(cmp.Or(s.Disks, s.Dir), "disks-")
 	if err != nil {
 		return "", fmt.Errorf("create folder for disks: %w", err)
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -33,8 +33,11 @@
 	// Binary is the chestnutcleat executable that all VMs run.
 	Binary string
 	Plan   Plan
-	// Dir holds the VMs' settings, disks and logs; it is removed after a run without violations.
+	// Dir holds the VMs' settings and logs; it is removed after a run without violations.
 	Dir string
+	// Disks is the folder in which the disks are made; empty means Dir. In a file system in memory, the storage VMs do not all stall with
+	// the machine's one disk, which would be more than the fleet tolerates.
+	Disks string
 	// Out receives the faults, the violations and a summary.
 	Out io.Writer
 }
@@ -44,7 +47,7 @@
 
 // Run runs the plan and returns an error that wraps ErrGuaranteeViolated if there were violations.
 func (s *Soak) Run(ctx context.Context) error {
-	disks, err := makeDiskFolder(s.Dir)
+	disks, err := s.makeDiskFolder()
 	if err != nil {
 		return err
 	}
