Refuse connections at an address that no listener gets

Tests of package caller took the address of a closed listener for one that refuses connections. The kernel may give its port to the next listener, which is the handler under test: 5 of 20,000 pairs of a closed listener and the next one had the same port (go test -run of a loop, beside other runs), and other processes take ports of 127.0.0.1 as well. The unreachable upstream then answers, and TestServiceOutcomes or TestChatOutcomes fails.

The address is now a port of a loopback address of this process at which nothing listens.

--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -15,6 +16,7 @@
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/caller"
 	standinengine "chestnutcleat.example/chestnutcleat/standin/engine"
+	"chestnutcleat.example/chestnutcleat/standin/loopback"
 	standinservice "chestnutcleat.example/chestnutcleat/standin/service"
 )
 
@@ -255,7 +257,7 @@
 	}
 	f.upstreams = append(f.upstreams,
 		chestnutcleat.Upstream{ID: "s", Kind: chestnutcleat.UpstreamService, Address: chestnutcleat.Address(serve(s.service))},
-		chestnutcleat.Upstream{ID: "closed", Address: closedAddress(t)})
+		chestnutcleat.Upstream{ID: "closed", Address: closedAddress()})
 	engines := []chestnutcleat.UpstreamID{"e0", "e1"}
 	f.routes = []chestnutcleat.Route{
 		{Name: "chat", Kind: chestnutcleat.UpstreamEngine, Model: "m", Upstreams: engines, Repeatable: true},
@@ -272,12 +274,11 @@
 	return s
 }
 
-// closedAddress returns an address that refuses connections.
-func closedAddress(t *testing.T) chestnutcleat.Address {
-	t.Helper()
-	server := httptest.NewServer(http.NotFoundHandler())
-	server.Close()
-	return chestnutcleat.Address(strings.TrimPrefix(server.URL, "http://"))
+// closedAddress returns an address that refuses connections. It is not the address of a closed listener, as the kernel may give that to
+// the next one.
+func closedAddress() chestnutcleat.Address {
+	const unusedHost, discardPort = 254, "9"
+	return chestnutcleat.Address(net.JoinHostPort(loopback.IP(unusedHost), discardPort))
 }
 
 // response is an HTTP response whose body was read.
