Run caller's tests of calls that something happens to in virtual time

TestWithdrawnKey, TestDisconnect and TestDrain let an engine stream for 150 to 300 ms of real time and act meanwhile; a test process that is held up for that long acts after the call's end and fails.

They and the others that wait for timeouts (hanging upstreams, idle and slow streams, a late manifest) run in bubbles, over connections in memory; the times are as before.

--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -234,22 +234,35 @@
 // testSystem is a handler with two stand-in engines and a stand-in service.
 type testSystem struct {
 	*fake
+	client  *http.Client
 	url     string
 	handler *caller.Handler
 	engines []*standinengine.Engine
 	service *standinservice.Service
 }
 
-// startSystem runs a testSystem until the end of the test.
+// startSystem runs a testSystem over TCP until the end of the test.
 func startSystem(t *testing.T) *testSystem {
 	t.Helper()
-	f := newFake()
-	s := &testSystem{fake: f, service: &standinservice.Service{Record: true}, handler: &caller.Handler{Owners: f, Directory: f}}
 	serve := func(h http.Handler) string {
 		server := httptest.NewServer(h)
 		t.Cleanup(server.Close)
 		return strings.TrimPrefix(server.URL, "http://")
 	}
+	s := newSystem()
+	s.client = http.DefaultClient
+	s.start(serve)
+	return s
+}
+
+func newSystem() *testSystem {
+	f := newFake()
+	return &testSystem{fake: f, service: &standinservice.Service{Record: true}, handler: &caller.Handler{Owners: f, Directory: f}}
+}
+
+// start starts the stand-ins and the handler; serve serves one and returns its address.
+func (s *testSystem) start(serve func(h http.Handler) string) {
+	f := s.fake
 	for i := range 2 {
 		e := &standinengine.Engine{Decode: 2000, Seed: uint64(i), Record: true}
 		s.engines = append(s.engines, e)
@@ -271,7 +284,6 @@
 		{Name: "half", Kind: chestnutcleat.UpstreamService, Upstreams: []chestnutcleat.UpstreamID{"closed", "s"}},
 	}
 	s.url = "http://" + serve(s.handler)
-	return s
 }
 
 // closedAddress returns an address that refuses connections. It is not the address of a closed listener, as the kernel may give that to
@@ -299,7 +311,7 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		r.Header.Add(headers[i], headers[i+1])
 	}
-	p, err := http.DefaultClient.Do(r)
+	p, err := s.client.Do(r)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/caller/outcome_test.go
+++ b/caller/outcome_test.go
@@ -175,64 +175,64 @@
 func TestHangingUpstream(t *testing.T) {
 	for route, code := range map[string]chestnutcleat.Code{"read": chestnutcleat.CodeDeadline, "book": chestnutcleat.CodeDeadline} {
 		t.Run(route, func(t *testing.T) {
-			is := is.New(t)
-			s := startSystem(t)
-			for i := range s.routes {
-				s.routes[i].Timeout = chestnutcleat.Duration(2 * time.Second)
-			}
-			s.service.SetFaults(standinservice.Faults{Hang: true})
-			a := s.send(t, http.MethodPost, "/v1/services/"+route+"/x", "", "Authorization", bearer)
-			is.True(strings.Contains(a.body, string(code)))
-			is.True(strings.Contains(a.body, `"outcome":"unknown"`))
-			is.NoErr(s.handler.Drain(t.Context()))
-			is.Equal(s.released[0].Crashed, false)
+			runVirtual(t, func(t *testing.T, is *is.I, s *testSystem) {
+				for i := range s.routes {
+					s.routes[i].Timeout = chestnutcleat.Duration(2 * time.Second)
+				}
+				s.service.SetFaults(standinservice.Faults{Hang: true})
+				a := s.send(t, http.MethodPost, "/v1/services/"+route+"/x", "", "Authorization", bearer)
+				is.True(strings.Contains(a.body, string(code)))
+				is.True(strings.Contains(a.body, `"outcome":"unknown"`))
+				is.NoErr(s.handler.Drain(t.Context()))
+				is.Equal(s.released[0].Crashed, false)
+			})
 		})
 	}
 	t.Run("stream", func(t *testing.T) {
-		is := is.New(t)
-		s := startSystem(t)
-		s.handler.StreamIdleTimeout = 200 * time.Millisecond
-		s.engines[0].SetFaults(standinengine.Faults{Hang: true})
-		is.True(strings.Contains(s.chat(t, chatBody("m", "hello", true)).body, "[DONE]"))
-		is.NoErr(s.handler.Drain(t.Context()))
-		is.Equal(s.released[0].Failed, true)
+		runVirtual(t, func(t *testing.T, is *is.I, s *testSystem) {
+			s.handler.StreamIdleTimeout = 200 * time.Millisecond
+			s.engines[0].SetFaults(standinengine.Faults{Hang: true})
+			is.True(strings.Contains(s.chat(t, chatBody("m", "hello", true)).body, "[DONE]"))
+			is.NoErr(s.handler.Drain(t.Context()))
+			is.Equal(s.released[0].Failed, true)
+		})
 	})
 }
 
 // A stream that was given up as its engine was silent is no crash: two of them ended the call, and all others with its body, as a
 // request that crashes upstreams.
 func TestIdleStreamIsNoCrash(t *testing.T) {
-	is := is.New(t)
-	s := startSystem(t)
-	s.handler.StreamIdleTimeout = 100 * time.Millisecond
-	for _, e := range s.engines {
-		e.SetFaults(standinengine.Faults{Hang: true, Requests: 1})
-	}
-	is.True(strings.Contains(s.chat(t, chatBody("m", "hello", true)).body, "[DONE]"))
-	is.NoErr(s.handler.Drain(t.Context()))
-	is.True(len(s.settled) > 1)
-	for _, q := range s.settled {
-		is.Equal(q.Crashed, false)
-	}
-	for _, q := range s.released {
-		is.Equal(q.Crashed, false)
-	}
-	is.Equal(s.released[0].Failed, true)
+	runVirtual(t, func(t *testing.T, is *is.I, s *testSystem) {
+		s.handler.StreamIdleTimeout = 100 * time.Millisecond
+		for _, e := range s.engines {
+			e.SetFaults(standinengine.Faults{Hang: true, Requests: 1})
+		}
+		is.True(strings.Contains(s.chat(t, chatBody("m", "hello", true)).body, "[DONE]"))
+		is.NoErr(s.handler.Drain(t.Context()))
+		is.True(len(s.settled) > 1)
+		for _, q := range s.settled {
+			is.Equal(q.Crashed, false)
+		}
+		for _, q := range s.released {
+			is.Equal(q.Crashed, false)
+		}
+		is.Equal(s.released[0].Failed, true)
+	})
 }
 
 // A slow but sound stream must not be cut where no further attempt may follow: it ended without an answer that it would have had.
 func TestSlowStreamLasts(t *testing.T) {
 	for _, model := range []string{"m", "once"} {
 		t.Run(model, func(t *testing.T) {
-			is := is.New(t)
-			s := startSystem(t)
-			s.handler.StreamIdleTimeout = 100 * time.Millisecond
-			for _, e := range s.engines {
-				e.SetFaults(standinengine.Faults{Latency: chestnutcleat.Duration(300 * time.Millisecond)})
-			}
-			is.True(strings.Contains(s.chat(t, chatBody(model, "hello", true)).body, "[DONE]"))
-			is.NoErr(s.handler.Drain(t.Context()))
-			is.Equal(s.settled[len(s.settled)-1].Answer.Outcome, chestnutcleat.Done)
+			runVirtual(t, func(t *testing.T, is *is.I, s *testSystem) {
+				s.handler.StreamIdleTimeout = 100 * time.Millisecond
+				for _, e := range s.engines {
+					e.SetFaults(standinengine.Faults{Latency: chestnutcleat.Duration(300 * time.Millisecond)})
+				}
+				is.True(strings.Contains(s.chat(t, chatBody(model, "hello", true)).body, "[DONE]"))
+				is.NoErr(s.handler.Drain(t.Context()))
+				is.Equal(s.settled[len(s.settled)-1].Answer.Outcome, chestnutcleat.Done)
+			})
 		})
 	}
 }
@@ -254,28 +254,28 @@
 func TestWithdrawnKey(t *testing.T) {
 	for model, outcome := range map[string]chestnutcleat.Outcome{"m": chestnutcleat.Failed, "once": chestnutcleat.Done} {
 		t.Run(model, func(t *testing.T) {
-			is := is.New(t)
-			s := startSystem(t)
-			s.engines[0].Decode = 200
-			r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.url+caller.PathChat, strings.NewReader(chatBody(model, "#tokens=60", true)))
-			is.NoErr(err)
-			r.Header.Set("Authorization", bearer)
-			r.Header.Set("Content-Type", "application/json")
-			p, err := http.DefaultClient.Do(r)
-			is.NoErr(err)
-			defer p.Body.Close()
-			_, err = engine.NewEventReader(p.Body).Next()
-			is.NoErr(err)
-			s.withdrawKey()
-			rest, err := io.ReadAll(p.Body)
-			is.NoErr(err)
-			is.True(strings.Contains(string(rest), string(chestnutcleat.CodeKeyWithdrawn)))
-			is.True(!strings.Contains(string(rest), "[DONE]"))
-			is.NoErr(s.handler.Drain(t.Context()))
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			is.Equal(s.settled[len(s.settled)-1].Answer.Outcome, outcome)
-			is.Equal(s.released[len(s.released)-1].Crashed, false)
+			runVirtual(t, func(t *testing.T, is *is.I, s *testSystem) {
+				s.engines[0].Decode = 200
+				r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.url+caller.PathChat, strings.NewReader(chatBody(model, "#tokens=60", true)))
+				is.NoErr(err)
+				r.Header.Set("Authorization", bearer)
+				r.Header.Set("Content-Type", "application/json")
+				p, err := s.client.Do(r)
+				is.NoErr(err)
+				defer p.Body.Close()
+				_, err = engine.NewEventReader(p.Body).Next()
+				is.NoErr(err)
+				s.withdrawKey()
+				rest, err := io.ReadAll(p.Body)
+				is.NoErr(err)
+				is.True(strings.Contains(string(rest), string(chestnutcleat.CodeKeyWithdrawn)))
+				is.True(!strings.Contains(string(rest), "[DONE]"))
+				is.NoErr(s.handler.Drain(t.Context()))
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				is.Equal(s.settled[len(s.settled)-1].Answer.Outcome, outcome)
+				is.Equal(s.released[len(s.released)-1].Crashed, false)
+			})
 		})
 	}
 }
@@ -285,28 +285,28 @@
 func TestDisconnect(t *testing.T) {
 	for name, done := range map[string]bool{"m": false, "m c1": true, "once": true} {
 		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			s := startSystem(t)
-			s.engines[0].Decode = 200
-			model, id, explicit := strings.Cut(name, " ")
-			ctx, cancel := context.WithCancel(t.Context())
-			r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url+caller.PathChat, strings.NewReader(chatBody(model, "#tokens=60", true)))
-			is.NoErr(err)
-			r.Header.Set("Authorization", bearer)
-			r.Header.Set("Content-Type", "application/json")
-			if explicit {
-				r.Header.Set("Idempotency-Key", id)
-			}
-			p, err := http.DefaultClient.Do(r)
-			is.NoErr(err)
-			_, err = engine.NewEventReader(p.Body).Next()
-			is.NoErr(err)
-			cancel()
-			p.Body.Close()
-			is.NoErr(s.handler.Drain(t.Context()))
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			is.Equal(s.settled[len(s.settled)-1].Answer.Outcome == chestnutcleat.Done, done)
+			runVirtual(t, func(t *testing.T, is *is.I, s *testSystem) {
+				s.engines[0].Decode = 200
+				model, id, explicit := strings.Cut(name, " ")
+				ctx, cancel := context.WithCancel(t.Context())
+				r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url+caller.PathChat, strings.NewReader(chatBody(model, "#tokens=60", true)))
+				is.NoErr(err)
+				r.Header.Set("Authorization", bearer)
+				r.Header.Set("Content-Type", "application/json")
+				if explicit {
+					r.Header.Set("Idempotency-Key", id)
+				}
+				p, err := s.client.Do(r)
+				is.NoErr(err)
+				_, err = engine.NewEventReader(p.Body).Next()
+				is.NoErr(err)
+				cancel()
+				p.Body.Close()
+				is.NoErr(s.handler.Drain(t.Context()))
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				is.Equal(s.settled[len(s.settled)-1].Answer.Outcome == chestnutcleat.Done, done)
+			})
 		})
 	}
 }
--- a/caller/stream_test.go
+++ b/caller/stream_test.go
@@ -135,31 +135,31 @@
 
 // A draining VM must finish calls in progress, serve programs that already exist, and refuse new ones.
 func TestDrain(t *testing.T) {
-	is := is.New(t)
-	s := startSystem(t)
-	s.engines[0].Decode = 200
-	got := make(chan response, 1)
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.url+caller.PathChat, strings.NewReader(chatBody("m", "#tokens=30", true)))
-	is.NoErr(err)
-	r.Header.Set("Authorization", bearer)
-	r.Header.Set("Content-Type", "application/json")
-	p, err := http.DefaultClient.Do(r)
-	is.NoErr(err)
-	go func() {
-		data, err := io.ReadAll(p.Body)
-		got <- response{body: string(data), err: err}
-	}()
-	cancelled, cancel := context.WithCancel(t.Context())
-	cancel()
-	is.True(s.handler.Drain(cancelled) != nil)
-	refused := s.chat(t, chatBody("m", "hello", false))
-	is.True(strings.Contains(refused.body, string(chestnutcleat.CodeLeaving)))
-	is.True(strings.Contains(refused.body, `"outcome":"not-run"`))
-	is.Equal(s.chat(t, chatBody("m", "hello", false), "Chestnutcleat-Program", "p", "Chestnutcleat-After", "c0").status, 200)
-	is.NoErr(s.handler.Drain(t.Context()))
-	a := <-got
-	is.NoErr(a.err)
-	is.True(strings.Contains(a.body, "[DONE]"))
+	runVirtual(t, func(t *testing.T, is *is.I, s *testSystem) {
+		s.engines[0].Decode = 200
+		got := make(chan response, 1)
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.url+caller.PathChat, strings.NewReader(chatBody("m", "#tokens=30", true)))
+		is.NoErr(err)
+		r.Header.Set("Authorization", bearer)
+		r.Header.Set("Content-Type", "application/json")
+		p, err := s.client.Do(r)
+		is.NoErr(err)
+		go func() {
+			data, err := io.ReadAll(p.Body)
+			got <- response{body: string(data), err: err}
+		}()
+		cancelled, cancel := context.WithCancel(t.Context())
+		cancel()
+		is.True(s.handler.Drain(cancelled) != nil)
+		refused := s.chat(t, chatBody("m", "hello", false))
+		is.True(strings.Contains(refused.body, string(chestnutcleat.CodeLeaving)))
+		is.True(strings.Contains(refused.body, `"outcome":"not-run"`))
+		is.Equal(s.chat(t, chatBody("m", "hello", false), "Chestnutcleat-Program", "p", "Chestnutcleat-After", "c0").status, 200)
+		is.NoErr(s.handler.Drain(t.Context()))
+		a := <-got
+		is.NoErr(a.err)
+		is.True(strings.Contains(a.body, "[DONE]"))
+	})
 }
 
 // Callers learn the addresses of other VMs and of their program's owner from these responses.
--- a/caller/virtual_test.go
+++ b/caller/virtual_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -57,6 +58,27 @@
 
 func (l listener) Addr() net.Addr { return &net.TCPAddr{} }
 
+// runVirtual runs a test with a testSystem over connections in memory and in virtual time, which passes only while all goroutines wait:
+// what the test does during a call happens during the call, however slow the machine is.
+func runVirtual(t *testing.T, test func(t *testing.T, is *is.I, s *testSystem)) {
+	synctest.Test(t, func(t *testing.T) {
+		network := pipeNetwork{}
+		serve := func(h http.Handler) string {
+			address := fmt.Sprintf("host-%d:1", len(network))
+			network[address] = make(chan net.Conn)
+			server := &http.Server{Handler: h}
+			go server.Serve(listener{queue: network[address], closed: make(chan struct{})})
+			t.Cleanup(func() { server.Close() })
+			return address
+		}
+		s := newSystem()
+		s.handler.Dial = network.dial
+		s.client = &http.Client{Transport: &http.Transport{DialContext: network.dial}}
+		s.start(serve)
+		test(t, is.New(t), s)
+	})
+}
+
 // Programs with pauses of hours must behave in virtual time as they do over TCP.
 func TestVirtualTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
