Test a metrics port in use at an address of the test process

role.TestMetricsPortInUse closes a listener at 127.0.0.1 and waits until the VM has opened its port, which any other process may take in between, for a listener or an outgoing connection; the test then waits 20 s and fails. At a loopback address of the process no other one takes it. Not seen to fail: the chance is that of one port of 28,000 within a second.

--- a/role/metrics_test.go
+++ b/role/metrics_test.go
@@ -12,6 +12,7 @@
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/event"
 	"chestnutcleat.example/chestnutcleat/settings"
+	"chestnutcleat.example/chestnutcleat/standin/loopback"
 )
 
 // eventChannel passes the ids of events on.
@@ -22,11 +23,13 @@
 // A metrics port that is in use must not end the process, which serves callers without it, and must be served once it is free.
 func TestMetricsPortInUse(t *testing.T) {
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// At an address of this process, no other one takes the port when it is closed.
+	ip := loopback.IP(1)
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	is.NoErr(err)
 	events := make(eventChannel, 10)
 	b := &base{
-		Settings: settings.Role{IP: "127.0.0.1", MetricsPort: l.Addr().(*net.TCPAddr).Port},
+		Settings: settings.Role{IP: ip, MetricsPort: l.Addr().(*net.TCPAddr).Port},
 		Observer: events, Metrics: metrics.NewSet(), status: func() Status { return Status{VM: "a"} },
 	}
 	ctx, cancel := context.WithCancel(t.Context())
