Report again that metrics are not served, after they were

MetricsUnavailable was emitted once in a process. A listener that was open can be lost: net/http ends on an accept error that it does not take for temporary, such as ENOBUFS or ENOMEM, and its port may be taken by the next attempt a second later. Operators saw nothing of that.

The event is now emitted at the first failure and at the first one after the address was open, at most once a second.

--- a/role/metrics.go
+++ b/role/metrics.go
@@ -33,23 +33,40 @@
 	return mux
 }
 
-// serveMetrics serves the metrics and the status of this process until ctx is done. Callers don't need them, so a failure, such as an
-// address that is in use, does not end the process; the first one is reported.
+// serveMetrics serves the metrics and the status of this process until ctx is done.
 func (b *base) serveMetrics(ctx context.Context) error {
-	handler := b.metricsHandler()
 	address := net.JoinHostPort(b.Settings.IP, strconv.Itoa(b.Settings.MetricsPort))
-	failed := false
+	b.keepServingMetrics(ctx, address, func() (net.Listener, error) { return net.Listen("tcp", address) })
+	return nil
+}
+
+// keepServingMetrics serves on the listeners that listen opens. Callers don't need the metrics, so a failure, such as an address that is in
+// use, does not end the process; the first one is reported, and the first one after the address was open.
+func (b *base) keepServingMetrics(ctx context.Context, address string, listen func() (net.Listener, error)) {
+	handler := b.metricsHandler()
+	reported := false
 	for ctx.Err() == nil {
-		s := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: metricsHeaderTimeout}
-		stop := context.AfterFunc(ctx, func() { s.Close() })
-		err := s.ListenAndServe()
-		stop()
-		if !failed && !errors.Is(err, http.ErrServerClosed) {
+		l, err := listen()
+		if err == nil {
+			reported = false
+			err = serveUntilDone(ctx, l, handler)
+		}
+		if err != nil && !reported {
 			b.Observer.Emit(event.MetricsUnavailable, "address", address, "error", err)
-			failed = true
+			reported = true
 		}
 		_ = chestnutcleat.Sleep(ctx, metricsRetryInterval)
 	}
+}
+
+// serveUntilDone serves HTTP on a listener until ctx is done, which is no error.
+func serveUntilDone(ctx context.Context, l net.Listener, h http.Handler) error {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: metricsHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { s.Close() })
+	defer stop()
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
 	return nil
 }
 
--- a/role/metrics_test.go
+++ b/role/metrics_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -52,3 +55,44 @@
 	cancel()
 	is.NoErr(<-ended)
 }
+
+// failingListener accepts nothing and fails after a while, as one does without memory for a further connection.
+type failingListener struct {
+	net.Listener
+	after time.Duration
+}
+
+func (l failingListener) Accept() (net.Conn, error) {
+	time.Sleep(l.after)
+	return nil, errors.New("no buffer space")
+}
+
+func (failingListener) Close() error   { return nil }
+func (failingListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Metrics that are lost once more after they were served must be reported once more: operators took them for served.
+func TestMetricsLostAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		events := make(eventChannel, 10)
+		b := &base{Observer: events, Metrics: metrics.NewSet(), status: func() Status { return Status{} }}
+		var attempts atomic.Int64
+		listen := func() (net.Listener, error) {
+			if attempts.Add(1) == 3 {
+				return failingListener{after: time.Minute}, nil
+			}
+			return nil, errors.New("address in use")
+		}
+		ended := make(chan struct{})
+		go func() { b.keepServingMetrics(ctx, "a", listen); close(ended) }()
+		time.Sleep(30 * time.Second)
+		is.Equal(attempts.Load(), int64(3)) // it is served
+		is.Equal(len(events), 1)            // the first failure of two
+		time.Sleep(time.Minute)
+		is.True(attempts.Load() > 10) // it is not served
+		is.Equal(len(events), 2)      // the first failure since
+		cancel()
+		<-ended
+	})
+}
