Move the splitting of JSON into a package of its own

platform/split.go knew no name of the platform. FuzzAnswer stays in package platform, whose decoder it tests. No change of behaviour.

--- a/platform/split.go
+++ b/jsonsplit/split.go
@@ -1,4 +1,4 @@
-package platform
+package jsonsplit
 
 import (
 	"bytes"
@@ -7,18 +7,15 @@
 	"unicode/utf8"
 )
 
-// The functions of this file split JSON into its values without recursion and without a look inside them, so that a value that
-// can't be decoded, such as a deeply nested one, does not keep the values beside it from being decoded.
-
 // splitter reads JSON from a position on.
 type splitter struct {
 	data []byte
 	pos  int
 }
 
-// eachMember calls visit with the decoded name and the value of each member of a JSON object until it returns an error. The values are
+// EachMember calls visit with the decoded name and the value of each member of a JSON object until it returns an error. The values are
 // parts of data.
-func eachMember(data []byte, visit func(name, value []byte) error) error {
+func EachMember(data []byte, visit func(name, value []byte) error) error {
 	s := &splitter{data: data}
 	return s.eachPart('{', '}', func() error {
 		name, err := s.name()
@@ -33,8 +30,8 @@
 	})
 }
 
-// eachElement calls visit for each element of a JSON array until it returns an error. The elements are parts of data.
-func eachElement(data []byte, visit func(value []byte) error) error {
+// EachElement calls visit for each element of a JSON array until it returns an error. The elements are parts of data.
+func EachElement(data []byte, visit func(value []byte) error) error {
 	s := &splitter{data: data}
 	return s.eachPart('[', ']', func() error {
 		value, err := s.value()
@@ -77,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if name, ok := plainText(quoted); ok {
+	if name, ok := PlainText(quoted); ok {
 		return name, s.expect(':')
 	}
 	var name string
@@ -87,8 +84,8 @@
 	return []byte(name), s.expect(':')
 }
 
-// plainText returns the text of a JSON string that stands for itself, without escapes.
-func plainText(quoted []byte) ([]byte, bool) {
+// PlainText returns the text of a JSON string that stands for itself, without escapes.
+func PlainText(quoted []byte) ([]byte, bool) {
 	if len(quoted) < 2 || quoted[0] != '"' {
 		return nil, false
 	}
@@ -199,10 +196,10 @@
 	return nil
 }
 
-func (s *splitter) malformed() error { return syntaxError(s.pos) }
+func (s *splitter) malformed() error { return SyntaxError(s.pos) }
 
-// syntaxError is the error of malformed JSON; its value is the offset of the byte that was not expected.
-type syntaxError int
+// SyntaxError is the error of malformed JSON; its value is the offset of the byte that was not expected.
+type SyntaxError int
 
 // Error implements error.
-func (e syntaxError) Error() string { return fmt.Sprintf("malformed JSON at byte %d", int(e)) }
+func (e SyntaxError) Error() string { return fmt.Sprintf("malformed JSON at byte %d", int(e)) }
