Join the set-up of mirror's tests of mass deletions

TestUnreadableObjectsDoNotHideMassDeletion and TestUnreadableObjectsAreNoMassDeletion differ only in what is deleted and what must be left; runAmongUnreadable has the rest. The checks are as before.

--- a/mirror/odd_test.go
+++ b/mirror/odd_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -72,62 +71,53 @@
 	}
 }
 
-// Many unreadable objects must not hide that the platform lost the readable ones.
-func TestUnreadableObjectsDoNotHideMassDeletion(t *testing.T) {
-	for name, learn := range map[string]func(t *testing.T, m *Mirror) error{
-		"watch": func(*testing.T, *Mirror) error { return nil },
-		"list":  func(t *testing.T, m *Mirror) error { return m.Refresh(t.Context()) },
-	} {
-		t.Run(name, func(t *testing.T) {
+// readable are the objects that can be read in the tests below.
+var readable = []string{"a", "b", "c", "d"}
+
+// runAmongUnreadable deletes objects among readable and 100 unreadable ones, learns of it by a watch and by a list, and passes on the names
+// of the objects that a mirror then reports.
+func runAmongUnreadable(t *testing.T, remove func(p *fakePlatform, odd []string), check func(is *is.I, seen []string)) {
+	for _, learn := range []string{"watch", "list"} {
+		t.Run(learn, func(t *testing.T) {
 			runWithPlatform(t, func(t *testing.T, is *is.I, p *fakePlatform) {
-				all := []string{"a", "b", "c", "d"}
-				for _, name := range all {
+				for _, name := range readable {
 					p.set(name)
 				}
+				var odd []string
 				for i := range 100 {
-					p.setUnreadable(fmt.Sprint("odd-", i), true)
+					odd = append(odd, fmt.Sprint("odd-", i))
+					p.setUnreadable(odd[i], true)
 				}
 				m, seen := runMirror(t, p)
 				time.Sleep(time.Second)
-				p.withLock(func(p *fakePlatform) { p.watchesStalled = name == "list" })
-				for _, name := range all[:3] {
-					p.delete(name)
+				p.withLock(func(p *fakePlatform) { p.watchesStalled = learn == "list" })
+				remove(p, odd)
+				if learn == "list" {
+					is.NoErr(m.Refresh(t.Context()))
 				}
-				is.NoErr(learn(t, m))
 				time.Sleep(500 * time.Millisecond)
-				is.Equal(seen()[:4], all)
+				check(is, seen())
 			})
 		})
 	}
 }
 
+// Many unreadable objects must not hide that the platform lost the readable ones.
+func TestUnreadableObjectsDoNotHideMassDeletion(t *testing.T) {
+	runAmongUnreadable(t, func(p *fakePlatform, _ []string) {
+		for _, name := range readable[:3] {
+			p.delete(name)
+		}
+	}, func(is *is.I, seen []string) { is.Equal(seen[:4], readable) })
+}
+
 // The removal of many unreadable objects must not look like a mass deletion: an instance that left with them would get requests for
 // another outageRetention.
 func TestUnreadableObjectsAreNoMassDeletion(t *testing.T) {
-	for name, learn := range map[string]func(t *testing.T, m *Mirror) error{
-		"watch": func(*testing.T, *Mirror) error { return nil },
-		"list":  func(t *testing.T, m *Mirror) error { return m.Refresh(t.Context()) },
-	} {
-		t.Run(name, func(t *testing.T) {
-			runWithPlatform(t, func(t *testing.T, is *is.I, p *fakePlatform) {
-				all := []string{"a", "b", "c", "d"}
-				for _, name := range all {
-					p.set(name)
-				}
-				for i := range 100 {
-					p.setUnreadable(fmt.Sprint("odd-", i), true)
-				}
-				m, seen := runMirror(t, p)
-				time.Sleep(time.Second)
-				p.withLock(func(p *fakePlatform) { p.watchesStalled = name == "list" })
-				p.delete("a")
-				for i := range 100 {
-					p.delete(fmt.Sprint("odd-", i))
-				}
-				is.NoErr(learn(t, m))
-				time.Sleep(500 * time.Millisecond)
-				is.Equal(seen(), slices.Delete(all, 0, 1))
-			})
-		})
-	}
+	runAmongUnreadable(t, func(p *fakePlatform, odd []string) {
+		p.delete(readable[0])
+		for _, name := range odd {
+			p.delete(name)
+		}
+	}, func(is *is.I, seen []string) { is.Equal(seen, readable[1:]) })
 }
