--- a/caller/virtual_test.go
+++ b/caller/virtual_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -16,48 +15,20 @@
 	"chestnutcleat.example/chestnutcleat/caller"
 	standincaller "chestnutcleat.example/chestnutcleat/standin/caller"
 	standinengine "chestnutcleat.example/chestnutcleat/standin/engine"
+	"chestnutcleat.example/chestnutcleat/standin/pipe"
 )
 
-// pipeNetwork is an in-memory network that maps each address to a queue of connections.
-type pipeNetwork map[string]chan net.Conn
+// pipeNetwork is an in-memory network: the listener at each address.
+type pipeNetwork map[string]*pipe.Listener
 
 func (p pipeNetwork) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	l, ok := p[address]
 	if !ok {
-		return nil, errors.New("connection refused")
+		return nil, pipe.ErrRefused
 	}
-	a, b := net.Pipe()
-	select {
-	case l <- b:
-		return a, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-// listener accepts the connections of one address.
-type listener struct {
-	net.Listener
-	queue  chan net.Conn
-	closed chan struct{}
+	return l.Dial(ctx)
 }
 
-func (l listener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.queue:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l listener) Close() error {
-	close(l.closed)
-	return nil
-}
-
-func (l listener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // runVirtual runs a test with a testSystem over connections in memory and in virtual time, which passes only while all goroutines wait:
 // what the test does during a call happens during the call, however slow the machine is.
 func runVirtual(t *testing.T, test func(t *testing.T, is *is.I, s *testSystem)) {
@@ -65,9 +36,9 @@
 		network := pipeNetwork{}
 		serve := func(h http.Handler) string {
 			address := fmt.Sprintf("host-%d:1", len(network))
-			network[address] = make(chan net.Conn)
+			network[address] = pipe.Listen()
 			server := &http.Server{Handler: h}
-			go server.Serve(listener{queue: network[address], closed: make(chan struct{})})
+			go server.Serve(network[address])
 			t.Cleanup(func() { server.Close() })
 			return address
 		}
@@ -83,7 +54,7 @@
 func TestVirtualTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		network := pipeNetwork{"vm:1": make(chan net.Conn), "engine:1": make(chan net.Conn)}
+		network := pipeNetwork{"vm:1": pipe.Listen(), "engine:1": pipe.Listen()}
 		f := newFake()
 		f.upstreams = []chestnutcleat.Upstream{{ID: "e", Address: "engine:1"}}
 		f.routes = []chestnutcleat.Route{{Name: "chat", Kind: chestnutcleat.UpstreamEngine, Model: "m", Upstreams: []chestnutcleat.UpstreamID{"e"}, Repeatable: true}}
@@ -92,7 +63,7 @@
 		e.SetFaults(standinengine.Faults{CutAfterTokens: 3, Requests: 1})
 		servers := []*http.Server{h.Server(), {Handler: e}}
 		for i, name := range []string{"vm:1", "engine:1"} {
-			go servers[i].Serve(listener{queue: network[name], closed: make(chan struct{})})
+			go servers[i].Serve(network[name])
 		}
 		l := standincaller.Load{
 			VMs: []chestnutcleat.Address{"vm:1"}, Seed: 1, Dial: network.dial,
