Join how tests measure CPU time and heap

Three tests had the CPU time of the process and five the heap in use, each their own copy; package standin/resources has both. node took an unknown CPU time for zero and passed; it now fails. ledger's heap is taken after two collections like the others', not one.

--- a/demo/bench_test.go
+++ b/demo/bench_test.go
@@ -10,7 +10,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -18,6 +17,7 @@
 	"chestnutcleat.example/chestnutcleat/caller"
 	"chestnutcleat.example/chestnutcleat/engine"
 	"chestnutcleat.example/chestnutcleat/logs"
+	"chestnutcleat.example/chestnutcleat/standin/resources"
 )
 
 const (
@@ -120,7 +120,7 @@
 // cpuTimePerCall returns the CPU time of the whole process per call under steady load.
 func cpuTimePerCall(b *testing.B, client *http.Client, to endpoint, body []byte) time.Duration {
 	const calls = 500
-	before := processCPUTime(b)
+	before := resources.CPUTime(b)
 	var wg sync.WaitGroup
 	for range benchClients {
 		wg.Go(func() {
@@ -130,13 +130,5 @@
 		})
 	}
 	wg.Wait()
-	return (processCPUTime(b) - before) / (calls * benchClients)
-}
-
-func processCPUTime(b *testing.B) time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		b.Fatal(err)
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	return (resources.CPUTime(b) - before) / (calls * benchClients)
 }
--- a/ledger/store_test.go
+++ b/ledger/store_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"runtime"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -13,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/standin/resources"
 )
 
 type noopObserver struct{}
@@ -71,18 +71,11 @@
 	return r.Turns
 }
 
-func heapBytes() int64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
-}
-
 // Turns may take more than a storage VM's memory: holding inputs and outputs in memory ended the process.
 func TestBodiesAreNotHeldInMemory(t *testing.T) {
 	s, _ := openStore(t, t.TempDir())
 	const turns, size = 2000, 20_000
-	before := heapBytes()
+	before := resources.LiveHeap()
 	for i := 0; i < turns; i += 20 {
 		var list []*Record
 		for j := i; j < i+20; j++ {
@@ -90,7 +83,7 @@
 		}
 		appendRecords(t, s, list...)
 	}
-	grown := heapBytes() - before
+	grown := int64(resources.LiveHeap()) - int64(before)
 	t.Logf("heap grew by %d bytes, usage %+v", grown, s.Usage())
 	if grown > turns*size/10 {
 		t.Errorf("heap grew by %d bytes for %d bytes on disk", grown, turns*size)
--- a/limit/bench_test.go
+++ b/limit/bench_test.go
@@ -8,6 +8,7 @@
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/limit"
+	"chestnutcleat.example/chestnutcleat/standin/resources"
 )
 
 // inlineLoop runs posted functions immediately and no timers.
@@ -30,7 +31,7 @@
 func BenchmarkCustomer(b *testing.B) {
 	for _, n := range []int{312, 1250, 5000} {
 		b.Run(fmt.Sprint("customers=", n), func(b *testing.B) {
-			before := liveHeap()
+			before := resources.LiveHeap()
 			limiter := &limit.Limiter{Loop: inlineLoop{}, Journal: noopJournal{}, VM: "vm1", Customer: func(id chestnutcleat.CustomerID) (chestnutcleat.Customer, bool) {
 				return chestnutcleat.Customer{ID: id, Rate: 1e6, Burst: 1e6}, true
 			}}
@@ -42,17 +43,9 @@
 					limiter.Take(chestnutcleat.TakeRequest{ID: chestnutcleat.RequestID(fmt.Sprint(round, "/", i)), Customer: id, Count: 1}, func(chestnutcleat.TakeReply) {})
 				}
 			}
-			b.ReportMetric((float64(liveHeap())-float64(before))/float64(n), "heapB/customer")
+			b.ReportMetric((float64(resources.LiveHeap())-float64(before))/float64(n), "heapB/customer")
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/take")
 			runtime.KeepAlive(limiter)
 		})
 	}
 }
-
-func liveHeap() uint64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
--- a/manifest/view_test.go
+++ b/manifest/view_test.go
@@ -8,6 +8,7 @@
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/manifest"
+	"chestnutcleat.example/chestnutcleat/standin/resources"
 )
 
 // BenchmarkView measures, per customer, the size of a manifest's text, the time to decode and index it after a change,
@@ -25,7 +26,7 @@
 				b.Fatal(err)
 			}
 			var view *manifest.View
-			before := heapInUse()
+			before := resources.LiveHeap()
 			for b.Loop() {
 				var next chestnutcleat.Manifest
 				if err := json.Unmarshal(raw, &next); err != nil {
@@ -33,18 +34,10 @@
 				}
 				view = manifest.NewView(next)
 			}
-			b.ReportMetric((float64(heapInUse())-float64(before))/float64(n), "heapB/customer")
+			b.ReportMetric((float64(resources.LiveHeap())-float64(before))/float64(n), "heapB/customer")
 			b.ReportMetric(float64(len(raw))/float64(n), "textB/customer")
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/customer")
 			runtime.KeepAlive(view)
 		})
 	}
 }
-
-func heapInUse() uint64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
--- a/node/scale_test.go
+++ b/node/scale_test.go
@@ -3,13 +3,12 @@
 import (
 	"flag"
 	"fmt"
-	"runtime"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/standin/resources"
 )
 
 var scale = flag.Int("scale", 25, "number of VMs of TestScale: 25, 100 or 400, which takes minutes")
@@ -30,24 +29,8 @@
 	heap            uint64
 }
 
-func processCPUTime() time.Duration {
-	var r syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
-		return 0
-	}
-	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
-}
-
-func heapBytes() uint64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
-
 func (f *fleet) usage() usage {
-	u := usage{at: time.Now(), heap: heapBytes(), cpu: processCPUTime()}
+	u := usage{at: time.Now(), heap: resources.LiveHeap(), cpu: resources.CPUTime(f.t)}
 	for i := range f.nodes {
 		t := f.network.Traffic(address(i))
 		u.messages += t.Messages
@@ -70,12 +53,12 @@
 
 func testScale(t *testing.T, n int, seed uint64) {
 	period := 20 * time.Second
-	empty := heapBytes()
-	begun := processCPUTime()
+	empty := resources.LiveHeap()
+	begun := resources.CPUTime(t)
 	f := newFleetWithPause(t, n, seed, 50*time.Millisecond)
 	defer f.stop()
 	time.Sleep(20 * time.Second)
-	t.Logf("seed %d, %d VMs: start used %s of CPU time", seed, n, processCPUTime()-begun)
+	t.Logf("seed %d, %d VMs: start used %s of CPU time", seed, n, resources.CPUTime(t)-begun)
 	for i := range f.nodes {
 		if err := f.nodes[i].Ready(t.Context()); err != nil {
 			t.Fatalf("seed %d: VM %d of %d: %v", seed, i, n, err)
--- a/peer/cost_test.go
+++ b/peer/cost_test.go
@@ -4,27 +4,18 @@
 
 import (
 	"fmt"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/standin/resources"
 )
 
 // maxCoresPerVM is the part of a core that a VM may use to track the others: a fifth of the total budget of 0.025, as most of that
 // goes into system calls.
 const maxCoresPerVM = 0.005
 
-// cpuTime returns the CPU time of this process so far.
-func cpuTime(t *testing.T) time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		t.Fatal(err)
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 // Tracking hundreds of VMs must be cheap: copying and sorting all of them at each step was not. The in-memory network needs no
 // system calls, so these are not measured; the test is left out with the race detector, which costs several times as much.
 func TestControlCost(t *testing.T) {
@@ -41,7 +32,7 @@
 					n.setSummary(s)
 				}
 				time.Sleep(settle)
-				start := cpuTime(t)
+				start := resources.CPUTime(t)
 				for range steps {
 					time.Sleep(step)
 					for _, n := range nodes {
@@ -49,7 +40,7 @@
 						n.Totals()
 					}
 				}
-				cores := (cpuTime(t) - start).Seconds() / (steps * step).Seconds() / float64(count)
+				cores := (resources.CPUTime(t) - start).Seconds() / (steps * step).Seconds() / float64(count)
 				t.Logf("%.4f of a core per VM", cores)
 				if cores > maxCoresPerVM {
 					t.Errorf("a VM of %d uses %.4f of a core, expected at most %.4f", count, cores, maxCoresPerVM)
--- a/program/bench_test.go
+++ b/program/bench_test.go
@@ -8,6 +8,7 @@
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/program"
+	"chestnutcleat.example/chestnutcleat/standin/resources"
 )
 
 // inlineLoop runs posted functions immediately and no timers.
@@ -34,14 +35,6 @@
 	done(nil)
 }
 
-func liveHeap() uint64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
-
 // BenchmarkHeldProgram measures memory and time per program in memory, each with 20 finished calls and retained answers of
 // 1 KB. One operation creates all programs.
 func BenchmarkHeldProgram(b *testing.B) {
@@ -49,13 +42,13 @@
 		b.Run(fmt.Sprint("programs=", n), func(b *testing.B) {
 			var bytes, records, data float64
 			for b.Loop() {
-				before := liveHeap()
+				before := resources.LiveHeap()
 				c := &countingJournal{}
 				manager := &program.Manager{Loop: inlineLoop{}, Journal: c, Limits: func() chestnutcleat.Limits { return chestnutcleat.Limits{} }}
 				for p := range n {
 					runProgram(b, manager, chestnutcleat.ProgramID(fmt.Sprint("p", p)))
 				}
-				bytes += float64(liveHeap()) - float64(before)
+				bytes += float64(resources.LiveHeap()) - float64(before)
 				records += float64(c.records)
 				data += float64(c.bytes)
 				runtime.KeepAlive(manager)
--- /dev/null
+++ b/standin/resources/doc.go
@@ -0,0 +1,2 @@
+// Package resources measures what the test process uses.
+package resources
