--- a/control/loop_test.go
+++ b/control/loop_test.go
@@ -12,14 +12,20 @@
 	"chestnutcleat.example/chestnutcleat/control"
 )
 
-// A timer that is stopped when its function is already queued must not run it: a lease would act on a canceled step.
-func TestStoppedTimerDoesNotRun(t *testing.T) {
+// runLoop runs a test with a loop in virtual time.
+func runLoop(t *testing.T, test func(ctx context.Context, is *is.I, l *control.Loop)) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		l := control.New()
 		go l.Run(ctx)
+		test(ctx, is.New(t), l)
+	})
+}
+
+// A timer that is stopped when its function is already queued must not run it: a lease would act on a canceled step.
+func TestStoppedTimerDoesNotRun(t *testing.T) {
+	runLoop(t, func(_ context.Context, is *is.I, l *control.Loop) {
 		ran := false
 		var timer chestnutcleat.Timer
 		l.Post(func() {
@@ -39,12 +45,7 @@
 
 // Results of Async must arrive in the control goroutine, whose state has no locks.
 func TestAsyncDeliversInLoop(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		l := control.New()
-		go l.Run(ctx)
+	runLoop(t, func(ctx context.Context, is *is.I, l *control.Loop) {
 		count := 0
 		for range 100 {
 			chestnutcleat.Async(l, time.Second, func(context.Context) (int, error) { return 1, nil }, func(n int, _ error) { count += n })
@@ -58,12 +59,7 @@
 
 // A function whose caller gave up waiting must not run later and write what the caller reads.
 func TestDoAbandoned(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		l := control.New()
-		go l.Run(ctx)
+	runLoop(t, func(ctx context.Context, is *is.I, l *control.Loop) {
 		l.Post(func() { time.Sleep(time.Minute) })
 		short, end := context.WithTimeout(ctx, time.Second)
 		defer end()
