--- a/mirror/snapshot.go
+++ b/mirror/snapshot.go
@@ -11,6 +11,16 @@
 // maxTombstones bounds the number of removed objects that are kept for deltas to other VMs.
 const maxTombstones = 1024
 
+// Snapshot holds all objects of a kind at one version, or the changes since an earlier version.
+type Snapshot struct {
+	Version chestnutcleat.Version `json:"version"`
+	// Since is the version after which the changes were made; zero means that Objects is complete.
+	Since   chestnutcleat.Version        `json:"since,omitempty"`
+	Objects []chestnutcleat.StoredObject `json:"objects"`
+	// Retained names the objects that the platform lost and that may come back.
+	Retained []string `json:"lapsed,omitempty"`
+}
+
 // snapshot returns the objects that changed since a version, or all objects for version zero.
 func (m *Mirror) snapshot(since chestnutcleat.Version) Snapshot {
 	s := Snapshot{Version: m.version, Since: since, Objects: []chestnutcleat.StoredObject{}}
