Let only what a delta brings end the retention of objects

A caller would have seen requests sent to an instance that had left, for as long as the VM's watch lasts.

Cause: objects that vanish in an outage are retained for 2.5 s. Merging a delta, which has only changes, ended the retention of all objects that the VM had, and so made those count as present for good that the platform had deleted. It needs an outage of the platform, a watch that reports the deletion as it returns, and a delta of another VM within the next 2.5 s.

mirror.TestDeltaLeavesRetention failed in its first case with [gone kept new] in place of [kept new].

--- a/mirror/apply.go
+++ b/mirror/apply.go
@@ -33,7 +33,7 @@
 			// Only other kinds changed; a new version of this kind would make all VMs fetch it.
 			return false, reconnected
 		}
-		missing := m.replaceObjects(next, nil, s.Version)
+		missing := m.replaceObjects(next, s)
 		m.retainMissing(missing, reconnected || isLossOfMany(missing, next))
 		m.version = s.Version
 		return true, reconnected
@@ -51,17 +51,18 @@
 	return maps.EqualFunc(m.objects, next, func(a, b chestnutcleat.StoredObject) bool { return a.Version == b.Version })
 }
 
-// replaceObjects replaces all objects, some of which may be retained ones, and returns the known objects that are missing.
-func (m *Mirror) replaceObjects(next map[string]chestnutcleat.StoredObject, retained []string, v chestnutcleat.Version) (missing []chestnutcleat.StoredObject) {
+// replaceObjects replaces all objects with next, which the snapshot s led to, and returns the known objects that are missing. The objects
+// that s brings are no longer retained, unless it names them as retained ones.
+func (m *Mirror) replaceObjects(next map[string]chestnutcleat.StoredObject, s Snapshot) (missing []chestnutcleat.StoredObject) {
 	for name, o := range m.objects {
 		if _, ok := next[name]; !ok {
 			missing = append(missing, o)
-			m.recordRemoval(name, v)
+			m.recordRemoval(name, s.Version)
 		}
 	}
-	for name := range next {
-		if !slices.Contains(retained, name) {
-			delete(m.retainedUntil, name)
+	for _, o := range s.Objects {
+		if !o.Deleted && !slices.Contains(s.Retained, o.Name) {
+			delete(m.retainedUntil, o.Name)
 		}
 	}
 	m.objects = next
--- a/mirror/snapshot.go
+++ b/mirror/snapshot.go
@@ -83,7 +83,7 @@
 				next[o.Name] = o
 			}
 		}
-		missing := m.replaceObjects(next, s.Retained, s.Version)
+		missing := m.replaceObjects(next, s)
 		m.retainMissing(missing, isLossOfMany(missing, next))
 		if m.RetainAfterOutage {
 			for _, name := range s.Retained {
--- a/mirror/snapshot_test.go
+++ b/mirror/snapshot_test.go
@@ -1,9 +1,11 @@
 package mirror
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -147,3 +149,40 @@
 	m.Merge(Snapshot{Version: 9, Since: 5, Retained: []string{"gone", "kept"}})
 	is.Equal(m.SnapshotSince(0).Retained, []string{"kept"})
 }
+
+// A delta confirms only the objects that it brings: one that had vanished in an outage counted as present for good once another VM's delta
+// arrived while it was retained.
+func TestDeltaLeavesRetention(t *testing.T) {
+	back := chestnutcleat.StoredObject{Name: "gone", Version: 8}
+	tests := []struct {
+		name     string
+		delta    []chestnutcleat.StoredObject
+		retained []string
+		want     []string
+	}{
+		{"without the object", nil, nil, []string{"kept", "new"}},
+		{"from a VM that retains it, too", nil, []string{"gone"}, []string{"kept", "new"}},
+		{"with the object", []chestnutcleat.StoredObject{back}, nil, []string{"gone", "kept", "new"}},
+		{"with the object as a retained one", []chestnutcleat.StoredObject{back}, []string{"gone"}, []string{"kept", "new"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				m := &Mirror{RetainAfterOutage: true}
+				m.Merge(Snapshot{Version: 5, Objects: []chestnutcleat.StoredObject{{Name: "gone", Version: 3}, {Name: "kept", Version: 4}}})
+				m.markUnreachable(errors.New("outage"))
+				m.apply([]chestnutcleat.StoredObject{{Name: "gone", Version: 6, Deleted: true}}, 5, 6, true)
+				is.Equal(m.SnapshotSince(0).Retained, []string{"gone"})
+				m.Merge(Snapshot{Version: 9, Since: 6, Retained: tt.retained, Objects: append(tt.delta, chestnutcleat.StoredObject{Name: "new", Version: 9})})
+				time.Sleep(outageRetention)
+				m.apply(nil, 9, 9, false)
+				var names []string
+				for _, o := range m.SnapshotSince(0).Objects {
+					names = append(names, o.Name)
+				}
+				is.Equal(names, tt.want)
+			})
+		})
+	}
+}
