Bound the answers that the operators' client reads

The client of the operators' interface read an answer until its end. An address at which something else answers, without end, took all memory of the operator's machine.

--- a/operator/client.go
+++ b/operator/client.go
@@ -14,6 +14,9 @@
 	"chestnutcleat.example/chestnutcleat/manifest"
 )
 
+// maxAnswerBytes bounds the body of an answer; manifests of thousands of customers take less than a megabyte.
+const maxAnswerBytes = 16 << 20
+
 // Client is a client of the operator interface of one VM.
 type Client struct {
 	// Address is the IP:port of the VM's listener for operators.
@@ -101,10 +104,13 @@
 		return v, err
 	}
 	defer a.Body.Close()
-	data, err := io.ReadAll(a.Body)
+	data, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
 	if err != nil {
 		return v, fmt.Errorf("%s %s: %w", method, path, err)
 	}
+	if len(data) > maxAnswerBytes {
+		return v, fmt.Errorf("%s %s: answer exceeds %d bytes", method, path, maxAnswerBytes)
+	}
 	if a.StatusCode >= http.StatusMultipleChoices {
 		return v, decodeProblem(a.StatusCode, data)
 	}
