--- a/role/status.go
+++ b/role/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -101,8 +102,11 @@
 	_ = json.NewEncoder(w).Encode(s)
 }
 
-// statusTimeout bounds a status request.
-const statusTimeout = 5 * time.Second
+const (
+	// statusTimeout bounds a status request, and maxStatusBytes the body of its answer.
+	statusTimeout  = 5 * time.Second
+	maxStatusBytes = 16 << 20
+)
 
 // FetchStatus requests the status of a VM from its metrics address.
 func FetchStatus(ctx context.Context, a chestnutcleat.Address) (Status, error) {
@@ -121,7 +125,7 @@
 		return Status{}, fmt.Errorf("%s answers %s", a, resp.Status)
 	}
 	var s Status
-	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&s); err != nil {
 		return Status{}, fmt.Errorf("status of %s: %w", a, err)
 	}
 	return s, nil
--- a/role/status_test.go
+++ b/role/status_test.go
@@ -48,3 +48,25 @@
 	_, err = FetchStatus(t.Context(), chestnutcleat.Address(strings.TrimPrefix(other.URL, "http://")))
 	is.True(err != nil)
 }
+
+// What answers at a VM's address may send without end: the status was read on and on.
+func TestEndlessStatus(t *testing.T) {
+	// kernelBuffers is what the sockets may hold, and giveUp what the server sends at most, in bytes.
+	const kernelBuffers, giveUp = 16 << 20, 96 << 20
+	is := is.New(t)
+	sent := make(chan int, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		n, text := 0, []byte(strings.Repeat(" ", 64<<10))
+		for n < giveUp {
+			m, err := w.Write(text)
+			if n += m; err != nil {
+				break
+			}
+		}
+		sent <- n
+	}))
+	defer s.Close()
+	_, err := FetchStatus(t.Context(), chestnutcleat.Address(strings.TrimPrefix(s.URL, "http://")))
+	is.True(err != nil)
+	is.True(<-sent <= maxStatusBytes+kernelBuffers)
+}
