Bound the answers that the load tool reads

The load tool kept the text of a stream without end and read one of comments, empty lines or empty events for as long as the load ran; of a plain answer beyond its bound it took the first part for the whole.

--- a/standin/caller/client.go
+++ b/standin/caller/client.go
@@ -113,11 +113,15 @@
 	if resp.StatusCode != http.StatusOK {
 		return out, readProblem(resp)
 	}
+	body := io.LimitReader(resp.Body, maxDocumentBytes+1)
 	if req.stream {
-		out.text, err = c.readStream(resp.Body, start)
+		out.text, err = c.readStream(body, start)
 		return out, err
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxDocumentBytes))
+	data, err := io.ReadAll(body)
+	if len(data) > maxDocumentBytes {
+		return out, errTruncated
+	}
 	out.text = string(data)
 	return out, err
 }
