Count the times of departures by the steady clock

A step of a VM's clock between its start and the answer moved the time until which starts of the instance leave: a new start under the same id would have been left out, or a later one not covered, by as much as the step. The time is now that of the table's start plus what the steady clock counted since. Not shown by a test: time.Time does not let a test part the two clocks.

--- a/place/leaving.go
+++ b/place/leaving.go
@@ -81,7 +81,8 @@
 	t := a.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.markLeaving(processOf(&a.Instance), sentAt)
+	// Counted from the table's start by the steady clock, so that a step of the system's clock since then does not matter.
+	return t.markLeaving(processOf(&a.Instance), t.start.Add(sentAt.Sub(t.start)))
 }
 
 // Departs reports whether the assignment's instance is known to leave, by now.
--- a/place/table.go
+++ b/place/table.go
@@ -51,6 +51,9 @@
 
 // Table holds the known instances, their load and their health.
 type Table struct {
+	// start is when the table was created.
+	start time.Time
+
 	mu       sync.Mutex
 	services map[chestnutcleat.ServiceName][]*instanceState
 	// byID has the listed instances and those that still run requests of this VM.
@@ -80,7 +83,7 @@
 // NewTable returns a table without instances.
 func NewTable() *Table {
 	return &Table{
-		services: map[chestnutcleat.ServiceName][]*instanceState{}, byID: map[chestnutcleat.InstanceID]*instanceState{},
+		start: time.Now(), services: map[chestnutcleat.ServiceName][]*instanceState{}, byID: map[chestnutcleat.InstanceID]*instanceState{},
 		outcomes: outcomeHistory{start: time.Now()}, departures: map[process]*departure{},
 	}
 }
