--- a/place/leaving.go
+++ b/place/leaving.go
@@ -53,7 +53,7 @@
 	unlistedSince time.Time
 }
 
-// covers reports whether q leaves as well. A registration that doesn't tell the start is not taken for a new one. Of all starts until
+// covers reports whether q leaves as well. A registration that doesn't tell the start is not taken for a new one. Of all starts before
 // toldAt only the last one can have answered, whichever of them was listed then.
 func (d *departure) covers(q process) bool {
 	switch {
@@ -64,7 +64,7 @@
 	case q.startedAt <= d.startedAt:
 		return true
 	}
-	return !d.toldAt.IsZero() && q.startedAt <= d.toldAt.UnixMilli()
+	return !d.toldAt.IsZero() && q.startedAt < d.toldAt.UnixMilli()
 }
 
 // listed returns the listed instance that a departure covers, or nil. The caller holds t.mu.
