Keep an odd start from covering all later ones

A registration whose born lies in the far future, by a fault of its writer, covered all later starts of the id once the instance had left. Earlier starts are covered by the time of the request. place.TestDepartureWithOddStart failed before.

--- a/place/leaving.go
+++ b/place/leaving.go
@@ -61,7 +61,7 @@
 		return false
 	case q.startedAt == 0:
 		return d.startedAt != 0 || d.address == q.address
-	case q.startedAt <= d.startedAt:
+	case q.startedAt == d.startedAt:
 		return true
 	}
 	return !d.toldAt.IsZero() && q.startedAt < d.toldAt.UnixMilli()
--- a/place/leaving_test.go
+++ b/place/leaving_test.go
@@ -216,6 +216,20 @@
 	}
 }
 
+// A registration with a start in the far future, by a fault, must not keep all later starts of its instance out.
+func TestDepartureWithOddStart(t *testing.T) {
+	is := is.New(t)
+	i := instances(1)[0]
+	i.StartedAt = 1 << 52
+	table := NewTable()
+	table.SetInstances([]chestnutcleat.Instance{i})
+	is.True(table.Pick(Request{Service: "s"}).MarkLeaving(time.Now()))
+	is.Equal(table.Pick(Request{Service: "s"}), nil)
+	i.StartedAt = later()
+	table.SetInstances([]chestnutcleat.Instance{i})
+	is.True(table.Pick(Request{Service: "s"}) != nil)
+}
+
 // A VM with an old list must tell the others of the start that is listed now: they got the hash of a start that they did not know.
 func TestReportedDepartureIsOfTheListedStart(t *testing.T) {
 	is := is.New(t)
