--- a/place/leaving.go
+++ b/place/leaving.go
@@ -53,7 +53,7 @@
 	unlistedSince time.Time
 }
 
-// covers reports whether q leaves as well. A registration that doesn't tell the start is not taken for a new one. Of all starts until
+// covers reports whether q leaves as well. A registration that doesn't tell the start is not taken for a new one. Of all starts before
 // toldAt only the last one can have answered, whichever of them was listed then.
 func (d *departure) covers(q process) bool {
 	switch {
@@ -61,10 +61,10 @@
 		return false
 	case q.startedAt == 0:
 		return d.startedAt != 0 || d.address == q.address
-	case q.startedAt <= d.startedAt:
+	case q.startedAt == d.startedAt:
 		return true
 	}
-	return !d.toldAt.IsZero() && q.startedAt <= d.toldAt.UnixMilli()
+	return !d.toldAt.IsZero() && q.startedAt < d.toldAt.UnixMilli()
 }
 
 // listed returns the listed instance that a departure covers, or nil. The caller holds t.mu.
@@ -81,7 +81,8 @@
 	t := a.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.markLeaving(processOf(&a.Instance), sentAt)
+	// Counted from the table's start by the steady clock, so that a step of the system's clock since then does not matter.
+	return t.markLeaving(processOf(&a.Instance), t.start.Add(sentAt.Sub(t.start)))
 }
 
 // Departs reports whether the assignment's instance is known to leave, by now.
