Pass on no event that the caller of a take-up has already

Within a response an event whose id is not above the last one ends the attempt; of a stream that its caller took up nothing was known, so an instance that began anew was passed on and the caller got pieces twice. The id that the caller states now counts. entry.TestTakeUpThatBeginsAnew failed before (200, the events from 1 on).

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -37,7 +37,7 @@
 	*call
 	// input is the body for the instance: the chain of stored turns followed by the caller's own body.
 	input []byte
-	// lastEventID is the id of the last event delivered to the caller, or -1 before the first one.
+	// lastEventID is the id of the last event that the caller has, or -1 before the first one.
 	lastEventID int
 	// events is the number of events delivered.
 	events int
@@ -70,6 +70,9 @@
 		call: c, input: c.body, lastEventID: -1, stalledAt: -1, settledTokens: notSettled, callID: ledger.CallID(rand.Uint64()),
 		flusher: http.NewResponseController(c.w),
 	}
+	if c.TakesUp() {
+		t.lastEventID = c.Resume
+	}
 	if err := t.locate(); err != nil {
 		return c.abortIfCallerGone(err)
 	}
--- a/entry/takeup_test.go
+++ b/entry/takeup_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/config"
 	"chestnutcleat.example/chestnutcleat/standin/instance"
@@ -253,3 +258,20 @@
 		h.is.True(later > 0)
 	})
 }
+
+// An instance that begins a taken-up stream anew must not be passed on: its caller has the first events already.
+func TestTakeUpThatBeginsAnew(t *testing.T) {
+	handle := func(r *receivedRequest, q *http.Request, w io.Writer) bool {
+		writeEvents(q, w, 1, 2+2*r.n, r.n > 1) // the first request breaks off
+		return r.n > 1
+	}
+	runInBubble(t, handle, func(is *is.I, h *harness) {
+		_, text, err := h.do(h.t.Context(), once, "")
+		is.True(err != nil)
+		is.Equal(text, streamText(4))
+		resp, text, err := h.do(h.t.Context(), once, "", "Chestnutcleat-Request-Id", "r2", "Last-Event-Id", "4", "Resumes", "r1")
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, 502)
+		is.True(!strings.Contains(text, "piece"))
+	})
+}
