--- a/entry/stream.go
+++ b/entry/stream.go
@@ -53,8 +53,8 @@
 	reserved bool
 	// beginTries is the number of Begin records of this turn.
 	beginTries int
-	// callID tells this turn's Begin records from those of another one with the same request id.
-	callID ledger.CallID
+	// nonce tells this turn's Begin records from those of another one with the same request id.
+	nonce ledger.Nonce
 	// beginWrite is the write of the last Begin record until a quorum holds it, and nil after that.
 	beginWrite *ledger.Write
 	// stays is set if the stream must not go on at another instance, as the software version of its own one is not certain.
@@ -67,7 +67,7 @@
 // serveStream serves a request whose response is an event stream.
 func (c *call) serveStream() error {
 	t := &turn{
-		call: c, input: c.body, lastEventID: -1, stalledAt: -1, settledTokens: notSettled, callID: ledger.CallID(rand.Uint64()),
+		call: c, input: c.body, lastEventID: -1, stalledAt: -1, settledTokens: notSettled, nonce: ledger.Nonce(rand.Uint64()),
 		flusher: http.NewResponseController(c.w),
 	}
 	if c.TakesUp() {
--- a/entry/version.go
+++ b/entry/version.go
@@ -30,7 +30,7 @@
 	t.begun = &assignment.Version
 	t.beginWrite = ledger.NewWrite(ledger.Record{
 		Kind: ledger.Begin, Customer: t.customerID(), Attempt: t.ID, Route: t.route.Name,
-		Service: assignment.Service, Software: assignment.Version, Try: t.beginTries, Call: t.callID,
+		Service: assignment.Service, Software: assignment.Version, Try: t.beginTries, Nonce: t.nonce,
 		ExpiresAt: time.Now().Add(t.streamLifetime()).Unix(),
 	})
 	return t.beginWrite
--- a/ledger/origin.go
+++ b/ledger/origin.go
@@ -38,9 +38,9 @@
 	merged := make([]originState, 0, len(list)+1)
 	for _, known := range list {
 		switch {
-		case known.Call == o.Call && known.Try > o.Try:
+		case known.Nonce == o.Nonce && known.Try > o.Try:
 			return list, -1
-		case known.Call != o.Call || known.Try == o.Try:
+		case known.Nonce != o.Nonce || known.Try == o.Try:
 			merged = append(merged, known)
 		}
 	}
@@ -77,7 +77,7 @@
 }
 
 func (r *Record) origin() Origin {
-	return Origin{Service: r.Service, Software: r.Software, Try: r.Try, Call: r.Call}
+	return Origin{Service: r.Service, Software: r.Software, Try: r.Try, Nonce: r.Nonce}
 }
 
 // applyBegin adds the origin of a Begin record to its stream.
@@ -145,7 +145,7 @@
 func (o originState) record(k turnKey, expiresAt int64) Record {
 	return Record{
 		Kind: Begin, Customer: k.customer, Attempt: k.turn, Route: o.route,
-		Service: o.Service, Software: o.Software, Try: o.Try, Call: o.Call, ExpiresAt: expiresAt,
+		Service: o.Service, Software: o.Software, Try: o.Try, Nonce: o.Nonce, ExpiresAt: expiresAt,
 	}
 }
 
--- a/ledger/origin_test.go
+++ b/ledger/origin_test.go
@@ -20,9 +20,9 @@
 	}
 }
 
-// ofCall returns a Begin record of another request with the same id.
-func ofCall(r *Record, c CallID) *Record {
-	r.Call = c
+// withNonce returns a Begin record of another request with the same id.
+func withNonce(r *Record, n Nonce) *Record {
+	r.Nonce = n
 	return r
 }
 
@@ -215,7 +215,7 @@
 	const seed = 9
 	t.Logf("seed %d", seed)
 	random := rand.New(rand.NewPCG(seed, seed))
-	b := func(version string, try int, c CallID) *Record { return ofCall(beginRecord("a", version, try), c) }
+	b := func(version string, try int, n Nonce) *Record { return withNonce(beginRecord("a", version, try), n) }
 	for name, c := range map[string]struct {
 		records []*Record
 		want    chestnutcleat.SoftwareVersion // empty for a contradiction
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -37,25 +37,25 @@
 	ExpiresAt int64 `json:"u,omitempty"`
 	// ReplicaSet is set in Adopt records.
 	ReplicaSet *chestnutcleat.ReplicaSet `json:"s,omitempty"`
-	// Route, Service, Software, Try and Call are set in Begin records. A record with a higher Try replaces those of the same Call with a
+	// Route, Service, Software, Try and Nonce are set in Begin records. A record with a higher Try replaces those of the same Nonce with a
 	// lower one.
 	Route    chestnutcleat.RouteName       `json:"h,omitempty"`
 	Service  chestnutcleat.ServiceName     `json:"e,omitempty"`
 	Software chestnutcleat.SoftwareVersion `json:"w,omitempty"`
 	Try      int                           `json:"n,omitempty"`
-	Call     CallID                        `json:"l,omitempty"`
+	Nonce    Nonce                         `json:"l,omitempty"`
 }
 
-// CallID is a random number that tells requests apart which came with one attempt's id.
-type CallID uint64
+// Nonce is a random number that tells requests apart which came with one attempt's id.
+type Nonce uint64
 
 // Origin is the service and the software version at which an attempt's stream began.
 type Origin struct {
 	Service  chestnutcleat.ServiceName     `json:"e"`
 	Software chestnutcleat.SoftwareVersion `json:"w"`
 	// Try is the number of the instance within the request, from 1.
-	Try  int    `json:"n"`
-	Call CallID `json:"l,omitempty"`
+	Try   int   `json:"n"`
+	Nonce Nonce `json:"l,omitempty"`
 }
 
 // sameVersion reports whether two streams fit together.
