Let a chat stream go on only at an engine of its software version

Upstreams in the manifest have a version; one that broke off goes on only at the same one, or else ends with the event of an error, as before.

--- a/caller/acquire.go
+++ b/caller/acquire.go
@@ -14,7 +14,8 @@
 
 // acquireUpstream picks an upstream and waits for a ticket from its owner.
 func (c *call) acquireUpstream() (grant, *chestnutcleat.Problem) {
-	avoid := slices.Concat(c.begin.Avoid, c.avoid)
+	misfits := c.otherVersions()
+	avoid := slices.Concat(c.begin.Avoid, c.avoid, misfits)
 	var lastProblem *chestnutcleat.Problem
 	// If no other upstream is available, those that failed this call before are tried again.
 	fallback := len(c.avoid) > 0
@@ -28,7 +29,7 @@
 		})
 		if err != nil && fallback {
 			fallback = false
-			avoid = slices.Clone(c.begin.Avoid)
+			avoid = slices.Concat(c.begin.Avoid, misfits)
 			continue
 		}
 		if err != nil {
@@ -57,6 +58,18 @@
 	return grant{}, notRunProblem(chestnutcleat.CodeBusy, "all upstreams of the route are busy").WithRetry(defaultRetryDelay)
 }
 
+// otherVersions returns the route's upstreams whose software version doesn't fit the part of the answer that the caller has.
+func (c *call) otherVersions() []chestnutcleat.UpstreamID {
+	version, bound := c.exchange.boundTo()
+	if !bound {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(c.route.Upstreams), func(id chestnutcleat.UpstreamID) bool {
+		u, ok := c.h.Directory.Upstream(id)
+		return ok && u.Version == version
+	})
+}
+
 // requestTicket requests a ticket for one upstream; after the codes no-upstream and owner-unavailable, acquireUpstream tries another one.
 func (c *call) requestTicket(u chestnutcleat.Upstream) (grant, *chestnutcleat.Problem) {
 	q := chestnutcleat.AcquireRequest{
--- a/caller/chatexchange.go
+++ b/caller/chatexchange.go
@@ -29,6 +29,8 @@
 	// body is the response to a chat that is not streamed.
 	body   []byte
 	events *eventWriter
+	// version is the software version of the upstream that the last attempt was sent to, and so of the streamed text.
+	version chestnutcleat.SoftwareVersion
 	// text is the streamed text received so far, over all attempts.
 	text         strings.Builder
 	tokens       chestnutcleat.Tokens
@@ -44,6 +46,7 @@
 	chat := x.chat
 	chat.MaxTokens = x.c.maxOutput()
 	x.attempts++
+	x.version = g.upstream.Version
 	client := engine.Client{Address: g.upstream.Address, Transport: x.c.h.pooledTransport}
 	if !x.c.call.Repeatable {
 		client.Transport = x.c.h.unpooledTransport
--- a/caller/delivery.go
+++ b/caller/delivery.go
@@ -64,3 +64,8 @@
 }
 
 func (x *chatExchange) resumable() bool { return !x.hasToolCalls }
+
+// boundTo returns the software version of the streamed text.
+func (x *chatExchange) boundTo() (chestnutcleat.SoftwareVersion, bool) {
+	return x.version, x.tokens > 0
+}
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -18,4 +18,6 @@
 	interrupt(p *chestnutcleat.Problem) bool
 	// resumable reports whether another attempt can continue a partly delivered answer.
 	resumable() bool
+	// boundTo returns the software version that must continue a partly delivered answer; ok is false for any.
+	boundTo() (version chestnutcleat.SoftwareVersion, ok bool)
 }
--- a/caller/serviceexchange.go
+++ b/caller/serviceexchange.go
@@ -63,6 +63,8 @@
 
 func (x *serviceExchange) resumable() bool { return true }
 
+func (x *serviceExchange) boundTo() (chestnutcleat.SoftwareVersion, bool) { return "", false }
+
 // dropLargeBody removes a body that is too large to be recorded.
 func dropLargeBody(a chestnutcleat.Answer) chestnutcleat.Answer {
 	if len(a.Body) > maxStoredBody {
--- a/manifest/parse_test.go
+++ b/manifest/parse_test.go
@@ -51,6 +51,8 @@
 		{"model not loaded", `"models": ["m"]`, `"models": ["n"]`, []string{`m:12: routes[0].upstreams[0]: expected an engine with model "m"`}},
 		{"unknown customer", `["a"]},` + "\n  ]", `["c"]},` + "\n  ]", []string{`m:13: routes[1].customers[0]: expected the id of a customer, found "c"`}},
 		{"address", `10.0.0.2:80`, `service:80`, []string{`m:9: upstreams[1].address: expected IP:port`}},
+		{"version", `"domain": "d1", "models"`, `"domain": "d1", "version": "v2-rc.1", "models"`, nil},
+		{"version with spaces", `"domain": "d1", "models"`, `"domain": "d1", "version": "v 2", "models"`, []string{`m:8: upstreams[0].version: expected at most 128 printable`}},
 		{"repeatable missing", `, "repeatable": true`, ``, []string{`m:12: routes[0].repeatable: expected true or false`}},
 		{"open and not repeatable", `"repeatable": false, "customers": ["a"]`, `"repeatable": false, "open": true`, []string{`m:13: routes[1].open: expected a repeatable route`}},
 		{"unknown field", `"limits"`, `"limit"`, []string{`m:15: limit: unknown field`}},
--- a/manifest/validator.go
+++ b/manifest/validator.go
@@ -99,6 +99,9 @@
 	if u.Domain == "" {
 		v.add(field+".domain", "expected the failure domain")
 	}
+	if len(u.Version) > maxIDBytes || strings.ContainsFunc(string(u.Version), notAllowed) {
+		v.add(field+".version", "expected at most %d printable characters without spaces, found %q", maxIDBytes, u.Version)
+	}
 	if u.Slots < 1 {
 		v.add(field+".slots", "expected at least 1 concurrent request, found %d", u.Slots)
 	}
--- a/upstream.go
+++ b/upstream.go
@@ -6,6 +6,8 @@
 	Kind    UpstreamKind  `json:"kind"`
 	Address Address       `json:"address"`
 	Domain  FailureDomain `json:"domain"`
+	// Version is the version of the upstream's software; a stream goes on only at an upstream of the same one.
+	Version SoftwareVersion `json:"version,omitempty"`
 	// Models lists the models of an engine and the adapters that it should have loaded.
 	Models []ModelName `json:"models,omitempty"`
 	// Slots is the number of requests that the upstream runs concurrently.
