--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -98,7 +98,7 @@
 
 // harness is an entry VM with simulated instances, a caller and one replica of the ledger.
 type harness struct {
-	t         *testing.T
+	t         testing.TB
 	instances *fakeInstances
 	handler   *Handler
 	table     *config.Table
@@ -196,7 +196,7 @@
 	})
 }
 
-func newHarness(t *testing.T, handle func(r *receivedRequest, q *http.Request, w io.Writer) bool) *harness {
+func newHarness(t testing.TB, handle func(r *receivedRequest, q *http.Request, w io.Writer) bool) *harness {
 	h := &harness{t: t, instances: &fakeInstances{handle: handle}, table: configuration("key")}
 	ctx, cancel := context.WithCancel(t.Context())
 	h.stop = cancel
