Remember versions that left when a stream's record may have expired

What no record names went on at the only version that was registered for as long as records last. A caller that waits for over 2 min may come back after its record has expired: a version that left before counted no more, and the one after it went on with the stream.

--- a/entry/takeup_found_test.go
+++ b/entry/takeup_found_test.go
@@ -35,7 +35,7 @@
 		h.remove("b1")
 		id, r = takeUp()
 		h.expectRefused("unknown", id, r) // another version was there
-		time.Sleep(long + time.Second)
+		time.Sleep(2*time.Hour + time.Second) // as long as versions that left are remembered
 		h.table = configuration("key")
 		id, r = takeUp()
 		h.expectRefused("unknown", id, r) // the route may have led elsewhere
@@ -45,6 +45,20 @@
 	})
 }
 
+// A caller may come back when the record of its stream has expired. A version that left before that must not be forgotten by then: the one
+// that came after it was the only one for as long as records last, and went on with the stream.
+func TestTakeUpAfterItsRecordExpired(t *testing.T) {
+	const long = streamTimeout + recordMargin
+	runVersions(t, 1, twoVersions[:1], func(h *versionHarness) {
+		id := streamID(0)
+		h.is.Equal(h.begin(0, id), "v1")
+		h.add("b1", "v2")
+		h.remove("a1")
+		time.Sleep(2 * long)
+		h.expectRefused("unknown", attemptID(id, 1), h.takeUp(0, attemptID(id, 1), id, 2))
+	})
+}
+
 // All VMs may come back while the platform is down: without registrations nothing goes on, and with them each stream at its version.
 func TestTakeUpAfterRestartWithoutPlatform(t *testing.T) {
 	runVersions(t, 2, twoVersions, func(h *versionHarness) {
--- a/place/version.go
+++ b/place/version.go
@@ -72,15 +72,16 @@
 	return found
 }
 
-// OnlyVersion returns the only software version that a service's instances, those that left included, have had within the given time up
-// to now. ok is false if there were several, none, or if registrations may have been missed within that time.
+// OnlyVersion returns the only software version that a service's instances, those that left included, have had as far as this VM remembers.
+// ok is false if there were several, none, or if registrations may have been missed within the given time up to now. A stream may have begun
+// longer ago than that, so a version that left before counts, too.
 func (t *Table) OnlyVersion(service chestnutcleat.ServiceName, within time.Duration) (version chestnutcleat.SoftwareVersion, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.versions.since.IsZero() || time.Since(t.versions.since) < within || within > versionMemory {
 		return "", false
 	}
-	found := t.versionsWithin(service, within)
+	found := t.versionsWithin(service, versionMemory)
 	for v := range found {
 		version = v
 	}
--- a/place/version_test.go
+++ b/place/version_test.go
@@ -98,7 +98,7 @@
 		is.Equal(only(), "unknown") // both serve
 		table.SetInstances(versioned("v2"))
 		is.Equal(only(), "unknown") // v1 has just left
-		time.Sleep(within)
+		time.Sleep(versionMemory)
 		is.Equal(only(), "unknown")
 		time.Sleep(time.Second)
 		is.Equal(only(), "v2")
@@ -107,7 +107,7 @@
 		time.Sleep(within)
 		is.Equal(only(), "v2")
 		table.SetInstances(nil)
-		time.Sleep(2 * within)
+		time.Sleep(versionMemory + time.Second)
 		is.Equal(only(), "unknown") // none
 		_, ok := table.OnlyVersion("s", versionMemory+1)
 		is.True(!ok)
