--- a/event/system.go
+++ b/event/system.go
@@ -48,6 +48,6 @@
 	InstanceDeparted           = add(864, Info, "instance says that it leaves and gets no new requests", "")
 	StreamTakenUp              = add(871, Info, "caller takes a stream up again", "")
 	TakeUpRefused              = add(872, Info, "stream not taken up again", "")
-	StreamNotRecorded          = add(873, Warning, "stream began without a record of its software version", "Check the storage VMs; if the stream breaks off, its caller can't take it up again.")
+	StreamNotRecorded          = add(873, Warning, "stream began without a record of its software version", "Check what the error names, storage VMs or the instance; unless it is recorded late, the stream's caller can't take it up again.")
 	LogLinesDropped            = add(857, Warning, "log lines dropped", "Lines came faster than they could be written; see the metrics.")
 )
