--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -16,9 +16,11 @@
 	kinds string
 }{
 	{1, ""},
+	// Broke beside load on retained names without objects (mirror.TestRetainedNameWithoutObject), and on a stall of the machine's disk,
+	// which all storage VMs shared.
 	{101, "stop,reload,platform-down,platform-lost,platform-deaf,compact,change,withdraw,leave,odd-entry"},
 	{103, "leaving,unframed,stop,platform-down"},
-	{105, "malformed,slow,drip,twice,stop,kill-entries"},
+	{112, "malformed,slow,drip,twice,stop,kill-entries"},
 }
 
 // regressionPlans are plans that have violated a guarantee before, each with the cause.
