--- a/cmd/chestnutcleat/soak.go
+++ b/cmd/chestnutcleat/soak.go
@@ -22,6 +22,7 @@
 	kinds    string
 	planFile string
 	print    bool
+	keep     bool
 }
 
 // Name implements subcommands.Command.
@@ -34,7 +35,7 @@
 
 // Usage implements subcommands.Command.
 func (*soakCommand) Usage() string {
-	return "soak [-seed N] [-runs N] [-for DURATION] [-kinds LIST] [-plan FILE] [-print]\n" +
+	return "soak [-seed N] [-runs N] [-for DURATION] [-kinds LIST] [-plan FILE] [-print] [-keep]\n" +
 		"\tViolated guarantees are printed, with the request if there is one; the logs of all processes are then kept, and the exit status is 1.\n"
 }
 
@@ -45,6 +46,7 @@
 	f.DurationVar(&c.length, "for", time.Minute, "length of a run; 8 s at its start and end are without faults")
 	f.StringVar(&c.kinds, "kinds", "", "kinds of faults, separated by commas; empty for all")
 	f.StringVar(&c.planFile, "plan", "", "file with a plan, as -print writes it")
+	f.BoolVar(&c.keep, "keep", false, "keep the logs of all processes in any case")
 	f.BoolVar(&c.print, "print", false, "print the plan instead of running it")
 }
 
@@ -83,7 +85,7 @@
 	if err != nil {
 		return fmt.Errorf("create temporary folder: %w", err)
 	}
-	s := soak.Soak{Binary: binary, Plan: plan, Dir: dir, Out: os.Stdout}
+	s := soak.Soak{Binary: binary, Plan: plan, Dir: dir, Keep: c.keep, Out: os.Stdout}
 	return s.Run(ctx)
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -35,6 +35,8 @@
 	Plan   Plan
 	// Dir holds the VMs' settings, disks and logs; it is removed after a run without violations.
 	Dir string
+	// Keep keeps Dir in any case.
+	Keep bool
 	// Out receives the faults, the violations and a summary.
 	Out io.Writer
 }
@@ -112,11 +114,15 @@
 	for _, line := range shorten(lines) {
 		fmt.Fprintln(s.Out, line)
 	}
-	if !failed {
+	if !failed && !s.Keep {
 		return os.RemoveAll(s.Dir)
 	}
 	fmt.Fprintf(s.Out, "plan, all lines of the result, attempts and logs are kept in %s\n", s.Dir)
-	return errors.Join(append(processErrs, s.keep(lines, r, w.dir), ErrGuaranteeViolated)...)
+	errs := append(processErrs, s.keep(lines, r, w.dir))
+	if failed {
+		errs = append(errs, ErrGuaranteeViolated)
+	}
+	return errors.Join(errs...)
 }
 
 // resultLines returns the result of a run, the summary at its end.
