Read the records' log while its folder is synced

The segment is unlisted under the lock and removed after it. TestReadWhileFolderSyncStalls failed before.

--- a/ledger/log.go
+++ b/ledger/log.go
@@ -59,7 +59,7 @@
 type diskLog struct {
 	folder string
 	buffer bytes.Buffer
-	// sync makes what was written to a segment durable; tests replace it.
+	// sync makes what was written to a segment or the folder durable; tests replace it.
 	sync func(*os.File) error
 	// syncTime is how long the last sync of append took.
 	syncTime time.Duration
@@ -204,12 +204,13 @@
 	return err
 }
 
-func syncFolder(folder string) error {
+// syncFolder makes the names of the files in a folder durable.
+func syncFolder(folder string, sync func(*os.File) error) error {
 	d, err := os.Open(folder)
 	if err != nil {
 		return fmt.Errorf("sync folder: %w", err)
 	}
-	if err := errors.Join(d.Sync(), d.Close()); err != nil {
+	if err := errors.Join(sync(d), d.Close()); err != nil {
 		return fmt.Errorf("sync folder: %w", err)
 	}
 	return nil
@@ -268,7 +269,7 @@
 	if _, err := l.openSegment(n); err != nil {
 		return err
 	}
-	return errors.Join(l.active().file.Sync(), syncFolder(l.folder))
+	return errors.Join(l.active().file.Sync(), syncFolder(l.folder, l.sync))
 }
 
 // activeFull reports whether the active segment has reached segmentBytes.
@@ -306,16 +307,16 @@
 	return l.segments[0]
 }
 
-// removeOldest deletes the oldest segment.
+// removeOldest deletes the oldest segment. Readers don't wait for the disk: once the segment is not listed, none uses it.
 func (l *diskLog) removeOldest() error {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	s := l.segments[0]
 	l.segments = l.segments[1:]
+	l.mu.Unlock()
 	if err := errors.Join(s.file.Close(), os.Remove(s.file.Name())); err != nil {
 		return fmt.Errorf("remove segment: %w", err)
 	}
-	return syncFolder(l.folder)
+	return syncFolder(l.folder, l.sync)
 }
 
 // read returns the record at a location.
--- a/ledger/slowdisk_test.go
+++ b/ledger/slowdisk_test.go
@@ -121,3 +121,32 @@
 		is.True(took < 10*time.Millisecond)
 	})
 }
+
+// The removal of an old segment must not hold up reads while the disk stalls: turns that continue from stored ones waited for it.
+func TestReadWhileFolderSyncStalls(t *testing.T) {
+	is := is.New(t)
+	l, _, err := readAll(t, t.TempDir())
+	is.NoErr(err)
+	mustAppend(t, l, turnRecord("old", ""))
+	is.NoErr(l.startSegment())
+	locations := mustAppend(t, l, turnRecord("new", ""))
+	stalled, end := make(chan bool), make(chan bool)
+	l.sync = func(*os.File) error {
+		close(stalled)
+		<-end
+		return nil
+	}
+	removed := make(chan error)
+	go func() { removed <- l.removeOldest() }()
+	<-stalled
+	readable := l.mu.TryRLock()
+	if readable {
+		l.mu.RUnlock()
+		_, err = l.read(locations[0])
+		is.NoErr(err)
+	}
+	close(end)
+	is.NoErr(<-removed)
+	is.NoErr(l.close())
+	is.True(readable) // while the folder is synced
+}
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -112,7 +112,7 @@
 	if err := errors.Join(err, f.Sync(), f.Close()); err != nil {
 		return "", fmt.Errorf("write disk id: %w", err)
 	}
-	return chestnutcleat.DiskID(id), syncFolder(folder)
+	return chestnutcleat.DiskID(id), syncFolder(folder, (*os.File).Sync)
 }
 
 // Disk returns the id of the data folder.
