--- a/soak/run.go
+++ b/soak/run.go
@@ -38,6 +38,8 @@
 	// Disks is the folder in which the disks are made; empty means Dir. In a file system in memory, the storage VMs do not all stall with
 	// the machine's one disk, which would be more than the fleet tolerates.
 	Disks string
+	// Keep keeps Dir in any case.
+	Keep bool
 	// Out receives the faults, the violations and a summary.
 	Out io.Writer
 }
@@ -52,7 +54,7 @@
 		return err
 	}
 	defer os.RemoveAll(disks)
-	f, err := newFleet(s.Binary, s.Dir, disks)
+	f, err := newFleet(s.Binary, s.Dir, disks, s.Plan.Spare)
 	if err != nil {
 		return err
 	}
@@ -115,11 +117,15 @@
 	for _, line := range shorten(lines) {
 		fmt.Fprintln(s.Out, line)
 	}
-	if !failed {
+	if !failed && !s.Keep {
 		return os.RemoveAll(s.Dir)
 	}
 	fmt.Fprintf(s.Out, "plan, all lines of the result, attempts and logs are kept in %s\n", s.Dir)
-	return errors.Join(append(processErrs, s.keep(lines, r, w.dir), ErrGuaranteeViolated)...)
+	errs := append(processErrs, s.keep(lines, r, w.dir))
+	if failed {
+		errs = append(errs, ErrGuaranteeViolated)
+	}
+	return errors.Join(errs...)
 }
 
 // resultLines returns the result of a run, the summary at its end.
