--- a/entry/takeup_found_test.go
+++ b/entry/takeup_found_test.go
@@ -34,7 +34,7 @@
 		h.add("b1", "v2")
 		h.remove("b1")
 		id, r = takeUp()
-		h.expectRefused("unknown", id, r) // another version was there
+		h.expectRefused("unknown", id, r)     // another version was there
 		time.Sleep(2*time.Hour + time.Second) // as long as versions that left are remembered
 		h.table = configuration("key")
 		id, r = takeUp()
--- a/place/version_test.go
+++ b/place/version_test.go
@@ -165,7 +165,7 @@
 		time.Sleep(renewalTime - 1)
 		is.True(!certain()) // the platform did not answer for a while
 		pick(Request{}).Answered()
-		time.Sleep(1)
+		time.Sleep(time.Nanosecond)
 		is.True(certain())
 		pick(Request{}).Unreached()
 		is.True(!certain())
