Give up a lease that its witnesses can no longer renew

Calls of programs went on for their whole deadline and none was recorded, for as long as the test ran (180 s).

Cause: each VM of a small fleet has two witnesses and needs both. While vm2 stood still the others began to take over from each other, and one of two witnesses promised a higher epoch. The holder gave its lease up only once a majority had promised; below that it went on to renew at the other witness, which therefore never promised, so neither the holder nor the VM that takes over could get a majority, for ever. Class: two parties that each hold a part of a quorum and give way to nobody.

Change: a holder gives its lease up once the witnesses that have not promised a higher epoch are no majority. Giving up is always safe; the other VM then gets the remaining promise when the last grant has ended, and the holder joins again.

--- a/lease/fault_test.go
+++ b/lease/fault_test.go
@@ -38,13 +38,19 @@
 	}
 }
 
+// pauseTime is longer than a lease.
+const pauseTime = 4 * time.Second
+
+// pause stops a VM for pauseTime, as when its process is suspended.
+func pause(c *cluster, v int) {
+	n := c.nodes[v]
+	n.paused = time.Now().Add(pauseTime)
+	n.loop.Post(func() { time.Sleep(pauseTime) })
+}
+
 var faults = []fault{
 	{name: "kill", do: (*cluster).kill, recoveryBound: takeoverBound},
-	{name: "pause", do: func(c *cluster, v int) {
-		n := c.nodes[v]
-		n.paused = time.Now().Add(4 * time.Second)
-		n.loop.Post(func() { time.Sleep(4 * time.Second) })
-	}, duration: 5 * time.Second},
+	{name: "pause", do: pause, duration: pauseTime + time.Second},
 	{name: "cut-out", do: func(c *cluster, v int) { c.isolate(v, false, true, true) },
 		undo: func(c *cluster, v int) { c.isolate(v, false, true, false) }, duration: 7 * time.Second},
 	{name: "cut-in", do: func(c *cluster, v int) { c.isolate(v, true, false, true) },
--- a/lease/heldlease.go
+++ b/lease/heldlease.go
@@ -134,11 +134,17 @@
 		state.complete, state.ackedIndex = false, 0
 		k.sendRecords(h, w)
 	}
-	if a.PromisedHigher && h.majority(h.subject.Witnesses, func(state *witnessState) bool { return state.promisedHigher }) {
+	if a.PromisedHigher && !h.renewable() {
 		k.loseLease(h)
 	}
 }
 
+// renewable reports whether enough witnesses to renew the lease have not promised a higher epoch. If the others went on to renew it, no VM
+// could get a majority.
+func (h *heldLease) renewable() bool {
+	return h.majority(h.subject.Witnesses, func(state *witnessState) bool { return !state.promisedHigher })
+}
+
 // isHeld reports whether h is still in use.
 func (k *Keeper) isHeld(h *heldLease) bool {
 	return h == k.own || k.temporary[h.subject.VM] == h
