Answer requests that outlast the shutdown of their VM

Cause: the end of the shutdown closed the connections, and only that ended the requests.

Ruled out: that the answer comes too late; the time for it is taken from the second that is reserved for the exit, so requests have as long as before.

Change: at the end the handler cancels the contexts of the requests in progress. One that has run gets 502, outcome unknown; one that has not gets 503, code leaving; a stream with its header sent is closed, so that it does not look complete. Connections are closed 200 ms later. It works since the handler is the only one that knows whether a request may have run. A turn whose end waits for its record is still cut, as the runner's answer is complete but not kept.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -226,6 +226,8 @@
 	switch {
 	case c.r.Context().Err() != nil:
 		return errCallerGone
+	case c.isInterrupted():
+		return c.interrupted()
 	case !time.Now().Before(c.deadline):
 		return c.deadlineExceeded()
 	case !f.mayHaveRun:
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
@@ -9,6 +11,9 @@
 // drainRetryAfter is the time after which a caller may try another VM.
 const drainRetryAfter = 10 * time.Millisecond
 
+// errInterrupted is the cause with which a request ends that outlasts the shutdown.
+var errInterrupted = errors.New("the VM shuts down")
+
 // drain describes a graceful shutdown of the VM.
 type drain struct {
 	// strictFrom is the time from which no request is admitted whose deadline is after end.
@@ -31,3 +36,14 @@
 	p := problem(chestnutcleat.CodeLeaving, chestnutcleat.NotRun, "the VM shuts down in %v, before the deadline of the request", time.Until(d.end))
 	return p.WithRetry(drainRetryAfter)
 }
+
+// isInterrupted reports whether the shutdown ended the request.
+func (c *call) isInterrupted() bool { return context.Cause(c.ctx) == errInterrupted }
+
+// interrupted returns the error for a request that the shutdown ended.
+func (c *call) interrupted() error {
+	if c.runs == 0 {
+		return problem(chestnutcleat.CodeLeaving, chestnutcleat.NotRun, "the VM shut down before the request was run").WithRetry(drainRetryAfter)
+	}
+	return problem(chestnutcleat.CodeInterrupted, chestnutcleat.Unknown, "the VM shut down while the request was run")
+}
--- a/entry/forwarded.go
+++ b/entry/forwarded.go
@@ -41,12 +41,15 @@
 	return list
 }
 
-// ReportInterrupted emits an event for each admitted request without a complete answer, at most limit of them, and returns their
-// number.
-func (h *Handler) ReportInterrupted(limit int) int {
+// Interrupt ends the admitted requests without a complete answer, as the VM shuts down. It emits an event for each, at most limit of
+// them, and returns their number. Callers to whom nothing was sent yet get an error.
+func (h *Handler) Interrupt(limit int) int {
 	list := h.forwarded.all()
-	for _, c := range list[:min(limit, len(list))] {
-		h.Observer.Emit(event.RequestInterrupted, append(c.identity(), "route", c.route.Name)...)
+	for i, c := range list {
+		if i < limit {
+			h.Observer.Emit(event.RequestInterrupted, append(c.identity(), "route", c.route.Name)...)
+		}
+		c.cancel(errInterrupted)
 	}
 	return len(list)
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -52,6 +52,7 @@
 	w        http.ResponseWriter
 	r        *http.Request
 	ctx      context.Context
+	cancel   context.CancelCauseFunc
 	table    *config.Table
 	route    *config.Route
 	customer *config.Customer
@@ -98,9 +99,10 @@
 func (c *call) serve() {
 	err := c.prepare()
 	if err == nil {
-		ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
-		defer cancel()
-		c.ctx = ctx
+		ctx, end := context.WithDeadline(c.r.Context(), c.deadline)
+		defer end()
+		c.ctx, c.cancel = context.WithCancelCause(ctx)
+		defer c.cancel(nil)
 		c.forwarded.add(c)
 		defer c.forwarded.remove(c)
 		if c.route.Type == config.Streaming {
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -359,10 +359,10 @@
 		defer cancel()
 		go func() { _, _, _ = h.do(ctx, "/kept/", "b", "Chestnutcleat-Request-Id", "r7") }()
 		time.Sleep(100 * time.Millisecond)
-		is.Equal(h.handler.ReportInterrupted(10), 1)
+		is.Equal(h.handler.Interrupt(10), 1)
 		is.Equal(events.with(event.RequestInterrupted, "request"), []any{chestnutcleat.RequestID("r7")})
 		time.Sleep(time.Second)
-		is.Equal(h.handler.ReportInterrupted(10), 0)
+		is.Equal(h.handler.Interrupt(10), 0)
 	})
 }
 
--- a/role/shutdown.go
+++ b/role/shutdown.go
@@ -15,6 +15,8 @@
 	// maxExitReserve bounds the part of the grace period reserved for the exit of the process, an exitDivisor-th of it.
 	maxExitReserve = time.Second
 	exitDivisor    = 8
+	// maxAnswerTime bounds the time in which the last requests get an error in place of their answer.
+	maxAnswerTime = 200 * time.Millisecond
 	// flushTimeout bounds the time for the settlements of the last requests.
 	flushTimeout = 300 * time.Millisecond
 	// maxInterruptedReported is the number of interrupted requests that are reported one by one.
@@ -41,16 +43,23 @@
 		e.close()
 		return
 	}
-	drain, cancel := context.WithDeadline(ctx, end)
+	defer time.AfterFunc(time.Until(end), e.interrupt).Stop()
+	drain, cancel := context.WithDeadline(ctx, end.Add(answerTime(grace)))
 	defer cancel()
 	if err := e.servers[0].Shutdown(drain); err != nil {
-		// Closing the connections ends the requests, so they are reported before.
-		e.Observer.Emit(event.RequestsInterrupted, "requests", e.handler.ReportInterrupted(maxInterruptedReported), "error", err)
+		e.Observer.Emit(event.RequestsInterrupted, "error", err)
 	}
 	e.close()
 	e.flushRecords(ctx)
 }
 
+// interrupt ends the requests that outlast the shutdown, while there is time to answer them.
+func (e *Entry) interrupt() {
+	if n := e.handler.Interrupt(maxInterruptedReported); n > 0 {
+		e.Observer.Emit(event.RequestsInterrupted, "requests", n)
+	}
+}
+
 // flushRecords waits until the records of the last requests are written, at most flushTimeout.
 func (e *Entry) flushRecords(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
@@ -63,9 +72,15 @@
 // shutdownTimes returns how long a VM listens after SIGTERM, as callers with an older list still connect for a while, and how long
 // requests may take after it.
 func shutdownTimes(grace, addressTTL time.Duration) (listen, total time.Duration) {
-	return accept.ListenTime(grace, announceTime+addressTTL), grace - min(maxExitReserve, grace/exitDivisor)
+	return accept.ListenTime(grace, announceTime+addressTTL), grace - exitReserve(grace)
 }
 
+// exitReserve returns the part of a grace period that is reserved for the exit of the process.
+func exitReserve(grace time.Duration) time.Duration { return min(maxExitReserve, grace/exitDivisor) }
+
+// answerTime returns the part of the exit's time in which interrupted requests are answered.
+func answerTime(grace time.Duration) time.Duration { return min(maxAnswerTime, exitReserve(grace)/2) }
+
 func (e *Entry) close() {
 	for _, s := range e.servers {
 		if err := s.Close(); err != nil {
