Listen until callers with the oldest lists of addresses have new ones

While VMs were stopped one after the other, callers of a failure domain with two VMs were refused connections for seconds, and their programs failed: some callers keep a list of addresses three times as long as it is meant to be, and a stopping VM listened once as long (2.8 s of 7.5 s).

Listening for 7.5 s is impossible: requests taken later than 3 s after SIGTERM may be cut.

Change: lists are to be used for 0.85 s, and a stopping VM listens for three times that and 0.3 s, which is 2.85 s. Callers ask for lists two to three times as often.

--- a/role/entry.go
+++ b/role/entry.go
@@ -34,8 +34,9 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds the size of a caller's header; configurations allow 16 KiB.
 	maxHeaderBytes = 64 << 10
-	// maxAddressTTLSeconds is how long callers may cache a list of addresses.
-	maxAddressTTLSeconds = 2.5
+	// maxAddressTTLSeconds is how long callers may cache a list of addresses. A VM that shuts down listens for staleListFactor times as
+	// long, which leaves most of a grace period of 8 s to the last requests.
+	maxAddressTTLSeconds = 0.85
 	// fleetCheckInterval is the time between updates from the other VMs' reports.
 	fleetCheckInterval = 200 * time.Millisecond
 	// maxFleetCheckGap is the time between two such updates from which this VM counts as having stood still.
--- a/role/shutdown.go
+++ b/role/shutdown.go
@@ -10,6 +10,8 @@
 )
 
 const (
+	// staleListFactor is how many times as long as meant some callers keep a list of addresses.
+	staleListFactor = 3
 	// announceTime is the time in which the other VMs learn that this one shuts down and stop naming it to callers.
 	announceTime = 300 * time.Millisecond
 	// maxExitReserve bounds the part of the grace period reserved for the exit of the process, an exitDivisor-th of it.
@@ -72,7 +74,7 @@
 // shutdownTimes returns how long a VM listens after SIGTERM, as callers with an older list still connect for a while, and how long
 // requests may take after it.
 func shutdownTimes(grace, addressTTL time.Duration) (listen, total time.Duration) {
-	return accept.ListenTime(grace, announceTime+addressTTL), grace - exitReserve(grace)
+	return accept.ListenTime(grace, announceTime+staleListFactor*addressTTL), grace - exitReserve(grace)
 }
 
 // exitReserve returns the part of a grace period that is reserved for the exit of the process.
