Let no deadline of a refused request end the ones after it

A caller's request on a kept connection was sent to an instance, and the connection closed without an answer: LOST at any time. Before it, the connection had carried a request that was refused after its body had been read. For the rest of a refused body the handler sets a deadline of a second on the connection. If the body is already read, net/http has a read of its own under way by then, to learn that the caller leaves, and the deadline ends that read if the response takes over a second, as on a VM that stands still or has no processor. net/http takes any error of this read for the end of the caller: it cancels the context of the connection, which stays open, so every later request on it begins with a cancelled context.

Change: the deadline is set only while part of the body is unread. net/http clears it when it begins its own read after the body, and closes a connection whose body does not arrive.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -106,6 +106,7 @@
 		return problem(chestnutcleat.CodeTooLarge, chestnutcleat.NotRun, "body of %d bytes exceeds the limit of %d bytes", size, limit)
 	}
 	if size == 0 {
+		c.bodyRead = true
 		return nil
 	}
 	// The error is ignored: connections that support no deadline are read without one.
@@ -116,7 +117,7 @@
 		return bodyError(err, limit)
 	}
 	_ = control.SetReadDeadline(time.Time{})
-	c.body = body
+	c.body, c.bodyRead = body, true
 	return nil
 }
 
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -62,6 +62,8 @@
 	// begun is the software version that was last recorded for a stream, before its first event; nil without a record.
 	begun *chestnutcleat.SoftwareVersion
 	body  []byte
+	// bodyRead is set once the body was read to its end.
+	bodyRead bool
 	// memory is what the bodies of the request and its answer take.
 	memory memory.Reservation
 	// admission is the rate limiter's admission of the request, nil without one.
--- a/entry/refuse.go
+++ b/entry/refuse.go
@@ -33,8 +33,9 @@
 	if !errors.As(err, &p) {
 		p = problem(chestnutcleat.CodeInternal, chestnutcleat.Unknown, "%v", err)
 	}
-	if c.r.ContentLength != 0 {
+	if c.r.ContentLength != 0 && !c.bodyRead {
 		// net/http reads what is left of a small body before it sends the response. Connections that support no deadline do so without.
+		// After the body, net/http watches the connection by a read, and a deadline that ends this one ends all later requests, too.
 		_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(refusedBodyTimeout))
 	}
 	c.Metrics.refused(p.Code)
