Send no request whose caller has left

Cause: the exchange begins with a write that a cancelled context does not stop in time.

Evidence: entry.TestRequestOfGoneCallerIsNotSent failed before with "<nil> != net/http: abort Handler": the instance ran the request.

Change: the context is checked before the request is sent; it then counts as not run, its token is given back, and the connection closes.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -129,6 +129,9 @@
 	q := &exchange.Request{
 		ID: c.ID, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: c.Codec.ForwardHeader(c.r.Header, f), Body: body,
 	}
+	if ctx.Err() != nil {
+		return nil, c.endFailed(assignment, &exchange.Error{Err: context.Cause(ctx)})
+	}
 	c.sent = true
 	response, err := c.Pool.Do(ctx, assignment.Address, q)
 	if err != nil {
