--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -136,6 +136,9 @@
 	q := &exchange.Request{
 		ID: c.ID, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: c.Codec.ForwardHeader(c.r.Header, f), Body: body,
 	}
+	if ctx.Err() != nil {
+		return nil, c.endFailed(assignment, &exchange.Error{Err: context.Cause(ctx)})
+	}
 	c.sent = true
 	sentAt := time.Now()
 	response, err := c.Pool.Do(ctx, assignment.Address, q)
@@ -240,6 +243,8 @@
 	switch {
 	case c.r.Context().Err() != nil:
 		return errCallerGone
+	case c.isInterrupted():
+		return c.interrupted()
 	case !time.Now().Before(c.deadline):
 		return c.deadlineExceeded()
 	case !f.mayHaveRun:
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -52,6 +52,7 @@
 	w        http.ResponseWriter
 	r        *http.Request
 	ctx      context.Context
+	cancel   context.CancelCauseFunc
 	table    *config.Table
 	route    *config.Route
 	customer *config.Customer
@@ -61,6 +62,8 @@
 	// begun is the software version that was last recorded for a stream, before its first event; nil without a record.
 	begun *chestnutcleat.SoftwareVersion
 	body  []byte
+	// bodyRead is set once the body was read to its end.
+	bodyRead bool
 	// memory is what the bodies of the request and its answer take.
 	memory memory.Reservation
 	// admission is the rate limiter's admission of the request, nil without one.
@@ -100,9 +103,10 @@
 func (c *call) serve() {
 	err := c.prepare()
 	if err == nil {
-		ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
-		defer cancel()
-		c.ctx = ctx
+		ctx, end := context.WithDeadline(c.r.Context(), c.deadline)
+		defer end()
+		c.ctx, c.cancel = context.WithCancelCause(ctx)
+		defer c.cancel(nil)
 		c.forwarded.add(c)
 		defer c.forwarded.remove(c)
 		if c.route.Type == config.Streaming {
