--- a/config/table.go
+++ b/config/table.go
@@ -63,7 +63,7 @@
 // RequiresKey reports whether requests need a key, which is so if there are any customers.
 func (t *Table) RequiresKey() bool { return len(t.Customers) > 0 }
 
-// LeadsTo reports whether the route sends requests to a service.
+// LeadsTo reports whether the route sends requests to a service. The only service of a route gets all of them, whatever its weight.
 func (r *Route) LeadsTo(s chestnutcleat.ServiceName) bool {
 	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == s && (t.Weight > 0 || len(r.Targets) == 1) })
 }
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -54,8 +54,8 @@
 	net.Conn
 	reader  *bufio.Reader
 	address chestnutcleat.Address
-	// carried holds the hashes of the ids of the requests that were sent on the connection.
-	carried []uint64
+	// sentIDs holds the hashes of the ids of the requests that were sent on the connection.
+	sentIDs []uint64
 	// inHead is set while the head of a response is read, which may take headLeft more bytes.
 	inHead   bool
 	headLeft int64
@@ -74,12 +74,12 @@
 	}
 }
 
-// acquire returns a connection for the request with the given id: a reusable idle one that has not carried that id, or a new one.
+// acquire returns a connection for the request with the given id: a reusable idle one on which that id was not sent yet, or a new one.
 func (p *Pool) acquire(ctx context.Context, a chestnutcleat.Address, id chestnutcleat.RequestID) (*conn, error) {
 	hash := xxhash.Sum64String(string(id))
 	for c := p.popIdle(a, hash); c != nil; c = p.popIdle(a, hash) {
 		if time.Now().Before(c.expires) && c.reusable() {
-			c.carried = append(c.carried, hash)
+			c.sentIDs = append(c.sentIDs, hash)
 			return c, nil
 		}
 		c.Close()
@@ -91,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, address: a, carried: []uint64{hash}}
+	c := &conn{Conn: raw, address: a, sentIDs: []uint64{hash}}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c, nil
 }
@@ -109,14 +109,14 @@
 	return n, err
 }
 
-// popIdle takes the most recently used idle connection that has not carried a request whose id has the given hash. If all have
-// carried one, it closes the oldest, so that a caller that repeats its id does not add connections.
+// popIdle takes the most recently used idle connection on which no id with the given hash was sent. If there is none, it closes the
+// oldest idle connection, so that a caller that repeats its id does not add connections.
 func (p *Pool) popIdle(a chestnutcleat.Address, hash uint64) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[a]
 	for i, c := range slices.Backward(list) {
-		if !slices.Contains(c.carried, hash) {
+		if !slices.Contains(c.sentIDs, hash) {
 			p.idle[a] = slices.Delete(list, i, i+1)
 			return c
 		}
@@ -130,7 +130,7 @@
 
 func (p *Pool) putIdle(c *conn, h http.Header) {
 	c.expires = time.Now().Add(idleTimeout(h))
-	if len(c.carried) >= maxRequestsPerConn || c.SetDeadline(time.Time{}) != nil {
+	if len(c.sentIDs) >= maxRequestsPerConn || c.SetDeadline(time.Time{}) != nil {
 		c.Close()
 		return
 	}
--- a/keeper/reconciler.go
+++ b/keeper/reconciler.go
@@ -74,7 +74,7 @@
 	return r.Store.Adopt(ctx, set)
 }
 
-// DecodeReplicaSet decodes the set's object; a set without replicas gives an error.
+// DecodeReplicaSet decodes the object that holds the replica set; a set without replicas gives an error.
 func DecodeReplicaSet(o chestnutcleat.StoredObject) (chestnutcleat.ReplicaSet, error) {
 	if err := o.Err(); err != nil {
 		return chestnutcleat.ReplicaSet{}, fmt.Errorf("decode replica set: %w", err)
--- a/mirror/apply.go
+++ b/mirror/apply.go
@@ -34,7 +34,7 @@
 			return false, reconnected
 		}
 		missing := m.replaceObjects(next, nil, s.Version)
-		m.retainMissing(missing, reconnected || isLossOfMany(missing, next))
+		m.retainMissing(missing, reconnected || listLacksMany(missing, next))
 		m.version = s.Version
 		return true, reconnected
 	})
--- a/mirror/retention.go
+++ b/mirror/retention.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// isLossOfMany reports whether the objects that are missing in a complete list are a mass deletion.
-func isLossOfMany(missing []chestnutcleat.StoredObject, next map[string]chestnutcleat.StoredObject) bool {
+// listLacksMany reports whether a complete list lacks so many of the known objects that it is a mass deletion.
+func listLacksMany(missing []chestnutcleat.StoredObject, next map[string]chestnutcleat.StoredObject) bool {
 	return isMassDeletion(countReadable(slices.Values(missing)), countReadable(maps.Values(next)))
 }
 
--- a/mirror/snapshot.go
+++ b/mirror/snapshot.go
@@ -84,7 +84,7 @@
 			}
 		}
 		missing := m.replaceObjects(next, s.Retained, s.Version)
-		m.retainMissing(missing, isLossOfMany(missing, next))
+		m.retainMissing(missing, listLacksMany(missing, next))
 		if m.RetainAfterOutage {
 			for _, name := range s.Retained {
 				m.retain(name)
--- a/role/entry.go
+++ b/role/entry.go
@@ -38,7 +38,7 @@
 	maxAddressTTLSeconds = 2.5
 	// fleetCheckInterval is the time between updates from the other VMs' reports.
 	fleetCheckInterval = 200 * time.Millisecond
-	// maxFleetCheckGap is the time between two such updates from which this VM counts as having stood still.
+	// maxFleetCheckGap is the time between two of these updates from which this VM counts as having been paused.
 	maxFleetCheckGap = 5 * fleetCheckInterval
 	// bodyMemoryDivisor divides the process's memory to get the budget for bodies.
 	bodyMemoryDivisor = 4
@@ -57,7 +57,8 @@
 	// checkpoint reports the use of customers' rates to storage VMs.
 	checkpoint *checkpoint.Client
 	handler    *entry.Handler
-	// share is this VM's claim to a share of rates, and lastFleetCheck the time of the last trackFleet; nothing else uses them.
+	// share tells whether this VM may use its share of rates, and lastFleetCheck is the time of the last trackFleet. Only trackFleet uses
+	// them, so they need no lock.
 	share          shareClaim
 	lastFleetCheck time.Time
 	// servers are the HTTP servers for callers, readiness and the registry.
@@ -211,7 +212,7 @@
 
 // trackFleet updates the instances' load and the set of VMs that share the rates from what other VMs report.
 func (e *Entry) trackFleet() {
-	// Registrations may come and go unseen while the platform does not answer, or while this VM stands still.
+	// Registrations may come and go unseen while the platform does not answer, or while this VM is paused.
 	if e.mirrors[platform.InstanceKind].Unreachable() || time.Since(e.lastFleetCheck) > maxFleetCheckGap {
 		e.placement.RestartVersionHistory()
 	}
--- a/role/invalid.go
+++ b/role/invalid.go
@@ -46,15 +46,16 @@
 	reported map[string]chestnutcleat.Version
 }
 
-// report reports the objects whose present version is not reported yet; the list may name an object twice.
+// report reports the objects whose present version is not reported yet. An object that can't be read at all may be in the list twice, as
+// the function that applies the change may have added it too.
 func (r *invalidReports) report(list []invalidObject) {
-	reported := map[string]chestnutcleat.Version{}
+	next := map[string]chestnutcleat.Version{}
 	left := maxInvalidReports
 	for _, i := range list {
 		o := &i.object
 		v, known := r.reported[o.Name]
-		if again, ok := reported[o.Name]; ok {
-			v, known = again, true
+		if listed, ok := next[o.Name]; ok {
+			v, known = listed, true
 		}
 		if !known || v != o.Version {
 			if left == 0 {
@@ -63,7 +64,7 @@
 			left--
 			r.observer.Emit(event.ObjectInvalid, "kind", r.kind, "object", o.Name, "version", o.Version, "error", shortError(i.err))
 		}
-		reported[o.Name] = o.Version
+		next[o.Name] = o.Version
 	}
-	r.reported = reported
+	r.reported = next
 }
--- a/role/share.go
+++ b/role/share.go
@@ -12,26 +12,26 @@
 
 // shareClaim decides whether this VM may use its share of rates.
 type shareClaim struct {
-	// inTouchAt is when the VM was last in touch with the platform or with other VMs that would tell it of changes there.
-	inTouchAt time.Time
+	// informedAt is when the VM could last learn of changes at the platform, from the platform or from other VMs.
+	informedAt time.Time
 	// wasListed is set once this VM's object was listed.
 	wasListed bool
 }
 
 // holds reports whether the VM may use its share now: its object is listed, or not listed yet, and others can't have removed it
-// unnoticed. lastInTouch is when the VM was last in touch.
-func (c *shareClaim) holds(listed bool, lastInTouch time.Time) bool {
-	if lastInTouch.After(c.inTouchAt) {
-		c.inTouchAt = lastInTouch
+// unnoticed. lastInformed is when the VM could last learn of changes at the platform.
+func (c *shareClaim) holds(listed bool, lastInformed time.Time) bool {
+	if lastInformed.After(c.informedAt) {
+		c.informedAt = lastInformed
 	}
 	c.wasListed = c.wasListed || listed
-	return (listed || !c.wasListed) && time.Since(c.inTouchAt) < shareExpiry
+	return (listed || !c.wasListed) && time.Since(c.informedAt) < shareExpiry
 }
 
 // shareHolders returns the VMs that share the rates, without this one while it may not use its share.
 func (e *Entry) shareHolders() []chestnutcleat.VMID {
 	holders := e.fleet.VMs()
-	if e.share.holds(e.isListed(), e.lastInTouch()) {
+	if e.share.holds(e.isListed(), e.lastInformed()) {
 		holders = append(holders, e.self.VM)
 	}
 	return holders
@@ -46,9 +46,9 @@
 	return b.memberVersions[b.self.VM] > 0 && !succeeded
 }
 
-// lastInTouch returns when this VM could last learn of changes at the platform: now, if it hears a VM that reaches the platform or at
+// lastInformed returns when this VM could last learn of changes at the platform: now, if it hears a VM that reaches the platform or at
 // least half of the VMs, as those that remove objects hear more than half; else when the platform answered it last.
-func (b *base) lastInTouch() time.Time {
+func (b *base) lastInformed() time.Time {
 	heard := 1
 	for p := range b.fleet.All() {
 		if p.Silent() {
--- a/standin/instance/leaving.go
+++ b/standin/instance/leaving.go
@@ -8,18 +8,18 @@
 	leavingValue  = "1"
 )
 
-// start is one start of an instance.
+// start describes the present start of an instance.
 type start struct {
-	// at is in Unix milliseconds.
+	// at is the time of the start in Unix milliseconds.
 	at int64
 	// leaving is set if the instance says in all its answers that it leaves.
 	leaving bool
 }
 
-// SetStart begins a new start of the instance at a time in Unix milliseconds. Its answers do not say that it leaves.
+// SetStart makes the instance one that was started at the given time in Unix milliseconds, and whose answers do not say that it leaves.
 func (s *Server) SetStart(at int64) { s.start.Store(&start{at: at}) }
 
-// SetLeaving lets the instance say in all its answers that it leaves, whatever its registration says, until its next start.
+// SetLeaving makes the instance say in all its answers that it leaves, whatever its registration says, until its next start.
 func (s *Server) SetLeaving() { s.start.Store(&start{at: s.currentStart().at, leaving: true}) }
 
 func (s *Server) currentStart() start {
--- a/standin/instance/unframed.go
+++ b/standin/instance/unframed.go
@@ -92,7 +92,7 @@
 	return append(parts[:i:i], part[:rand.IntN(len(part))])
 }
 
-// reset lets the end of the connection be a reset.
+// reset makes the connection end with a reset when it is closed.
 func reset(c net.Conn) {
 	if l, ok := c.(lingerer); ok {
 		// The error is ignored: the connection may be closed already.
