Let no timeout end an exchange in the test of copied answers

entry.TestCopyAtEachByte sends thousands of requests over TCP in real time, 20 series at once on one processor, with the routes' timeouts of 2 and 4 s. With one answer delayed by 2.1 s it failed with a 504 to its first request. VMs of a soak stood still for 2 s at a load average of 80, so a machine can do that.

Each exchange ends by its bytes: no case waits for a timeout, so an answer of 504 that the test allowed can no longer hide a missing one.

--- a/entry/copies_test.go
+++ b/entry/copies_test.go
@@ -131,6 +131,7 @@
 			t.Run(name+" "+path, func(t *testing.T) {
 				t.Parallel()
 				h := newHarness(t, nil)
+				h.endTimeouts() // each exchange ends by its bytes
 				defer h.close()
 				own := answerTo("r1", path)
 				body := strings.Index(own, "\r\n\r\n") + len("\r\n\r\n")
--- a/entry/endless_test.go
+++ b/entry/endless_test.go
@@ -99,10 +99,7 @@
 			defer h.close()
 			h.handler.Memory.Limit = 8 << 20
 			h.handler.Bounds = Bounds{Body: testMaxBody, Event: testMaxEvent, Output: testMaxOutput}
-			for i := range h.table.Routes {
-				// Only the bounds on bytes may end an answer, on a busy machine too.
-				h.table.Routes[i].Timeout, h.table.Routes[i].LatencyTarget = time.Hour, time.Hour
-			}
+			h.endTimeouts() // only the bounds on bytes may end an answer
 			var others sync.WaitGroup
 			for i := range 8 {
 				others.Go(func() {
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -237,6 +237,13 @@
 	return h
 }
 
+// endTimeouts lets no request end by the time that it takes, for tests in real time on a busy machine.
+func (h *harness) endTimeouts() {
+	for i := range h.table.Routes {
+		h.table.Routes[i].Timeout, h.table.Routes[i].LatencyTarget = time.Hour, time.Hour
+	}
+}
+
 // startReplica runs a replica of the ledger at "store".
 func (h *harness) startReplica(ctx context.Context) chestnutcleat.ReplicaSet {
 	set, _ := h.startReplicaAt(ctx, "store")
