Count the deadline of a soak's request from its first run

A VM can't end what it has not read, so the check depended on the machine. It now counts from the first run, for which the caller waits 2 s longer than its deadline, and is stricter otherwise: an instance may be given at most 0.5 s more than the caller has, as the users' rule on budgets says.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -16,7 +16,7 @@
 const (
 	// requestTimeout is the deadline of a request, and deadlineSlack how long a caller waits beyond it for the end of the answer.
 	requestTimeout = 4 * time.Second
-	deadlineSlack  = time.Second
+	deadlineSlack  = 2 * time.Second
 	// maxAttempts is how often a turn or call is sent before the program gives up.
 	maxAttempts = 3
 	// maxTurns, maxTokens (of a turn) and tokenBudget (of all turns) are the limits of a program.
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -1,8 +1,6 @@
 package soak
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -106,7 +104,7 @@
 			}
 		}
 		r.checkInterrupted(a, p)
-		r.checkEnded(a, p)
+		r.checkEnded(a, runs, p)
 	}
 	r.checkRecovery(p)
 	r.checkWithdrawnKey(log, p)
@@ -137,10 +135,28 @@
 	return false
 }
 
-// checkEnded finds attempts that had not ended when the caller had waited deadlineSlack beyond the deadline. A pause of any VM excuses it.
-func (r *recorder) checkEnded(a *attempt, p *Plan) {
-	if errors.Is(a.Err, context.DeadlineExceeded) && a.end-a.start > a.Timeout && !p.isActive(Pause, a.start, a.end) {
-		r.addAttemptViolation(a, "has not ended %v after it was sent, its deadline was %v: %v", a.end-a.start, a.Timeout, a.Err)
+const (
+	// maxExtraWait is how much more time than the caller's an instance may be given.
+	maxExtraWait = 500 * time.Millisecond
+	// maxLateEnd is how long after the time that the VM gave an instance an answer may end.
+	maxLateEnd = time.Second
+)
+
+// checkEnded finds attempts of which instances were given more time than the caller allows, and those that had not ended in the time
+// that the first instance was given. A request that a VM has not read yet has no deadline there, so the time counts from its first run.
+// A pause of any VM excuses a late end.
+func (r *recorder) checkEnded(a *attempt, runs []instance.Run, p *Plan) {
+	for _, run := range runs {
+		if run.Wait > a.Timeout+maxExtraWait || run.Wait == 0 {
+			r.addAttemptViolation(a, "%s was given %v for it, the caller waits %v", run.Instance, run.Wait, a.Timeout)
+		}
+	}
+	if len(runs) == 0 || p.isActive(Pause, a.start, a.end) {
+		return
+	}
+	due := runs[0].At.Add(min(runs[0].Wait, a.Timeout)).Sub(r.start)
+	if a.end > due+maxLateEnd {
+		r.addAttemptViolation(a, "ended %v after its deadline: %v", a.end-due, a.Err)
 	}
 }
 
--- a/standin/instance/server.go
+++ b/standin/instance/server.go
@@ -27,6 +27,7 @@
 	headerCustomer         = "Chestnutcleat-Tenant"
 	headerNotExecuted      = "Chestnutcleat-Not-Executed"
 	headerLastEventID      = "Last-Event-Id"
+	headerDeadline         = "Chestnutcleat-Deadline-Ms"
 )
 
 // signature is the signature of all answers.
@@ -42,8 +43,9 @@
 	Version string
 	// LastEventID is the last event that the client has from an earlier run; -1 for a run from the start.
 	LastEventID int
-	// At is the start time.
-	At time.Time
+	// At is the start time, and Wait how long the VM says that the answer is waited for; zero if it does not say.
+	At   time.Time
+	Wait time.Duration
 	// StartedAt is the time at which the instance that ran the request started, in Unix milliseconds, and Leaving is set if its answer
 	// says that it leaves.
 	StartedAt int64
@@ -148,6 +150,9 @@
 	if n, err := strconv.Atoi(r.Header.Get(headerLastEventID)); err == nil {
 		run.LastEventID = n
 	}
+	if ms, err := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64); err == nil {
+		run.Wait = time.Duration(ms) * time.Millisecond
+	}
 	s.Log.Add(id, run)
 	var f Faults
 	if p := s.faults.Load(); p != nil {
