Report how long the VMs of a soak waited for a processor

The kernel counts the waits of each thread; those of over 1 s are now among the lines on the machine. TestWatchdogReportsWaits.

--- a/soak/keep_test.go
+++ b/soak/keep_test.go
@@ -45,3 +45,20 @@
 	is.True(strings.Contains(lines, fmt.Sprintf("1 syncs over %v, longest 1s", minStall)))
 	is.True(strings.Contains(lines, "syncs held up from 1.0"))
 }
+
+// A VM that waits for a processor must be reported: a soak took such a wait for a VM that did not end a request.
+func TestWatchdogReportsWaits(t *testing.T) {
+	is := is.New(t)
+	known := map[string]time.Duration{}
+	if longestWait(known, os.Getpid()); len(known) == 0 {
+		t.Skip("the kernel does not count waits of threads")
+	}
+	for file := range known {
+		known[file] -= 3 * time.Second
+	}
+	w := &watchdog{start: time.Now()}
+	longest := longestWait(known, os.Getpid())
+	is.True(longest >= 3*time.Second)
+	w.noteQueue("entry-4", longest)
+	is.True(strings.Contains(strings.Join(w.lines(), "\n"), "1 waits of VMs for a processor"))
+}
--- a/soak/process.go
+++ b/soak/process.go
@@ -148,6 +148,16 @@
 	}
 }
 
+// pid returns the id of the process that was started last, or 0 before the first start.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.cmd.Process == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // peakMemory returns the peak resident memory of the running process in bytes, from its metrics.
 func (p *process) peakMemory(ctx context.Context) (int64, error) {
 	address := net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.MetricsPort))
--- a/soak/run.go
+++ b/soak/run.go
@@ -60,7 +60,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.Plan.Length))
 	defer cancel()
 	var wg sync.WaitGroup
-	wg.Go(func() { w.run(ctx) })
+	wg.Go(func() { w.run(ctx, f.processes) })
 	s.startCallers(ctx, &wg, f, r)
 	for _, fault := range s.Plan.Faults {
 		if chestnutcleat.Sleep(ctx, time.Duration(fault.At)-time.Since(r.start)) != nil {
--- a/soak/stalls.go
+++ b/soak/stalls.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,10 +22,13 @@
 	maxStallLines = 10
 )
 
-// stall is a time in which the machine held up the soak itself.
-type stall struct{ from, length time.Duration }
+// stall is a time in which the machine held up the soak itself, or a VM.
+type stall struct {
+	vm           string
+	from, length time.Duration
+}
 
-// watchdog measures how long the machine holds up the soak's own process and its writes to disk. A check that fails during such
+// watchdog measures how long the machine holds up the soak's own process and its writes to disk, and the VMs. A check that fails during such
 // a delay may show the machine and not the fleet.
 type watchdog struct {
 	start time.Time
@@ -33,12 +37,15 @@
 	mu    sync.Mutex
 	wakes []stall
 	syncs []stall
-	err   error
+	// queues are the times in which a thread of a VM waited for a processor.
+	queues []stall
+	err    error
 }
 
 // run measures until ctx is done.
-func (w *watchdog) run(ctx context.Context) {
+func (w *watchdog) run(ctx context.Context, processes map[string]*process) {
 	var wg sync.WaitGroup
+	wg.Go(func() { w.watchQueues(ctx, processes) })
 	wg.Go(func() { w.watchWakes(ctx) })
 	w.watchSyncs(ctx)
 	wg.Wait()
@@ -96,7 +103,8 @@
 func (w *watchdog) lines() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	lines := append(stallLines("wake-ups", w.wakes), stallLines("syncs", w.syncs)...)
+	lines := append(stallLines("wake-ups", minStall, w.wakes), stallLines("syncs", minStall, w.syncs)...)
+	lines = append(lines, stallLines("waits of VMs for a processor", minQueueTime, w.queues)...)
 	if w.err != nil {
 		lines = append(lines, fmt.Sprintf("machine: syncs were not measured: %v", w.err))
 	}
@@ -104,16 +112,16 @@
 }
 
 // stallLines describes the delays of one kind.
-func stallLines(kind string, list []stall) []string {
+func stallLines(kind string, shortest time.Duration, list []stall) []string {
 	longest := stall{}
 	for _, s := range list {
 		if s.length > longest.length {
 			longest = s
 		}
 	}
-	lines := []string{fmt.Sprintf("machine: %d %s over %v, longest %v", len(list), kind, minStall, longest.length.Round(time.Millisecond))}
+	lines := []string{fmt.Sprintf("machine: %d %s over %v, longest %v", len(list), kind, shortest, longest.length.Round(time.Millisecond))}
 	for _, s := range list[:min(len(list), maxStallLines)] {
-		lines = append(lines, fmt.Sprintf("machine: %s held up from %.3f s for %v", kind, s.from.Seconds(), s.length.Round(time.Millisecond)))
+		lines = append(lines, strings.TrimSpace(fmt.Sprintf("machine: %s held up from %.3f s for %v %s", kind, s.from.Seconds(), s.length.Round(time.Millisecond), s.vm)))
 	}
 	return lines
 }
