--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -48,6 +48,7 @@
 
 // Plans that have violated a guarantee before must not do so again, and no hand-over may.
 func TestSoakPlans(t *testing.T) {
+	t.Parallel()
 	for name, plan := range soakPlans {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -59,6 +60,7 @@
 // A customer that uses its whole limit in a burst must not get the limit again in the same window because all processes are killed
 // and restarted: no process then knows what was admitted before.
 func TestSoakRateAfterKillAll(t *testing.T) {
+	t.Parallel()
 	runPlan(t, `{"seed": 505, "length": "32s", "faults": [{"at": "17.86s", "kind": "kill-all"}]}`)
 }
 
