Serve calls of the older interface that cross the end of its listening

Since a VM that shuts down refuses calls that it may interrupt from the moment at which its listener closes, and a call on a connection that was accepted just before arrives after that. Such calls are served for a second more; no others come later, as idle connections are closed then. Ruled out: a caller with an old list (this test's callers use none) and the hand-over of slots. The test is unchanged.

--- a/process/shutdown.go
+++ b/process/shutdown.go
@@ -11,6 +11,9 @@
 	"chestnutcleat.example/chestnutcleat/event"
 )
 
+// transitTime is how long after the listener's end calls still arrive on connections that were accepted before.
+const transitTime = time.Second
+
 // staleListTime is how long callers may connect with an outdated address list, with a second for what they have begun.
 const staleListTime = caller.VMListMaxAge + time.Second
 
@@ -31,7 +34,7 @@
 	defer cancel()
 	go p.announce(grace, true)
 	listen := accept.ListenTime(graceTime, p.staleLists)
-	p.handler.StartShutdown(started.Add(listen), started.Add(graceTime))
+	p.handler.StartShutdown(started.Add(listen+transitTime), started.Add(graceTime))
 	moved := make(chan error, 1)
 	// Slots may move while requests still run here, because their entry VM reaches the new owners like any other entry VM.
 	go func() { moved <- p.handOver(grace) }()
