Remember versions that left for callers that name no stream, too

A caller that names no stream goes on at the version of the recorded streams of its route, unless the registrations had another one within the life of records. One that comes back later than that went on at the version of streams that began after its own: two versions in one stream. Versions that left now count as long as they are remembered, 2 h, as for callers that name their stream. The cost: for 2 h after a change of versions such callers are refused where they went on before, unless their VM has started since; callers that name their attempt are not affected.

entry.TestTakeUpWithoutResumesAfterItsRecordExpired failed before ("" for cannot-resume: it was served at v2). place.TestOtherVersion waits for 2 h in place of a minute, and also checks that the version counts until then. place and entry pass with -race.

Ruled out: the other uses of the life of records. OnlyVersion needs it for how long the registrations must have been followed.

--- a/entry/takeup.go
+++ b/entry/takeup.go
@@ -70,7 +70,7 @@
 
 // continueAt selects the service and the software version of an origin that is on record.
 func (t *turn) continueAt(o ledger.Origin, byRoute bool) error {
-	if byRoute && t.Instances.OtherVersion(o.Service, o.Software, t.streamLifetime()) {
+	if byRoute && t.Instances.OtherVersion(o.Service, o.Software) {
 		return t.refuseTakeUp(refusedUnknown, errOtherVersion)
 	}
 	t.service = o.Service
--- a/entry/takeup_found_test.go
+++ b/entry/takeup_found_test.go
@@ -102,3 +102,18 @@
 		h.expectRefused("unknown", id, h.takeUp(0, id, "", 2)) // streams of both began, one version has left
 	})
 }
+
+// A caller that does not name its stream may come back when the stream's record has expired, too. The records of streams that began later
+// say nothing about it: it went on at their version.
+func TestTakeUpWithoutResumesAfterItsRecordExpired(t *testing.T) {
+	const long = streamTimeout + recordMargin
+	runVersions(t, 1, twoVersions[:1], func(h *versionHarness) {
+		id := streamID(0)
+		h.is.Equal(h.begin(0, id), "v1")
+		h.add("b1", "v2")
+		h.remove("a1")
+		time.Sleep(2 * long)
+		h.is.Equal(h.begin(0, streamID(1)), "v2")
+		h.expectRefused("unknown", attemptID(id, 1), h.takeUp(0, attemptID(id, 1), "", 2))
+	})
+}
--- a/place/version.go
+++ b/place/version.go
@@ -48,24 +48,24 @@
 	}
 }
 
-// OtherVersion reports whether an instance of a service, one that left included, has had another software version within the given
-// time, as far as this VM knows.
-func (t *Table) OtherVersion(service chestnutcleat.ServiceName, version chestnutcleat.SoftwareVersion, within time.Duration) bool {
+// OtherVersion reports whether an instance of a service, one that left included, has had another software version as far as this VM
+// remembers.
+func (t *Table) OtherVersion(service chestnutcleat.ServiceName, version chestnutcleat.SoftwareVersion) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	found := t.versionsWithin(service, within)
+	found := t.rememberedVersions(service)
 	delete(found, version)
 	return len(found) > 0
 }
 
-// versionsWithin returns the versions that a service's instances have had within the given time. The caller holds mu.
-func (t *Table) versionsWithin(service chestnutcleat.ServiceName, within time.Duration) map[chestnutcleat.SoftwareVersion]bool {
+// rememberedVersions returns the versions that a service's instances have had within versionMemory. The caller holds mu.
+func (t *Table) rememberedVersions(service chestnutcleat.ServiceName) map[chestnutcleat.SoftwareVersion]bool {
 	found := map[chestnutcleat.SoftwareVersion]bool{}
 	for _, s := range t.services[service] {
 		found[s.Version] = true
 	}
 	for v, at := range t.versions.lastSeen[service] {
-		if time.Since(at) <= within {
+		if time.Since(at) <= versionMemory {
 			found[v] = true
 		}
 	}
@@ -81,7 +81,7 @@
 	if t.versions.since.IsZero() || time.Since(t.versions.since) < within || within > versionMemory {
 		return "", false
 	}
-	found := t.versionsWithin(service, versionMemory)
+	found := t.rememberedVersions(service)
 	for v := range found {
 		version = v
 	}
--- a/place/version_test.go
+++ b/place/version_test.go
@@ -114,20 +114,22 @@
 	})
 }
 
-// Another version must count as long as its streams may be taken up, however short this VM has followed the registrations.
+// Another version must count as long as it is remembered, however short this VM has followed the registrations.
 func TestOtherVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		table := NewTable()
-		is.True(!table.OtherVersion("s", "v1", time.Minute))
+		is.True(!table.OtherVersion("s", "v1"))
 		table.SetInstances(versioned("v1", "v2"))
-		is.True(table.OtherVersion("s", "v1", time.Minute))
-		is.True(!table.OtherVersion("other", "v1", time.Minute))
+		is.True(table.OtherVersion("s", "v1"))
+		is.True(!table.OtherVersion("other", "v1"))
 		table.SetInstances(versioned("v1"))
-		is.True(table.OtherVersion("s", "v1", time.Minute)) // v2 has just left
-		time.Sleep(time.Minute + time.Second)
-		is.True(!table.OtherVersion("s", "v1", time.Minute))
-		is.True(table.OtherVersion("s", "v2", time.Minute))
+		is.True(table.OtherVersion("s", "v1")) // v2 has just left
+		time.Sleep(versionMemory)
+		is.True(table.OtherVersion("s", "v1"))
+		time.Sleep(time.Second)
+		is.True(!table.OtherVersion("s", "v1"))
+		is.True(table.OtherVersion("s", "v2"))
 	})
 }
 
