--- a/peer/digest.go
+++ b/peer/digest.go
@@ -100,7 +100,7 @@
 	addCounts(d.CrashCounts, s.CrashCounts)
 	d.Outcomes.Add(s.Outcomes)
 	d.Activities.Add(s.Activities)
-	d.addDepartures(s.boundedDepartures())
+	addDepartures(d.departed, s.boundedDepartures())
 }
 
 // addDigest adds the digest of another group.
@@ -109,16 +109,16 @@
 	addCounts(d.CrashCounts, o.CrashCounts)
 	d.Outcomes.Add(o.Outcomes)
 	d.Activities.Add(o.Activities)
-	d.addDepartures(o.Departures)
+	addDepartures(d.departed, o.Departures)
 	if sameDomain {
 		d.DomainOutcomes.Add(o.Outcomes)
 	}
 }
 
-// addDepartures adds instances that leave.
-func (d *Digest) addDepartures(list []place.ProcessHash) {
+// addDepartures adds instances that leave, at most maxDepartures of a list.
+func addDepartures(into map[place.ProcessHash]bool, list []place.ProcessHash) {
 	for _, p := range list[:min(len(list), maxDepartures)] {
-		d.departed[p] = true
+		into[p] = true
 	}
 }
 
--- a/peer/totals.go
+++ b/peer/totals.go
@@ -33,7 +33,7 @@
 		addLoad(t.load, p.Load)
 		t.Outcomes.Add(p.Outcomes)
 		t.Activities.Add(p.Activities)
-		t.addDepartures(p.boundedDepartures())
+		addDepartures(t.Departures, p.boundedDepartures())
 		if p.Domain == f.Self.Domain {
 			t.DomainOutcomes.Add(p.Outcomes)
 		}
@@ -43,18 +43,11 @@
 		t.Outcomes.Add(v.Outcomes)
 		t.Activities.Add(v.Activities)
 		t.DomainOutcomes.Add(v.DomainOutcomes)
-		t.addDepartures(v.Departures)
+		addDepartures(t.Departures, v.Departures)
 	}
 	return t
 }
 
-// addDepartures adds instances that leave, at most maxDepartures of a list.
-func (t *Totals) addDepartures(list []place.ProcessHash) {
-	for _, p := range list[:min(len(list), maxDepartures)] {
-		t.Departures[p] = true
-	}
-}
-
 // bestView returns the digest from the relay that hears the most VMs of other groups, or nil. The caller holds f.mu.
 func (f *Fleet) bestView() *receivedDigest {
 	var best *receivedDigest
