--- a/entry/caller_framing_test.go
+++ b/entry/caller_framing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,8 @@
 	"testing/synctest"
 
 	"github.com/matryer/is"
+
+	"chestnutcleat.example/chestnutcleat/standin/pipe"
 )
 
 // lingerConn records whether it is closed by a reset, as a TCP connection would be.
@@ -25,16 +28,32 @@
 	return nil
 }
 
+// lingerListener wraps the connection that it accepts.
+type lingerListener struct {
+	*pipe.Listener
+	accepted lingerConn
+}
+
+func (l *lingerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.accepted.Conn = c
+	return &l.accepted, nil
+}
+
 // ask sends a request by the given protocol and returns what arrives until the connection ends, and whether a reset ends it.
 func (h *harness) ask(protocol, path string) (response string, reset bool) {
-	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	l := &lingerListener{Listener: pipe.Listen()}
 	server := &http.Server{Handler: h.handler}
 	h.goroutines.Go(func() { _ = server.Serve(l) })
-	client, accepted := net.Pipe()
-	conn := &lingerConn{Conn: accepted}
-	l.conns <- conn
+	client, err := l.Dial(context.Background())
+	if err != nil {
+		h.t.Fatal(err)
+	}
 	const head = "POST %s %s\r\nHost: h\r\nAuthorization: Bearer key\r\nChestnutcleat-Request-Id: r1\r\nConnection: close\r\nContent-Length: 1\r\n\r\nb"
-	if _, err := fmt.Fprintf(client, head, path, protocol); err != nil {
+	if _, err = fmt.Fprintf(client, head, path, protocol); err != nil {
 		h.t.Fatal(err)
 	}
 	data, err := io.ReadAll(client)
@@ -43,7 +62,7 @@
 	}
 	server.Close()
 	synctest.Wait()
-	return string(data), conn.reset.Load()
+	return string(data), l.accepted.reset.Load()
 }
 
 // looksComplete reports whether a caller must take a response for complete.
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -25,6 +25,7 @@
 	"chestnutcleat.example/chestnutcleat/place"
 	"chestnutcleat.example/chestnutcleat/platform"
 	"chestnutcleat.example/chestnutcleat/rate"
+	"chestnutcleat.example/chestnutcleat/standin/pipe"
 	"chestnutcleat.example/chestnutcleat/vm"
 )
 
@@ -148,24 +149,6 @@
 	return s
 }
 
-type pipeListener struct {
-	conns  chan net.Conn
-	once   sync.Once
-	closed chan struct{}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error   { l.once.Do(func() { close(l.closed) }); return nil }
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 type discardObserver struct{}
 
 func (discardObserver) Emit(chestnutcleat.EventID, ...any) {}
@@ -232,14 +215,11 @@
 
 // serve starts a server of callers, and returns it with a client whose connections are pipes to it.
 func (h *harness) serve(handler http.Handler) (*http.Server, *http.Client) {
-	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	l := pipe.Listen()
 	server := &http.Server{Handler: handler}
 	h.goroutines.Go(func() { _ = server.Serve(l) })
-	dial := func(context.Context, string, string) (net.Conn, error) {
-		a, b := net.Pipe()
-		l.conns <- b
-		return a, nil
-	}
+	// The channel of a context from outside the test's bubble must not be waited for inside it.
+	dial := func(ctx context.Context, _, _ string) (net.Conn, error) { return l.Dial(context.WithoutCancel(ctx)) }
 	return server, &http.Client{Transport: &http.Transport{DisableCompression: true, DialContext: dial}}
 }
 
--- a/entry/version_harness_test.go
+++ b/entry/version_harness_test.go
@@ -23,6 +23,7 @@
 	"chestnutcleat.example/chestnutcleat/platform"
 	"chestnutcleat.example/chestnutcleat/rate"
 	"chestnutcleat.example/chestnutcleat/standin/instance"
+	"chestnutcleat.example/chestnutcleat/standin/pipe"
 )
 
 // versionHarness is a harness whose instances are stand-ins of several software versions, and several entry VMs.
@@ -213,20 +214,17 @@
 }
 
 // dial connects to a stand-in, each connection with a server of its own.
-func (h *versionHarness) dial(_ context.Context, a chestnutcleat.Address) (net.Conn, error) {
+func (h *versionHarness) dial(ctx context.Context, a chestnutcleat.Address) (net.Conn, error) {
 	s := h.servers[a]
 	if s == nil {
 		return nil, fmt.Errorf("no instance at %s", a)
 	}
-	client, server := net.Pipe()
-	conns := make(chan net.Conn, 1)
-	conns <- server
-	l := &pipeListener{conns: conns, closed: make(chan struct{})}
+	l := pipe.Listen()
 	web := &http.Server{Handler: s, ConnState: func(_ net.Conn, c http.ConnState) {
 		if c == http.StateClosed {
 			_ = l.Close()
 		}
 	}}
 	go func() { _ = web.Serve(l) }()
-	return client, nil
+	return l.Dial(context.WithoutCancel(ctx))
 }
