Decide in one place what a graceful shutdown may interrupt

Packages entry and caller had the same pair of times and the same comparison for requests that a shutdown could cut. Both use accept.Drain now. No behaviour changed; the tests of accept, entry, caller, process and role pass unchanged.

--- a/caller/requesttracker.go
+++ b/caller/requesttracker.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"chestnutcleat.example/chestnutcleat/accept"
 )
 
 // requestTracker counts the requests in progress and the background work that they leave.
@@ -14,17 +16,11 @@
 	// draining is set once new programs are refused.
 	draining bool
 	// shutdown is set once the VM shuts down; each connection closes after its next response then.
-	shutdown *shutdown
+	shutdown *accept.Drain
 	// idle is closed when count reaches zero; it is nil while nobody waits.
 	idle chan struct{}
 }
 
-// shutdown describes a graceful shutdown of the VM.
-type shutdown struct {
-	// strictFrom is the time from which no call is admitted that may last until after end.
-	strictFrom, end time.Time
-}
-
 // add counts a request and reports whether to close its connection after the response.
 func (t *requestTracker) add() bool {
 	t.mu.Lock()
@@ -48,14 +44,14 @@
 func (h *Handler) StartShutdown(strictFrom, end time.Time) {
 	h.requests.mu.Lock()
 	defer h.requests.mu.Unlock()
-	h.requests.shutdown = &shutdown{strictFrom: strictFrom, end: end}
+	h.requests.shutdown = &accept.Drain{StrictFrom: strictFrom, End: end}
 }
 
 // wouldInterrupt reports whether the shutdown may interrupt a call that ends at the given time at the latest.
 func (t *requestTracker) wouldInterrupt(latestEnd time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.shutdown != nil && !time.Now().Before(t.shutdown.strictFrom) && latestEnd.After(t.shutdown.end)
+	return t.shutdown != nil && t.shutdown.Interrupts(latestEnd)
 }
 
 // Drain refuses new programs and waits until no request is in progress or ctx is done.
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/accept"
 )
 
 // drainRetryAfter is the time after which a caller may try another VM.
@@ -14,26 +15,20 @@
 // errInterrupted is the cause with which a request ends that outlasts the shutdown.
 var errInterrupted = errors.New("the VM shuts down")
 
-// drain describes a graceful shutdown of the VM.
-type drain struct {
-	// strictFrom is the time from which no request is admitted whose deadline is after end.
-	strictFrom, end time.Time
-}
-
 // Drain starts the graceful shutdown of the VM, which ends at the given time. Every further response is the last one on its
 // connection. From strictFrom on, when callers have had the time to learn of other VMs, requests that may take longer than until
 // the end are refused.
 func (h *Handler) Drain(strictFrom, end time.Time) {
-	h.drain.Store(&drain{strictFrom: strictFrom, end: end})
+	h.drain.Store(&accept.Drain{StrictFrom: strictFrom, End: end})
 }
 
 // checkDrain returns an error for a request that the shutdown could interrupt.
 func (c *call) checkDrain() error {
 	d := c.drain.Load()
-	if d == nil || time.Now().Before(d.strictFrom) || !c.deadline.After(d.end) {
+	if d == nil || !d.Interrupts(c.deadline) {
 		return nil
 	}
-	p := problem(chestnutcleat.CodeLeaving, chestnutcleat.NotRun, "the VM shuts down in %v, before the deadline of the request", time.Until(d.end))
+	p := problem(chestnutcleat.CodeLeaving, chestnutcleat.NotRun, "the VM shuts down in %v, before the deadline of the request", time.Until(d.End))
 	return p.WithRetry(drainRetryAfter)
 }
 
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/accept"
 	"chestnutcleat.example/chestnutcleat/config"
 	"chestnutcleat.example/chestnutcleat/exchange"
 	"chestnutcleat.example/chestnutcleat/guard"
@@ -38,7 +39,7 @@
 	OnPanic func(err error)
 
 	inFlight  atomic.Int64
-	drain     atomic.Pointer[drain]
+	drain     atomic.Pointer[accept.Drain]
 	forwarded forwardedCalls
 }
 
