--- a/operator/endless_test.go
+++ b/operator/endless_test.go
@@ -1,7 +1,6 @@
 package operator_test
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,35 +10,12 @@
 	"github.com/matryer/is"
 
 	"chestnutcleat.example/chestnutcleat/operator"
+	"chestnutcleat.example/chestnutcleat/standin/endless"
 )
 
 // giveUpBytes is what an endless body sends at most, so that a test of a reader without a bound ends.
 const giveUpBytes = 64 << 20
 
-// endlessBody is a body that starts with a text and repeats another one without end.
-type endlessBody struct {
-	start, repeated string
-	sent            int
-}
-
-func (b *endlessBody) Read(p []byte) (int, error) {
-	if b.sent > giveUpBytes {
-		return 0, errors.New("too much was read")
-	}
-	n := 0
-	for n < len(p) {
-		text := b.repeated[b.sent%len(b.repeated):]
-		if b.sent < len(b.start) {
-			text = b.start[b.sent:]
-		}
-		m := copy(p[n:], text)
-		n, b.sent = n+m, b.sent+m
-	}
-	return n, nil
-}
-
-func (*endlessBody) Close() error { return nil }
-
 // transportFunc answers requests without a network.
 type transportFunc func(*http.Request) (*http.Response, error)
 
@@ -61,14 +37,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			body := &endlessBody{start: tt.start, repeated: strings.Repeat(tt.repeated, 4096)}
-			c := operator.Client{Address: "h", HTTP: &http.Client{Transport: transportFunc(func(*http.Request) (*http.Response, error) {
-				return &http.Response{StatusCode: tt.status, Body: body, ContentLength: -1}, nil
-			})}}
+			body := endless.NewBody(tt.start, tt.repeated, giveUpBytes)
+			c := operator.Client{Address: "h", HTTP: body.Client(tt.status)}
 			_, err := c.Manifest(t.Context())
 			is.True(err != nil)
 			is.True(len(err.Error()) < 1000) // the error does not carry the body
-			is.True(body.sent <= maxAnswer+bufferSlack)
+			is.True(body.Sent() <= maxAnswer+bufferSlack)
 		})
 	}
 }
--- a/standin/caller/endless_test.go
+++ b/standin/caller/endless_test.go
@@ -1,39 +1,16 @@
 package caller
 
 import (
-	"errors"
-	"net/http"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-)
-
-// endlessBody is a body that repeats a text without end, and gives up far beyond all bounds.
-type endlessBody struct {
-	text string
-	sent int
-}
 
-func (b *endlessBody) Read(p []byte) (int, error) {
-	if b.sent > 16*maxDocumentBytes {
-		return 0, errors.New("too much was read")
-	}
-	n := 0
-	for n < len(p) {
-		m := copy(p[n:], b.text[b.sent%len(b.text):])
-		n, b.sent = n+m, b.sent+m
-	}
-	return n, nil
-}
-
-func (*endlessBody) Close() error { return nil }
-
-// transportFunc answers requests without a network.
-type transportFunc func(*http.Request) (*http.Response, error)
+	"chestnutcleat.example/chestnutcleat/standin/endless"
+)
 
-func (f transportFunc) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+// giveUpBytes is what an endless body sends at most, so that a test of a reader without a bound ends.
+const giveUpBytes = 16 * maxDocumentBytes
 
 // The load tool must read a bounded part of an answer without end: a stream that never ended kept all of its text, and one of comments was
 // read for as long as the load ran.
@@ -56,14 +33,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			body := &endlessBody{text: strings.Repeat(tt.text, 4096)}
-			h := &http.Client{Transport: transportFunc(func(*http.Request) (*http.Response, error) {
-				return &http.Response{StatusCode: tt.status, Body: body, ContentLength: -1}, nil
-			})}
+			body := endless.NewBody("", tt.text, giveUpBytes)
+			h := body.Client(tt.status)
 			c := client{http: h, stats: newStats("c"), addresses: newAddresses(h, "key", nil)}
 			_, err := c.send(t.Context(), "h", request{id: "1", path: "/", stream: tt.stream})
 			is.True(err != nil)
-			is.True(body.sent <= maxDocumentBytes+bufferSlack)
+			is.True(body.Sent() <= maxDocumentBytes+bufferSlack)
 		})
 	}
 }
@@ -71,11 +46,10 @@
 // The list of VMs must be read in part only if it has no end.
 func TestEndlessListOfVMs(t *testing.T) {
 	is := is.New(t)
-	body := &endlessBody{text: strings.Repeat(" ", 4096)}
-	h := &http.Client{Timeout: time.Minute, Transport: transportFunc(func(*http.Request) (*http.Response, error) {
-		return &http.Response{StatusCode: 200, Body: body, ContentLength: -1}, nil
-	})}
+	body := endless.NewBody("", " ", giveUpBytes)
+	h := body.Client(200)
+	h.Timeout = time.Minute
 	_, err := newAddresses(h, "key", nil).fetch(t.Context(), "h")
 	is.True(err != nil)
-	is.True(body.sent <= 2*maxDocumentBytes)
+	is.True(body.Sent() <= 2*maxDocumentBytes)
 }
