--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -304,7 +304,16 @@
 // send sends a request; headers are alternating names and values.
 func (s *testSystem) send(t *testing.T, method, path, body string, headers ...string) response {
 	t.Helper()
-	r, err := http.NewRequestWithContext(t.Context(), method, s.url+path, strings.NewReader(body))
+	p := s.begin(t.Context(), t, method, path, body, headers...)
+	defer p.Body.Close()
+	data, err := io.ReadAll(p.Body)
+	return response{status: p.StatusCode, header: p.Header, body: string(data), err: err}
+}
+
+// begin sends a request and returns the response once its header has arrived.
+func (s *testSystem) begin(ctx context.Context, t *testing.T, method, path, body string, headers ...string) *http.Response {
+	t.Helper()
+	r, err := http.NewRequestWithContext(ctx, method, s.url+path, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -315,9 +324,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer p.Body.Close()
-	data, err := io.ReadAll(p.Body)
-	return response{status: p.StatusCode, header: p.Header, body: string(data), err: err}
+	return p
 }
 
 const bearer = "Bearer " + activeKey
@@ -325,7 +332,17 @@
 // chat sends a chat completion request with activeKey.
 func (s *testSystem) chat(t *testing.T, body string, headers ...string) response {
 	t.Helper()
-	return s.send(t, http.MethodPost, caller.PathChat, body, append([]string{"Content-Type", "application/json", "Authorization", bearer}, headers...)...)
+	return s.send(t, http.MethodPost, caller.PathChat, body, chatHeaders(headers)...)
+}
+
+// beginChat sends a chat completion request with activeKey and returns the response once its header has arrived.
+func (s *testSystem) beginChat(ctx context.Context, t *testing.T, body string, headers ...string) *http.Response {
+	t.Helper()
+	return s.begin(ctx, t, http.MethodPost, caller.PathChat, body, chatHeaders(headers)...)
+}
+
+func chatHeaders(more []string) []string {
+	return append([]string{"Content-Type", "application/json", "Authorization", bearer}, more...)
 }
 
 // chatBody returns the body of a chat completion request.
--- a/caller/outcome_test.go
+++ b/caller/outcome_test.go
@@ -256,14 +256,9 @@
 		t.Run(model, func(t *testing.T) {
 			runVirtual(t, func(t *testing.T, is *is.I, s *testSystem) {
 				s.engines[0].Decode = 200
-				r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.url+caller.PathChat, strings.NewReader(chatBody(model, "#tokens=60", true)))
-				is.NoErr(err)
-				r.Header.Set("Authorization", bearer)
-				r.Header.Set("Content-Type", "application/json")
-				p, err := s.client.Do(r)
-				is.NoErr(err)
+				p := s.beginChat(t.Context(), t, chatBody(model, "#tokens=60", true))
 				defer p.Body.Close()
-				_, err = engine.NewEventReader(p.Body).Next()
+				_, err := engine.NewEventReader(p.Body).Next()
 				is.NoErr(err)
 				s.withdrawKey()
 				rest, err := io.ReadAll(p.Body)
@@ -289,16 +284,12 @@
 				s.engines[0].Decode = 200
 				model, id, explicit := strings.Cut(name, " ")
 				ctx, cancel := context.WithCancel(t.Context())
-				r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url+caller.PathChat, strings.NewReader(chatBody(model, "#tokens=60", true)))
-				is.NoErr(err)
-				r.Header.Set("Authorization", bearer)
-				r.Header.Set("Content-Type", "application/json")
+				var headers []string
 				if explicit {
-					r.Header.Set("Idempotency-Key", id)
+					headers = []string{"Idempotency-Key", id}
 				}
-				p, err := s.client.Do(r)
-				is.NoErr(err)
-				_, err = engine.NewEventReader(p.Body).Next()
+				p := s.beginChat(ctx, t, chatBody(model, "#tokens=60", true), headers...)
+				_, err := engine.NewEventReader(p.Body).Next()
 				is.NoErr(err)
 				cancel()
 				p.Body.Close()
--- a/caller/stream_test.go
+++ b/caller/stream_test.go
@@ -35,12 +35,7 @@
 	}))
 	t.Cleanup(server.Close)
 	s.upstreams[0].Address = chestnutcleat.Address(strings.TrimPrefix(server.URL, "http://"))
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.url+caller.PathChat, strings.NewReader(chatBody("m", "x", true)))
-	is.NoErr(err)
-	r.Header.Set("Authorization", bearer)
-	r.Header.Set("Content-Type", "application/json")
-	p, err := http.DefaultClient.Do(r)
-	is.NoErr(err)
+	p := s.beginChat(t.Context(), t, chatBody("m", "x", true))
 	defer p.Body.Close()
 	events := engine.NewEventReader(p.Body)
 	for i := range 5 {
@@ -138,12 +133,7 @@
 	runVirtual(t, func(t *testing.T, is *is.I, s *testSystem) {
 		s.engines[0].Decode = 200
 		got := make(chan response, 1)
-		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.url+caller.PathChat, strings.NewReader(chatBody("m", "#tokens=30", true)))
-		is.NoErr(err)
-		r.Header.Set("Authorization", bearer)
-		r.Header.Set("Content-Type", "application/json")
-		p, err := s.client.Do(r)
-		is.NoErr(err)
+		p := s.beginChat(t.Context(), t, chatBody("m", "#tokens=30", true))
 		go func() {
 			data, err := io.ReadAll(p.Body)
 			got <- response{body: string(data), err: err}
