--- a/entry/takeup_found_test.go
+++ b/entry/takeup_found_test.go
@@ -48,13 +48,8 @@
 // A caller may come back when the record of its stream has expired. A version that left before that must not be forgotten by then: the one
 // that came after it was the only one for as long as records last, and went on with the stream.
 func TestTakeUpAfterItsRecordExpired(t *testing.T) {
-	const long = streamTimeout + recordMargin
 	runVersions(t, 1, twoVersions[:1], func(h *versionHarness) {
-		id := streamID(0)
-		h.is.Equal(h.begin(0, id), "v1")
-		h.add("b1", "v2")
-		h.remove("a1")
-		time.Sleep(2 * long)
+		id := h.outliveRecord()
 		h.expectRefused("unknown", attemptID(id, 1), h.takeUp(0, attemptID(id, 1), id, 2))
 	})
 }
@@ -106,14 +101,19 @@
 // A caller that does not name its stream may come back when the stream's record has expired, too. The records of streams that began later
 // say nothing about it: it went on at their version.
 func TestTakeUpWithoutResumesAfterItsRecordExpired(t *testing.T) {
-	const long = streamTimeout + recordMargin
 	runVersions(t, 1, twoVersions[:1], func(h *versionHarness) {
-		id := streamID(0)
-		h.is.Equal(h.begin(0, id), "v1")
-		h.add("b1", "v2")
-		h.remove("a1")
-		time.Sleep(2 * long)
+		id := h.outliveRecord()
 		h.is.Equal(h.begin(0, streamID(1)), "v2")
 		h.expectRefused("unknown", attemptID(id, 1), h.takeUp(0, attemptID(id, 1), "", 2))
 	})
 }
+
+// outliveRecord begins a stream at v1, replaces its instance by one of v2 and waits until the stream's record has expired.
+func (h *versionHarness) outliveRecord() (id string) {
+	id = streamID(0)
+	h.is.Equal(h.begin(0, id), "v1")
+	h.add("b1", "v2")
+	h.remove("a1")
+	time.Sleep(2 * (streamTimeout + recordMargin))
+	return id
+}
