--- a/review/tool/main.go
+++ b/review/tool/main.go
@@ -21,6 +21,7 @@
 	limits limits
 }{
 	"oneleft": {runOneLeft, lundmarkRefill},
+	"slashes": {runSlashes, prensaComum},
 }
 
 func main() { os.Exit(runCase()) }
