review: case 4, sub-agents of long conversations take an entry process over its memory

The chain of a kept turn is read before it is counted, so entry processes use more than memory_mb and are killed, again and again (Fault). Measured by the resident memory of the real processes.

--- a/review/tool/main.go
+++ b/review/tool/main.go
@@ -22,6 +22,7 @@
 }{
 	"oneleft": {runOneLeft, lundmarkRefill},
 	"slashes": {runSlashes, prensaComum},
+	"memory":  {runMemory, kbtpaCleat},
 }
 
 func main() { os.Exit(runCase()) }
