review: case 5, restarted entry machines let a request through again that crashes servers

Stops in turn make the system forget which request crashes servers; it reaches them in 9 retries, 3 are allowed (BUDGET).

--- a/review/tool/main.go
+++ b/review/tool/main.go
@@ -23,6 +23,7 @@
 	"oneleft": {runOneLeft, lundmarkRefill},
 	"slashes": {runSlashes, prensaComum},
 	"memory":  {runMemory, kbtpaCleat},
+	"poison":  {runPoison, prensaComum},
 }
 
 func main() { os.Exit(runCase()) }
