--- a/review/tool/main.go
+++ b/review/tool/main.go
@@ -20,10 +20,10 @@
 	run    caseFunc
 	limits limits
 }{
-	"oneleft": {runOneLeft, lundmarkRefill},
-	"slashes": {runSlashes, prensaComum},
-	"memory":  {runMemory, kbtpaCleat},
-	"poison":  {runPoison, prensaComum},
+	"oneleft":  {runOneLeft, lundmarkRefill},
+	"slashes":  {runSlashes, prensaComum},
+	"memory":   {runMemory, kbtpaCleat},
+	"versions": {runVersions, lundmarkRefill},
 }
 
 func main() { os.Exit(runCase()) }
--- a/review/tool/server.go
+++ b/review/tool/server.go
@@ -52,46 +52,45 @@
 	// work is the time that a plain request takes, and gap the time between the events of a stream, of which there are events.
 	work, gap time.Duration
 	events    int
-	// poison is the text in a body that crashes the server; empty for none. It is back after downTime.
-	poison   string
-	downTime time.Duration
+	// version is the version of the server's software, which each event names.
+	version string
 
 	mu       sync.Mutex
 	id       string
 	address  string
-	number   int
 	listener net.Listener
 	conns    map[net.Conn]bool
-	// active are the requests that the server runs, and cut those that a crash ended beside the one that caused it.
-	active map[string]bool
-	cut    []string
 }
 
 // startServer starts a server and registers it.
 func (f *fleet) startServer(s *server) error {
-	s.fleet, s.conns, s.active = f, map[net.Conn]bool{}, map[string]bool{}
+	s.fleet, s.conns = f, map[net.Conn]bool{}
 	l, err := net.Listen("tcp", f.subnet+".200:0")
 	if err != nil {
 		return err
 	}
 	s.address = l.Addr().String()
 	f.closers = append(f.closers, s.close)
-	s.begin(l)
+	s.id = fmt.Sprintf("i-%s-%s", s.service, s.address[strings.LastIndex(s.address, ":")+1:])
+	s.listen(l)
+	s.register(s.version, time.Now())
 	return nil
 }
 
-// begin starts an incarnation with an id of its own, and registers it.
-func (s *server) begin(l net.Listener) {
+// listen serves requests at a listener.
+func (s *server) listen(l net.Listener) {
 	s.mu.Lock()
-	s.number++
-	id := fmt.Sprintf("i-%s-%s-%d", s.service, s.address[strings.LastIndex(s.address, ":")+1:], s.number)
-	s.id, s.listener = id, l
+	s.listener = l
 	s.mu.Unlock()
 	h := &http.Server{Handler: s, ReadHeaderTimeout: time.Minute, ConnState: s.track}
 	go func() { _ = h.Serve(l) }()
-	s.fleet.platform.Set("servers", id, map[string]any{
-		"service": s.service, "address": s.address, "zone": s.zone, "version": "1", "slots": s.slots, "state": "ready",
-		"cold_remaining_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+}
+
+// register writes the server's entry to the platform.
+func (s *server) register(version string, born time.Time) {
+	s.fleet.platform.Set("servers", s.id, map[string]any{
+		"service": s.service, "address": s.address, "zone": s.zone, "version": version, "slots": s.slots, "state": "ready",
+		"cold_remaining_ms": 0, "sequence": 1, "born": born.UnixMilli(),
 	})
 }
 
@@ -108,38 +107,6 @@
 	}
 }
 
-// crash resets all connections and takes the server away for downTime. Then it is back with another id.
-func (s *server) crash(by string) {
-	s.mu.Lock()
-	id, lost := s.id, len(s.cut)
-	for other := range s.active {
-		if other != by {
-			s.cut = append(s.cut, other)
-		}
-	}
-	lost = len(s.cut) - lost
-	s.active = map[string]bool{}
-	_ = s.listener.Close()
-	for c := range s.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
-		_ = c.Close()
-	}
-	s.conns = map[net.Conn]bool{}
-	s.mu.Unlock()
-	s.fleet.record.note("server %s crashes while it runs %s; %d other requests that it runs are cut", id, by, lost)
-	time.AfterFunc(s.downTime, func() {
-		l, err := net.Listen("tcp", s.address)
-		if err != nil {
-			s.fleet.record.note("server at %s is not back: %v", s.address, err)
-			return
-		}
-		s.fleet.platform.Delete("servers", id)
-		s.begin(l)
-	})
-}
-
 func (s *server) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -152,11 +119,8 @@
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Chestnutcleat-Request-Id")
-	s.mu.Lock()
-	own := s.id
-	s.mu.Unlock()
 	w.Header().Set("Chestnutcleat-Request-Id", id)
-	if e := r.Header.Get("Chestnutcleat-Expect-Instance"); id == "" || e != "" && e != own {
+	if e := r.Header.Get("Chestnutcleat-Expect-Instance"); id == "" || e != "" && e != s.id {
 		w.Header().Set("Chestnutcleat-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -166,22 +130,10 @@
 		return
 	}
 	v := run{
-		at: time.Now(), server: own, id: id, target: r.RequestURI, tenant: r.Header.Get("Chestnutcleat-Tenant"), method: r.Method,
+		at: time.Now(), server: s.id, id: id, target: r.RequestURI, tenant: r.Header.Get("Chestnutcleat-Tenant"), method: r.Method,
 		body: string(body), lastEvent: r.Header.Get("Last-Event-Id"),
 	}
 	s.log.add(v)
-	s.mu.Lock()
-	s.active[id] = true
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.active, id)
-	}()
-	if s.poison != "" && strings.Contains(v.body, s.poison) {
-		s.crash(id)
-		return
-	}
 	w.Header().Set("Chestnutcleat-Server-Seal", "seal."+id)
 	if s.events > 0 {
 		s.writeStream(w, r, id)
@@ -198,12 +150,20 @@
 // answerOf returns the body of a plain answer.
 func answerOf(id string) string { return "answer to " + id + " " + strings.Repeat("x", 780) }
 
-// eventData returns the data of an event of a stream.
-func eventData(id string, n int) string { return fmt.Sprintf("%s piece %d", id, n) }
+// versionMark separates the text of an event from the software version that wrote it.
+const versionMark = " at "
+
+// eventData returns the data of an event of a stream, as a software version writes it.
+func eventData(id, version string, n int) string {
+	return fmt.Sprintf("%s piece %d", id, n) + versionMark + version
+}
 
 func (s *server) writeStream(w http.ResponseWriter, r *http.Request, id string) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	c := http.NewResponseController(w)
+	s.mu.Lock()
+	version := s.version
+	s.mu.Unlock()
 	first := 1
 	if n, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = n + 1
@@ -214,7 +174,7 @@
 		case <-r.Context().Done():
 			return
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventData(id, n))
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventData(id, version, n))
 		if c.Flush() != nil {
 			return
 		}
