--- a/review/tool/memory.go
+++ b/review/tool/memory.go
@@ -80,7 +80,7 @@
 	// width is the number of sub-agents that each user's program starts at once. Programs of the sheet start up to 4.
 	width = 6
 	// rounds is how often they are started.
-	rounds = 6
+	rounds = 5
 	// mostEnds is the number of ends of a process from which on the rule counts a machine, and leastMachines the number of such machines.
 	mostEnds, leastMachines = 3, 2
 )
