--- a/review/tool/fleet.go
+++ b/review/tool/fleet.go
@@ -23,12 +23,8 @@
 // limits holds the memory of the two classes of machines and the disk of storage machines, in megabytes.
 type limits struct{ entryMemory, storeMemory, storeDisk int }
 
-// Limits of the machines of three small deployments.
-var (
-	prensaComum    = limits{134, 144, 260}
-	lundmarkRefill = limits{284, 324, 490}
-	kbtpaCleat     = limits{134, 144, 340}
-)
+// lundmarkRefill has the limits of the machines of the site lundmark-refill.
+var lundmarkRefill = limits{284, 324, 490}
 
 // restartDelay is the time after which the platform starts a process that has ended.
 const restartDelay = 300 * time.Millisecond
@@ -111,7 +107,7 @@
 	return 0, errors.New("no free port")
 }
 
-var zones = []string{"petrolina", "juazeiro", "casa-nova"}
+var zones = []string{"norra", "centrum", "sodra"}
 
 // addVM starts the process of a machine with settings as the templates of the deploy file give them.
 func (f *fleet) addVM(role string) (*vmProcess, error) {
@@ -132,7 +128,7 @@
 	zone := zones[count%len(zones)]
 	p := &vmProcess{name: fmt.Sprintf("%s-%s-%d", role, zone, 1+count/len(zones)), role: role, done: make(chan struct{})}
 	s := map[string]any{
-		"vm": p.name, "role": role, "domain": zone, "region": "nordeste", "ip": ip, "ports": []int{ports[0], ports[0]},
+		"vm": p.name, "role": role, "domain": zone, "region": "svealand", "ip": ip, "ports": []int{ports[0], ports[0]},
 		"platform": f.address, "tolerance": 1, "memory": f.limits.entryMemory, "grace": 8, "hold": 5, "apply": 2000, "drain": 2000,
 		"metrics": ports[4], "window": 5, "overage": 0.1,
 	}
--- a/review/tool/main.go
+++ b/review/tool/main.go
@@ -21,8 +21,8 @@
 	limits limits
 }{
 	"oneleft":  {runOneLeft, lundmarkRefill},
-	"slashes":  {runSlashes, prensaComum},
-	"memory":   {runMemory, kbtpaCleat},
+	"poison":   {runPoison, lundmarkRefill},
+	"slashes":  {runSlashes, lundmarkRefill},
 	"versions": {runVersions, lundmarkRefill},
 }
 
--- a/review/tool/server.go
+++ b/review/tool/server.go
@@ -54,17 +54,25 @@
 	events    int
 	// version is the version of the server's software, which each event names.
 	version string
+	// poison is the text in a body that crashes the server; empty for none. It is back after downTime.
+	poison   string
+	downTime time.Duration
 
 	mu       sync.Mutex
 	id       string
 	address  string
 	listener net.Listener
 	conns    map[net.Conn]bool
+	// number counts the incarnations, active are the requests that the server runs, and cut those that a crash ended beside the one that
+	// caused it.
+	number int
+	active map[string]bool
+	cut    []string
 }
 
 // startServer starts a server and registers it.
 func (f *fleet) startServer(s *server) error {
-	s.fleet, s.conns = f, map[net.Conn]bool{}
+	s.fleet, s.conns, s.active = f, map[net.Conn]bool{}, map[string]bool{}
 	l, err := net.Listen("tcp", f.subnet+".200:0")
 	if err != nil {
 		return err
@@ -107,6 +115,43 @@
 	}
 }
 
+// crash resets all connections and takes the server away for downTime. Then it is back with another id.
+func (s *server) crash(by string) {
+	s.mu.Lock()
+	id, lost := s.id, len(s.cut)
+	for other := range s.active {
+		if other != by {
+			s.cut = append(s.cut, other)
+		}
+	}
+	lost = len(s.cut) - lost
+	s.active = map[string]bool{}
+	_ = s.listener.Close()
+	for c := range s.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	s.conns = map[net.Conn]bool{}
+	s.mu.Unlock()
+	s.fleet.record.note("server %s crashes while it runs %s; %d other requests that it runs are cut", id, by, lost)
+	time.AfterFunc(s.downTime, func() {
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			s.fleet.record.note("server at %s is not back: %v", s.address, err)
+			return
+		}
+		s.fleet.platform.Delete("servers", id)
+		s.mu.Lock()
+		s.number++
+		s.id = fmt.Sprintf("i-%s-%s-%d", s.service, s.address[strings.LastIndex(s.address, ":")+1:], s.number)
+		s.mu.Unlock()
+		s.listen(l)
+		s.register(s.version, time.Now())
+	})
+}
+
 func (s *server) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -118,9 +163,12 @@
 
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	own := s.id
+	s.mu.Unlock()
 	id := r.Header.Get("Chestnutcleat-Request-Id")
 	w.Header().Set("Chestnutcleat-Request-Id", id)
-	if e := r.Header.Get("Chestnutcleat-Expect-Instance"); id == "" || e != "" && e != s.id {
+	if e := r.Header.Get("Chestnutcleat-Expect-Instance"); id == "" || e != "" && e != own {
 		w.Header().Set("Chestnutcleat-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -130,10 +178,22 @@
 		return
 	}
 	v := run{
-		at: time.Now(), server: s.id, id: id, target: r.RequestURI, tenant: r.Header.Get("Chestnutcleat-Tenant"), method: r.Method,
+		at: time.Now(), server: own, id: id, target: r.RequestURI, tenant: r.Header.Get("Chestnutcleat-Tenant"), method: r.Method,
 		body: string(body), lastEvent: r.Header.Get("Last-Event-Id"),
 	}
 	s.log.add(v)
+	s.mu.Lock()
+	s.active[id] = true
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.active, id)
+	}()
+	if s.poison != "" && strings.Contains(v.body, s.poison) {
+		s.crash(id)
+		return
+	}
 	w.Header().Set("Chestnutcleat-Server-Seal", "seal."+id)
 	if s.events > 0 {
 		s.writeStream(w, r, id)
