--- a/entry/admit.go
+++ b/entry/admit.go
@@ -50,11 +50,20 @@
 	}
 	c.fingerprint = FingerprintOf(c.customerID(), c.r.Method, c.r.RequestURI, c.Previous, c.body)
 	if c.Crashes.Blocked(c.fingerprint) {
-		return problem(chestnutcleat.CodeCrashing, chestnutcleat.NotRun, "the request is blocked: at least %d instances failed while they ran it", crashThreshold).WithRetry(crashWindow)
+		return c.crashing()
 	}
 	return c.checkRate()
 }
 
+// crashing returns the error for a request that is blocked since it crashes instances.
+func (c *call) crashing() error {
+	if c.runs > 0 {
+		return problem(chestnutcleat.CodeUpstreamError, chestnutcleat.Unknown, "the request is blocked after attempts that may have run: at least %d instances failed while they ran it", crashThreshold)
+	}
+	p := problem(chestnutcleat.CodeCrashing, chestnutcleat.NotRun, "the request is blocked: at least %d instances failed while they ran it", crashThreshold)
+	return p.WithRetry(c.Crashes.RetryAfter(c.fingerprint))
+}
+
 // routeUnknown returns the error for a request that no route matches.
 func (c *call) routeUnknown() error {
 	if c.Previous != "" {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -95,6 +95,10 @@
 	if assignment == nil {
 		return nil, c.noInstance("no instance is left")
 	}
+	if !c.Crashes.Begin(c.fingerprint) {
+		assignment.End(place.Neutral)
+		return nil, c.crashing()
+	}
 	c.tried = append(c.tried, assignment.ID)
 	return assignment, nil
 }
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -18,7 +18,8 @@
 	// crashThreshold is the number of crashes after which a request is refused. A request that crashes every instance it
 	// reaches is sent again by its caller and would crash further ones.
 	crashThreshold = 3
-	// crashWindow is how long a crash count stays in effect after the latest crash.
+	// crashWindow is how long a crash count stays in effect after the latest crash, and how long a request is blocked before it is
+	// tried again.
 	crashWindow = time.Minute
 	// reportWindow is how long a crash count is reported to other VMs after the latest crash.
 	reportWindow = 5 * time.Second
@@ -52,13 +53,19 @@
 }
 
 // CrashTracker detects requests that crash instances. It counts, over all VMs, the exchanges whose connection broke after a request
-// was sent, which may be crashes.
+// was sent, which may be crashes, and blocks a request after crashThreshold of them until an instance answers it in a trial.
 type CrashTracker struct {
+	// Rank returns the rank of this VM among those that take turns in trials, and their number; nil stands for a single VM.
+	Rank func() (rank, vms int)
+	// OnBlock is called when the request was blocked, was tried in vain, or is no longer blocked; optional.
+	OnBlock func(f Fingerprint, blocked bool, trials int)
+
 	mu     sync.Mutex
 	local  map[Fingerprint]crashCount
 	remote map[string]map[Fingerprint]crashCount
 	// answered is when an instance last answered a request that had been counted.
 	answered map[Fingerprint]time.Time
+	blocks   blockTable
 }
 
 type crashCount struct {
@@ -69,8 +76,13 @@
 // RecordCrash counts a crash that this VM observed.
 func (t *CrashTracker) RecordCrash(f Fingerprint) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.setLocal(f, t.local[f].count+1)
+	blocked := t.blockIfCrashing(f)
+	b := t.blocks.byRequest[f]
+	t.mu.Unlock()
+	if blocked {
+		t.notify(f, b)
+	}
 }
 
 // setLocal sets this VM's count of a request as of now. The caller holds mu.
@@ -91,16 +103,20 @@
 	maps.DeleteFunc(t.answered, func(_ Fingerprint, at time.Time) bool { return time.Since(at) > reportWindow })
 }
 
-// RecordAnswer ends the count of a request that an instance has answered, here and, by a report of zero crashes, at the other VMs:
-// what broke its connections before was not the request.
+// RecordAnswer ends the count and the block of a request that an instance has answered, here and, by a report of zero crashes, at the
+// other VMs: what broke its connections before was not the request.
 func (t *CrashTracker) RecordAnswer(f Fingerprint) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.count(f) == 0 {
-		return
+	ended := t.endBlock(f)
+	b := t.blocks.byRequest[f]
+	if ended || t.count(f) > 0 {
+		t.forget(f)
+		t.setLocal(f, 0)
+	}
+	t.mu.Unlock()
+	if ended {
+		t.notify(f, b)
 	}
-	t.forget(f)
-	t.setLocal(f, 0)
 }
 
 // forget removes all counts of a request. The caller holds mu.
@@ -116,11 +132,12 @@
 	}
 }
 
-// Blocked reports whether the request has crashed so many instances that it must not be sent to another one.
+// Blocked reports whether the request has crashed so many instances that this VM must not send it to another one now.
 func (t *CrashTracker) Blocked(f Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.count(f) >= crashThreshold
+	b := t.blocks.byRequest[f]
+	return b.active() && !t.trialDue(b)
 }
 
 // count returns the crashes of a request at all VMs. The caller holds mu.
@@ -151,32 +168,56 @@
 	return out
 }
 
-// Merge merges the crash counts of another VM, or the sums of a group of VMs, under its name. A count of zero means that the request
+// Merge merges the crash counts of another process, or the sums of a group of VMs, under its name. A count of zero means that the request
 // was answered there; for a while after that, counts that others reported before they knew may still arrive and are ignored. Repeats of
 // such a report tell of the same answer, so they leave the crashes that this VM has seen since.
 func (t *CrashTracker) Merge(name string, counts map[uint64]int) {
-	if len(counts) == 0 {
-		return
+	for k, n := range counts {
+		f := Fingerprint(k)
+		t.mu.Lock()
+		changed := t.mergeCount(name, f, n)
+		b := t.blocks.byRequest[f]
+		t.mu.Unlock()
+		if changed {
+			t.notify(f, b)
+		}
+	}
+}
+
+// mergeCount merges one count, and reports whether the request is now blocked, or no longer. The caller holds mu.
+func (t *CrashTracker) mergeCount(name string, f Fingerprint, n int) (changed bool) {
+	known := time.Since(t.answered[f]) < reportWindow
+	if known {
+		return false
+	}
+	if n == 0 {
+		t.forget(f)
+		// A block that began while the answer was being reported counted crashes from before it.
+		return time.Since(t.blocks.byRequest[f].changed) < reportWindow && t.endBlock(f)
+	}
+	m := t.remoteCounts(name)
+	m[f] = crashCount{count: max(n, m[f].count), last: time.Now()}
+	return t.blockIfCrashing(f)
+}
+
+// remoteCounts returns the counts that are kept under a name. It drops those of processes that have reported none for crashWindow. The
+// caller holds mu.
+func (t *CrashTracker) remoteCounts(name string) map[Fingerprint]crashCount {
+	if m := t.remote[name]; m != nil && len(m) < maxFingerprints {
+		return m
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	if t.remote == nil {
 		t.remote = map[string]map[Fingerprint]crashCount{}
 	}
-	m := t.remote[name]
-	if m == nil || len(m) >= maxFingerprints {
-		m = map[Fingerprint]crashCount{}
-		t.remote[name] = m
-	}
-	for k, n := range counts {
-		f := Fingerprint(k)
-		switch known := time.Since(t.answered[f]) < reportWindow; {
-		case n == 0 && !known:
-			t.forget(f)
-			continue
-		case known:
-			continue
+	for name, m := range t.remote {
+		maps.DeleteFunc(m, func(_ Fingerprint, c crashCount) bool { return time.Since(c.last) >= crashWindow })
+		if len(m) == 0 {
+			delete(t.remote, name)
 		}
-		m[f] = crashCount{count: max(n, m[f].count), last: time.Now()}
 	}
+	if m := t.remote[name]; m != nil && len(m) < maxFingerprints {
+		return m
+	}
+	t.remote[name] = map[Fingerprint]crashCount{}
+	return t.remote[name]
 }
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -56,6 +56,8 @@
 	DomainOutcomes place.OutcomeCounts `json:"near,omitzero"`
 	// CrashCounts counts, by the fingerprint of a request, how often an instance's connection broke while it ran the request.
 	CrashCounts map[uint64]int `json:"breaks,omitempty"`
+	// Blocks is the hash of the blocked requests that the relay knows.
+	Blocks uint64 `json:"blocks,omitempty"`
 	// Activities describes the programs of customers near their limits.
 	Activities rate.Activities `json:"programs,omitempty"`
 	// Departures are the instances that told one of the VMs that they leave.
@@ -76,10 +78,10 @@
 func (r *receivedDigest) isFresh() bool { return time.Since(r.arrived) < digestLifetime }
 
 // newDigest returns an empty digest. The caller holds f.mu.
-func (f *Fleet) newDigest(g Group, versions map[chestnutcleat.ObjectKind]chestnutcleat.Version) *Digest {
+func (f *Fleet) newDigest(g Group, own *Summary) *Digest {
 	f.sequence++
 	return &Digest{
-		From: f.Self.VM, Incarnation: f.incarnation, Sequence: f.sequence, Group: g, Versions: versions,
+		From: f.Self.VM, Incarnation: f.incarnation, Sequence: f.sequence, Group: g, Versions: own.Versions, Blocks: own.Blocks,
 		Load: map[uint32]int{}, CrashCounts: map[uint64]int{}, Activities: rate.Activities{},
 		departed: map[place.ProcessHash]bool{},
 	}
@@ -189,7 +191,7 @@
 func (f *Fleet) digestGroup(own *Summary) *Digest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	d := f.newDigest(f.groups.own, own.Versions)
+	d := f.newDigest(f.groups.own, own)
 	d.addSummary(own, 0)
 	for _, id := range f.groups.members[f.groups.own] {
 		if p := f.peers.byID[id]; p != nil && !p.Silent() {
@@ -201,10 +203,10 @@
 }
 
 // digestOtherGroups aggregates all other groups, and keeps the result as this VM's own view.
-func (f *Fleet) digestOtherGroups(versions map[chestnutcleat.ObjectKind]chestnutcleat.Version) *Digest {
+func (f *Fleet) digestOtherGroups(own *Summary) *Digest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	d := f.newDigest("", versions)
+	d := f.newDigest("", own)
 	now := time.Now()
 	for idHash, p := range f.peers.remote {
 		if !p.silentAt(now) {
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -287,7 +287,7 @@
 	plan := f.planSend(urgent)
 	m := message{Summary: &s, Forwarded: plan.forwarded}
 	if plan.isRelay && len(plan.to) > 0 {
-		m.GroupRole, m.Digest = roleRelay, f.digestOtherGroups(s.Versions)
+		m.GroupRole, m.Digest = roleRelay, f.digestOtherGroups(&s)
 	}
 	f.sendOrTrim(m, plan.to)
 	f.sendOrTrim(message{GroupRole: roleFallback, Summary: &s, Forwarded: plan.group, Digest: plan.view}, plan.withoutRelay)
--- a/peer/summary.go
+++ b/peer/summary.go
@@ -37,6 +37,8 @@
 	Versions map[chestnutcleat.ObjectKind]chestnutcleat.Version `json:"versions,omitempty"`
 	// CrashCounts counts, by the fingerprint of a request, how often an instance's connection broke while it ran the request.
 	CrashCounts map[uint64]int `json:"breaks,omitempty"`
+	// Blocks is a hash of the requests that are blocked since they crash instances. A VM whose hash differs copies them.
+	Blocks uint64 `json:"blocks,omitempty"`
 	// Load is the number of requests that the VM has at each instance.
 	Load map[chestnutcleat.InstanceID]int `json:"load,omitempty"`
 	// Outcomes has the outcomes of the VM's requests.
--- a/role/entry.go
+++ b/role/entry.go
@@ -25,6 +25,7 @@
 	"chestnutcleat.example/chestnutcleat/place"
 	"chestnutcleat.example/chestnutcleat/platform"
 	"chestnutcleat.example/chestnutcleat/rate"
+	"chestnutcleat.example/chestnutcleat/vm"
 )
 
 const (
@@ -58,6 +59,7 @@
 	// checkpoint reports the use of customers' rates to storage VMs.
 	checkpoint *checkpoint.Client
 	handler    *entry.Handler
+	blocks     *blockCopier
 	// share tells whether this VM may use its share of rates, and lastFleetCheck is the time of the last trackFleet. Only trackFleet uses
 	// them, so they need no lock.
 	share          shareClaim
@@ -135,6 +137,8 @@
 		Domain: e.Settings.Domain, Memory: &memory.Budget{Limit: size / bodyMemoryDivisor}, Bounds: entry.Bounds{Body: answers.Body, Event: answers.Event, Output: answers.Output},
 		OnPanic: func(err error) { e.reportPanic("request of a caller", err) },
 	}
+	e.initBlocks()
+	vm.Handle(e.mux, methodBlocks, e.blocks.serve)
 	e.follow(platform.ConfigKind, false, e.configChanged)
 	e.follow(platform.InstanceKind, true, e.instancesChanged)
 	e.follow(fleetKind, false, e.fleetChanged)
@@ -178,7 +182,7 @@
 	return nil
 }
 
-func (e *Entry) isReady() bool { return e.config.Load() != nil && !e.leaving.Load() }
+func (e *Entry) isReady() bool { return e.config.Load() != nil && e.knowsBlocks() && !e.leaving.Load() }
 
 // collectStatus returns the status of this VM.
 func (e *Entry) collectStatus() Status {
@@ -194,7 +198,7 @@
 	s.Leaving = e.leaving.Load()
 	s.PlatformUnreachable, s.Unwritable = e.platformUnreachable(), !e.ledger.Writable()
 	s.Versions = e.versions()
-	s.CrashCounts = e.handler.Crashes.RecentCounts()
+	s.CrashCounts, s.Blocks = e.handler.Crashes.RecentCounts(), e.handler.Crashes.BlocksHash()
 	s.Activities = e.limiter.Activities()
 	s.Load, s.Outcomes = e.placement.OwnLoad(), e.placement.Outcomes()
 	s.Departures = e.placement.ObservedDepartures()
@@ -202,13 +206,16 @@
 
 // handleSummary processes the summary of another VM.
 func (e *Entry) handleSummary(ctx context.Context, s *peer.Summary) {
-	e.handler.Crashes.Merge(string(s.VM), s.CrashCounts)
+	// A process that starts counts anew, so its counts add to those of the one before.
+	e.handler.Crashes.Merge(fmt.Sprintf("%s/%x", s.VM, s.Incarnation), s.CrashCounts)
+	e.blocks.catchUp(ctx, s.VM, s.Blocks)
 	e.fetcher.catchUp(ctx, s.VM, s.Versions)
 }
 
 // handleDigest processes a digest, in which a relay summarizes other VMs.
 func (e *Entry) handleDigest(ctx context.Context, d *peer.Digest) {
 	e.handler.Crashes.Merge("group "+string(d.Group), d.CrashCounts)
+	e.blocks.catchUp(ctx, d.From, d.Blocks)
 	e.fetcher.catchUp(ctx, d.From, d.Versions)
 }
 
