Take no failed call of one VM for an outage of the platform

Cause: objects that vanish were retained as in an outage after a single failed call of this VM, or when a third of them was removed within a second, although the platform answered all other VMs. VMs that don't watch ended their belief in an outage by their own probe only, up to a minute later. Ruled out: a retention shorter than drain_ms, as entries may take 2 s to come back; more probes, as calls would grow with the fleet. Change: summaries say how long ago the platform had nothing newer than the sender's versions.

--- a/mirror/apply.go
+++ b/mirror/apply.go
@@ -9,9 +9,12 @@
 	"chestnutcleat.example/chestnutcleat/guard"
 )
 
-// replace applies a complete list from the platform. A watch can continue only from a fresh one.
-func (m *Mirror) replace(s Snapshot, f chestnutcleat.Freshness) {
+// replace applies a complete list from the platform that was requested at the given time. A watch can continue only from a fresh one.
+func (m *Mirror) replace(s Snapshot, f chestnutcleat.Freshness, requested time.Time) {
 	m.update(true, func() (changed, reconnected bool) {
+		if f == chestnutcleat.Fresh {
+			m.confirm(requested)
+		}
 		if s.Version < m.version {
 			// The answer is older than the known state, for example because it was delayed.
 			return false, false
@@ -34,7 +37,7 @@
 			return false, reconnected
 		}
 		missing := m.replaceObjects(next, s)
-		m.retainMissing(missing, reconnected || listLacksMany(missing, next))
+		m.retainMissing(missing, m.mayHaveLapsed(reconnected || listLacksMany(missing, next)))
 		m.version = s.Version
 		return true, reconnected
 	})
@@ -78,13 +81,14 @@
 		}
 		if contacted {
 			reconnected, m.unreachable = m.unreachable, false
+			m.answers.note(time.Now(), m.minOutage())
 		}
 		for _, o := range list {
 			if known, ok := m.objects[o.Name]; ok && isOlder(o, known) {
 				continue
 			}
 			changed = true
-			if o.Deleted && m.RetainAfterOutage && reconnected {
+			if o.Deleted && m.RetainAfterOutage && m.mayHaveLapsed(reconnected) {
 				m.retain(o.Name)
 			} else if o.Deleted {
 				m.remove(o.Name)
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -116,6 +116,7 @@
 }
 
 func (m *Mirror) list(ctx context.Context, f chestnutcleat.Freshness) error {
+	started := time.Now()
 	list, version, err := m.Store.List(ctx, m.Kind, f)
 	if err != nil {
 		return err
@@ -123,7 +124,7 @@
 	if f == chestnutcleat.Stale {
 		version = newestVersion(list)
 	}
-	m.replace(Snapshot{Version: version, Objects: list}, f)
+	m.replace(Snapshot{Version: version, Objects: list}, f, started)
 	return nil
 }
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -29,6 +29,8 @@
 	// ProbeInterval returns the time between checks whether the platform is back, on a VM that doesn't watch and whose last
 	// call failed.
 	ProbeInterval func() time.Duration
+	// ConfirmInterval is the usual time between fresh lists of the kind by any VM, which Confirm tells; zero if there are none.
+	ConfirmInterval time.Duration
 
 	mu      sync.Mutex
 	objects map[string]chestnutcleat.StoredObject
@@ -46,6 +48,10 @@
 	lastFailure time.Time
 	// lastContact is the time of the last answer from the platform or another VM.
 	lastContact time.Time
+	// answers tells since when the platform has answered without an outage.
+	answers availability
+	// confirmedAt is when the platform last had nothing newer than the known state.
+	confirmedAt time.Time
 	// updateMu serializes updates together with their calls of OnReconnect and OnChange.
 	updateMu sync.Mutex
 }
--- a/mirror/retention.go
+++ b/mirror/retention.go
@@ -98,7 +98,7 @@
 	}
 	m.recentDeletions = slices.DeleteFunc(m.recentDeletions, func(d deletion) bool { return now.Sub(d.at) > massDeletionWindow })
 	m.recentDeletions = append(m.recentDeletions, deletion{o, now})
-	if !isMassDeletion(len(m.recentDeletions), countReadable(maps.Values(m.objects))) {
+	if !m.mayHaveLapsed(isMassDeletion(len(m.recentDeletions), countReadable(maps.Values(m.objects)))) {
 		return
 	}
 	for _, d := range m.recentDeletions {
--- a/mirror/snapshot.go
+++ b/mirror/snapshot.go
@@ -84,7 +84,7 @@
 			}
 		}
 		missing := m.replaceObjects(next, s)
-		m.retainMissing(missing, listLacksMany(missing, next))
+		m.retainMissing(missing, m.mayHaveLapsed(listLacksMany(missing, next)))
 		if m.RetainAfterOutage {
 			for _, name := range s.Retained {
 				m.retain(name)
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -64,6 +64,8 @@
 	Departures []place.ProcessHash `json:"left,omitempty"`
 	// Versions are the versions of the platform's objects that the relay has.
 	Versions map[chestnutcleat.ObjectKind]chestnutcleat.Version `json:"versions,omitempty"`
+	// Confirmed has the times, in milliseconds, since the platform had nothing newer than these versions.
+	Confirmed map[chestnutcleat.ObjectKind]uint32 `json:"confirmed,omitempty"`
 
 	// departed collects the instances from which sampleDepartures selects Departures.
 	departed map[place.ProcessHash]bool
@@ -81,7 +83,7 @@
 func (f *Fleet) newDigest(g Group, own *Summary) *Digest {
 	f.sequence++
 	return &Digest{
-		From: f.Self.VM, Incarnation: f.incarnation, Sequence: f.sequence, Group: g, Versions: own.Versions, Blocks: own.Blocks,
+		From: f.Self.VM, Incarnation: f.incarnation, Sequence: f.sequence, Group: g, Versions: own.Versions, Confirmed: own.Confirmed, Blocks: own.Blocks,
 		Load: map[uint32]int{}, CrashCounts: map[uint64]int{}, Activities: rate.Activities{},
 		departed: map[place.ProcessHash]bool{},
 	}
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -94,6 +94,7 @@
 		if !p.silentAt(now) {
 			v := Forwarded{Summary: p.Summary, Age: uint32(now.Sub(p.LastHeard).Milliseconds())}
 			v.Member = Member{VM: p.VM}
+			v.addAge(v.Age)
 			list = append(list, v)
 		}
 	}
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -378,3 +379,20 @@
 	}
 	is.Equal(len(newGroups(list[0], list[1:maxSingleGroup]).members), 1)
 }
+
+// What a relay passes on must count from when its sender said it: a VM that hears a relay, but not the sender any more, would take an old
+// list of instances for a current one.
+func TestForwardedConfirmationsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const kind = chestnutcleat.ObjectKind("servers")
+		heard := newPeer(member(1))
+		heard.Confirmed, heard.LastHeard = map[chestnutcleat.ObjectKind]uint32{kind: 700}, time.Now()
+		time.Sleep(300 * time.Millisecond)
+		forwarded := forwardedSummaries([]*Peer{heard})
+		is.Equal(forwarded[0].Confirmed[kind], uint32(1000))
+		is.Equal(heard.Confirmed[kind], uint32(700))
+		heard.Confirmed[kind] = math.MaxUint32 - 1
+		is.Equal(forwardedSummaries([]*Peer{heard})[0].Confirmed[kind], uint32(math.MaxUint32))
+	})
+}
--- a/peer/summary.go
+++ b/peer/summary.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"slices"
 
 	"chestnutcleat.example/chestnutcleat"
@@ -35,6 +36,8 @@
 	Unwritable bool `json:"unwritable,omitempty"`
 	// Versions are the versions of the platform's objects that the VM has.
 	Versions map[chestnutcleat.ObjectKind]chestnutcleat.Version `json:"versions,omitempty"`
+	// Confirmed has the times, in milliseconds, since the platform had nothing newer than these versions.
+	Confirmed map[chestnutcleat.ObjectKind]uint32 `json:"confirmed,omitempty"`
 	// CrashCounts counts, by the fingerprint of a request, how often an instance's connection broke while it ran the request.
 	CrashCounts map[uint64]int `json:"breaks,omitempty"`
 	// Blocks is a hash of the requests that are blocked since they crash instances. A VM whose hash differs copies them.
@@ -81,6 +84,15 @@
 	s.Leaving, s.PlatformUnreachable, s.Unwritable = f&flagLeaving != 0, f&flagPlatformUnreachable != 0, f&flagUnwritable != 0
 }
 
+// addAge adds the time since the summary was sent, in milliseconds, to the times in it.
+func (s *Summary) addAge(age uint32) {
+	older := make(map[chestnutcleat.ObjectKind]uint32, len(s.Confirmed))
+	for k, v := range s.Confirmed {
+		older[k] = v + min(age, math.MaxUint32-v)
+	}
+	s.Confirmed = older
+}
+
 // withoutCounts returns the summary without the fields that grow with the numbers of instances, broken requests and programs.
 func (s Summary) withoutCounts() Summary {
 	s.Load, s.CrashCounts, s.Outcomes, s.Activities = nil, nil, place.OutcomeCounts{}, nil
--- a/role/base.go
+++ b/role/base.go
@@ -44,6 +44,8 @@
 	fleet   *peer.Fleet
 	// mirrors holds the mirror of each kind that this VM follows.
 	mirrors map[chestnutcleat.ObjectKind]*mirror.Mirror
+	// polled are the kinds that the VMs list in turn.
+	polled  []chestnutcleat.ObjectKind
 	fetcher *fetcher
 	tcp     net.Listener
 	// started is the start time of the process.
--- a/role/entry.go
+++ b/role/entry.go
@@ -40,8 +40,6 @@
 	maxAddressTTLSeconds = 0.85
 	// fleetCheckInterval is the time between updates from the other VMs' reports.
 	fleetCheckInterval = 200 * time.Millisecond
-	// maxFleetCheckGap is the time between two of these updates from which this VM counts as having been paused.
-	maxFleetCheckGap = 5 * fleetCheckInterval
 	// bodyMemoryDivisor divides the process's memory to get the budget for bodies.
 	bodyMemoryDivisor = 4
 )
@@ -60,10 +58,10 @@
 	checkpoint *checkpoint.Client
 	handler    *entry.Handler
 	blocks     *blockCopier
-	// share tells whether this VM may use its share of rates, and lastFleetCheck is the time of the last trackFleet. Only trackFleet uses
-	// them, so they need no lock.
-	share          shareClaim
-	lastFleetCheck time.Time
+	// share tells whether this VM may use its share of rates. Only trackFleet uses it, so it needs no lock.
+	share shareClaim
+	// following tells whether the list of instances has been followed without a gap.
+	following instanceFollower
 	// servers are the HTTP servers for callers, readiness and the registry.
 	servers []*accept.Server
 	// reportedConfig is the last version of the configuration that was reported as invalid.
@@ -86,7 +84,7 @@
 	e.start(ctx, g)
 	g.Go(func() error { return e.ledger.Run(ctx) })
 	g.Go(func() error { return e.checkpoint.Run(ctx) })
-	g.Go(func() error { return e.poll(ctx, platform.ConfigKind, platform.InstanceKind) })
+	g.Go(func() error { return e.poll(ctx) })
 	g.Go(func() error { return e.repeat(ctx, fleetCheckInterval, "reports of other VMs", e.trackFleet) })
 	g.Go(func() error {
 		return e.repeat(ctx, memberExpiryInterval, "silent VMs", func() { e.removeSilentVMs(ctx) })
@@ -139,9 +137,11 @@
 	}
 	e.initBlocks()
 	vm.Handle(e.mux, methodBlocks, e.blocks.serve)
+	e.polled = []chestnutcleat.ObjectKind{platform.ConfigKind, platform.InstanceKind}
 	e.follow(platform.ConfigKind, false, e.configChanged)
 	e.follow(platform.InstanceKind, true, e.instancesChanged)
 	e.follow(fleetKind, false, e.fleetChanged)
+	e.following.mirror = e.mirrors[platform.InstanceKind]
 	e.registerGauges()
 	e.Metrics.NewGauge("body_memory_bytes", func() float64 { return float64(e.handler.Memory.Used()) })
 }
@@ -197,7 +197,7 @@
 func (e *Entry) describe(s *peer.Summary) {
 	s.Leaving = e.leaving.Load()
 	s.PlatformUnreachable, s.Unwritable = e.platformUnreachable(), !e.ledger.Writable()
-	s.Versions = e.versions()
+	s.Versions, s.Confirmed = e.versions(), e.confirmed()
 	s.CrashCounts, s.Blocks = e.handler.Crashes.RecentCounts(), e.handler.Crashes.BlocksHash()
 	s.Activities = e.limiter.Activities()
 	s.Load, s.Outcomes = e.placement.OwnLoad(), e.placement.Outcomes()
@@ -209,6 +209,7 @@
 	// A process that starts counts anew, so its counts add to those of the one before.
 	e.handler.Crashes.Merge(fmt.Sprintf("%s/%x", s.VM, s.Incarnation), s.CrashCounts)
 	e.blocks.catchUp(ctx, s.VM, s.Blocks)
+	e.applyConfirmed(s.Versions, s.Confirmed)
 	e.fetcher.catchUp(ctx, s.VM, s.Versions)
 }
 
@@ -216,16 +217,15 @@
 func (e *Entry) handleDigest(ctx context.Context, d *peer.Digest) {
 	e.handler.Crashes.Merge("group "+string(d.Group), d.CrashCounts)
 	e.blocks.catchUp(ctx, d.From, d.Blocks)
+	e.applyConfirmed(d.Versions, d.Confirmed)
 	e.fetcher.catchUp(ctx, d.From, d.Versions)
 }
 
 // trackFleet updates the instances' load and the set of VMs that share the rates from what other VMs report.
 func (e *Entry) trackFleet() {
-	// Registrations may come and go unseen while the platform does not answer, or while this VM is paused.
-	if e.mirrors[platform.InstanceKind].Unreachable() || time.Since(e.lastFleetCheck) > maxFleetCheckGap {
+	if err := e.following.check(); err != nil {
 		e.placement.RestartVersionHistory()
 	}
-	e.lastFleetCheck = time.Now()
 	e.applyTotals()
 	if e.mirrors[fleetKind].Version() > 0 {
 		e.limiter.SetVMs(e.shareHolders())
--- a/role/follow.go
+++ b/role/follow.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"iter"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
@@ -43,6 +45,14 @@
 		Rand:         rand.New(rand.NewPCG(seed, seed)),
 		ShouldWatch:  b.shouldWatch, ShouldPoll: shouldPoll, ProbeInterval: b.probeInterval,
 	}
+	if slices.Contains(b.polled, k) {
+		b.mirrors[k].ConfirmInterval = b.pollSlot() * time.Duration(len(b.polled))
+	}
+}
+
+// pollSlot returns the length of the slots in which the VMs list in turn.
+func (b *base) pollSlot() time.Duration {
+	return time.Duration(min(b.Settings.ApplyMS, b.Settings.DrainMS)) * time.Millisecond / pollSlotDivisor
 }
 
 // shouldWatch reports whether this VM watches the platform itself.
@@ -119,6 +129,35 @@
 	return false
 }
 
+// confirmed returns how long ago the platform had nothing newer than the versions of the polled kinds, in milliseconds.
+func (b *base) confirmed() map[chestnutcleat.ObjectKind]uint32 {
+	out := make(map[chestnutcleat.ObjectKind]uint32, len(b.polled))
+	for _, k := range b.polled {
+		if age, ok := b.mirrors[k].Confirmed(); ok {
+			out[k] = uint32(min(age.Milliseconds(), math.MaxUint32))
+		}
+	}
+	return out
+}
+
+// applyConfirmed applies what another VM says on when the platform had nothing newer than its versions.
+func (b *base) applyConfirmed(versions map[chestnutcleat.ObjectKind]chestnutcleat.Version, ages map[chestnutcleat.ObjectKind]uint32) {
+	if len(ages) == 0 {
+		return
+	}
+	latest := time.Duration(math.MaxInt64)
+	for k, v := range ages {
+		age := time.Duration(v) * time.Millisecond
+		latest = min(latest, age)
+		if m := b.mirrors[k]; m != nil {
+			m.Confirm(versions[k], age)
+		}
+	}
+	for _, m := range b.mirrors {
+		m.AnsweredOther(latest)
+	}
+}
+
 // versions returns the version of each kind that this VM follows.
 func (b *base) versions() map[chestnutcleat.ObjectKind]chestnutcleat.Version {
 	out := make(map[chestnutcleat.ObjectKind]chestnutcleat.Version, len(b.mirrors))
@@ -128,9 +167,9 @@
 	return out
 }
 
-// poll lists the given kinds in turn with the other VMs that are heard, so that calls don't grow with the fleet.
-func (b *base) poll(ctx context.Context, kinds ...chestnutcleat.ObjectKind) error {
-	slotLength := time.Duration(min(b.Settings.ApplyMS, b.Settings.DrainMS)) * time.Millisecond / pollSlotDivisor
+// poll lists the polled kinds in turn with the other VMs that are heard, so that calls don't grow with the fleet.
+func (b *base) poll(ctx context.Context) error {
+	kinds, slotLength := b.polled, b.pollSlot()
 	for {
 		// The wall clock only distributes the turns: if it jumps, a list is made twice or late.
 		now := time.Now()
--- a/role/share_test.go
+++ b/role/share_test.go
@@ -25,6 +25,7 @@
 	e := &Entry{placement: place.NewTable()}
 	e.self = peer.Member{VM: id(0)}
 	e.mirrors = map[chestnutcleat.ObjectKind]*mirror.Mirror{fleetKind: {Kind: fleetKind}, platform.InstanceKind: {Kind: platform.InstanceKind}}
+	e.following.mirror = e.mirrors[platform.InstanceKind]
 	e.fleet = &peer.Fleet{Self: e.self}
 	var list []peer.Member
 	for i := range vms {
