Let no VM out of step tell a stream's software version

Cause: without a record of the stream, registrations count as proof if no call of this VM failed; a VM that doesn't watch makes none, and one that goes on after a pause may be asked before it notices. Ruled out: dropping registrations as evidence, which callers that name no attempt need.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -35,6 +35,8 @@
 	Memory *memory.Budget
 	// Bounds limits the answers of instances.
 	Bounds Bounds
+	// ConfirmInstances returns an error unless Instances has been followed up to now; nil stands for no error.
+	ConfirmInstances func(ctx context.Context) error
 	// OnPanic is called with the panic of a request that ended in one; nil means that it is dropped.
 	OnPanic func(err error)
 
--- a/entry/takeup.go
+++ b/entry/takeup.go
@@ -20,6 +20,7 @@
 	refusedUnreadable    takeUpRefusal = "unreadable"
 	refusedUnknown       takeUpRefusal = "unknown"
 	refusedInstances     takeUpRefusal = "instances"
+	refusedUnconfirmed   takeUpRefusal = "unconfirmed"
 )
 
 // refusalDetails tells callers the reasons.
@@ -30,6 +31,7 @@
 	refusedUnreadable:    "the records that name the stream's software version cannot be read",
 	refusedUnknown:       "it is not known which software version began the stream",
 	refusedInstances:     "no instance of the software version that began the stream is ready",
+	refusedUnconfirmed:   "it is not known which software version began the stream, as this VM may have missed registrations",
 }
 
 var errOtherVersion = errors.New("all streams of the route that are on record began at one version, but another one is registered")
@@ -70,8 +72,13 @@
 
 // continueAt selects the service and the software version of an origin that is on record.
 func (t *turn) continueAt(o ledger.Origin, byRoute bool) error {
-	if byRoute && t.Instances.OtherVersion(o.Service, o.Software) {
-		return t.refuseTakeUp(refusedUnknown, errOtherVersion)
+	if byRoute {
+		if err := t.confirmInstances(); err != nil {
+			return t.refuseTakeUp(refusedUnconfirmed, err)
+		}
+		if t.Instances.OtherVersion(o.Service, o.Software) {
+			return t.refuseTakeUp(refusedUnknown, errOtherVersion)
+		}
 	}
 	t.service = o.Service
 	if !t.route.LeadsTo(o.Service) {
@@ -84,6 +91,9 @@
 
 // continueByRegistrations selects the only software version that instances of the service have had, as none is on record.
 func (t *turn) continueByRegistrations(notFound error) error {
+	if err := t.confirmInstances(); err != nil {
+		return t.refuseTakeUp(refusedUnconfirmed, errors.Join(notFound, err))
+	}
 	version, ok := t.onlyVersion()
 	if !ok {
 		return t.refuseTakeUp(refusedUnknown, notFound)
@@ -93,6 +103,17 @@
 	return nil
 }
 
+// confirmInstances returns an error unless this VM's registrations are evidence: a VM that was cut off or stood still may lack the version
+// of instances that joined meanwhile, and that began the stream through another VM.
+func (t *turn) confirmInstances() error {
+	if t.ConfirmInstances == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, recordTimeout)
+	defer cancel()
+	return t.ConfirmInstances(ctx)
+}
+
 // evidence names where the software version of a stream was found.
 func evidence(byRoute bool) string {
 	if byRoute {
--- a/role/entry.go
+++ b/role/entry.go
@@ -142,6 +142,7 @@
 	e.follow(platform.InstanceKind, true, e.instancesChanged)
 	e.follow(fleetKind, false, e.fleetChanged)
 	e.following.mirror = e.mirrors[platform.InstanceKind]
+	e.handler.ConfirmInstances = e.following.confirm
 	e.registerGauges()
 	e.Metrics.NewGauge("body_memory_bytes", func() float64 { return float64(e.handler.Memory.Used()) })
 }
