Count long heads of answers as memory of their requests

What callers would see: a VM over its memory when instances let many long heads trickle in. Ruled out: a lower bound on one head, which sound answers may need.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -139,6 +139,7 @@
 	}
 	q := &exchange.Request{
 		ID: c.ID, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: c.Codec.ForwardHeader(c.r.Header, f), Body: body,
+		Reserve: c.memory.Add,
 	}
 	if ctx.Err() != nil {
 		return nil, c.endFailed(assignment, &exchange.Error{Err: context.Cause(ctx)})
--- a/entry/endless_test.go
+++ b/entry/endless_test.go
@@ -153,6 +153,40 @@
 	}
 }
 
+// Long heads that many instances' answers trickle in at the same time must count as memory of their requests, as bodies do: they were bounded
+// one by one only, and all of them together could take the memory of the VM.
+func TestManyLongHeads(t *testing.T) {
+	const requests, limit, headBytes = 32, 128 << 10, 24 << 10
+	runInBubble(t, func(r *receivedRequest, q *http.Request, w io.Writer) bool {
+		id := q.Header.Get("Chestnutcleat-Request-Id")
+		if id == "small" {
+			return respondOK(r, q, w)
+		}
+		_, _ = io.WriteString(w, strings.Replace(okHead, "ID", id, 1)+"X: "+strings.Repeat("x", headBytes))
+		return hangUntilClosed(r, w)
+	}, func(is *is.I, h *harness) {
+		h.handler.Memory.Limit = limit
+		var all sync.WaitGroup
+		for i := range requests {
+			all.Go(func() {
+				resp, _, err := h.do(h.t.Context(), "/book/", "b", "Chestnutcleat-Request-Id", fmt.Sprint("r", i))
+				is.NoErr(err)
+				is.True(resp.StatusCode >= 500 && resp.StatusCode != 503) // the instance may have run it
+			})
+		}
+		time.Sleep(bookTimeout / 2)
+		synctest.Wait()
+		used := h.handler.Memory.Used()
+		is.True(used >= limit/2 && used <= limit)
+		is.True(h.handler.InFlight() <= limit/(headBytes-4<<10)) // the other heads were given up
+		resp, _, err := h.do(h.t.Context(), "/check/", "", "Chestnutcleat-Request-Id", "small")
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, 200)
+		all.Wait()
+		is.Equal(h.handler.Memory.Used(), int64(0))
+	})
+}
+
 // Callers that announce large bodies and send them slowly must not take the memory of others, and must be answered in time.
 func TestSlowRequestBodies(t *testing.T) {
 	runInBubble(t, respondOK, func(is *is.I, h *harness) {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -30,6 +30,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Reserve is called before n more bytes of a long response head are kept; an error ends the exchange. It may be nil.
+	Reserve func(n int64) error
 }
 
 // Error is the error of an exchange that failed before the response header was read.
@@ -102,6 +104,7 @@
 	} else {
 		writeResult <- nil
 	}
+	c.reserve = q.Reserve
 	resp, err := c.readHead(request, cmp.Or(p.MaxHead, defaultMaxHead))
 	if err != nil {
 		return nil, &Error{Sent: true, Err: err}
@@ -114,8 +117,8 @@
 
 // readHead reads the head of the final response, after any informational responses.
 func (c *conn) readHead(request *http.Request, limit int64) (*http.Response, error) {
-	c.inHead, c.headLeft = true, limit
-	defer func() { c.inHead = false }()
+	c.inHead, c.headLeft, c.headRead = true, limit, 0
+	defer func() { c.inHead, c.reserve = false, nil }()
 	for {
 		resp, err := http.ReadResponse(c.reader, request)
 		switch {
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -56,9 +56,11 @@
 	address chestnutcleat.Address
 	// sentIDs holds the hashes of the ids of the requests that were sent on the connection.
 	sentIDs []uint64
-	// inHead is set while the head of a response is read, which may take headLeft more bytes.
-	inHead   bool
-	headLeft int64
+	// inHead is set while the head of a response is read, which may take headLeft more bytes. headRead is what was read of it, of which the
+	// part that does not fit into the buffer is reserved.
+	inHead             bool
+	headLeft, headRead int64
+	reserve            func(n int64) error
 	// expires is when an idle connection must no longer be used, as the instance may close it.
 	expires time.Time
 }
@@ -106,6 +108,13 @@
 	}
 	n, err := c.Conn.Read(b[:min(int64(len(b)), c.headLeft)])
 	c.headLeft -= int64(n)
+	before := max(c.headRead, readBufferSize)
+	c.headRead += int64(n)
+	if more := c.headRead - before; more > 0 && c.reserve != nil {
+		if err := c.reserve(more); err != nil {
+			return 0, err
+		}
+	}
 	return n, err
 }
 
