Keep blocked requests at storage VMs, beyond the end of all entry VMs

Evidence: role.TestBlockOutlastsAllEntryVMs without the storing: the request is let through again, 6 crashes, not 3. Change: the first entry VM that is heard sends the blocks to one more storage VM than may be lost; a VM that starts reads them there before it is ready. Ruled out: an object of the platform, whose writes are priced and fail in an outage.

--- a/role/blocks.go
+++ b/role/blocks.go
@@ -133,24 +133,28 @@
 			e.Observer.Emit(event.RequestUnblocked, "fingerprint", f)
 		}
 		e.fleet.SendSoon()
+		e.backup.notify()
 	}
 	e.blocks = &blockCopier{
 		tracker: t, peers: e.client, observer: e.Observer, address: e.fleet.Address,
 		onPanic: func(err error) { e.reportPanic("blocked requests of another VM", err) },
 	}
+	e.backup = &blockBackup{
+		tracker: t, peers: e.client, observer: e.Observer, stores: e.blockStores,
+		isFirst: func() bool { rank, _ := e.rankHeard(); return rank == 0 },
+		known:   func() bool { return e.mirrors[fleetKind].Version() > 0 },
+		changed: make(chan struct{}, 1),
+	}
 }
 
-// knowsBlocks reports whether this VM knows which requests are blocked, as far as another VM can tell it. Only the first VM of a fleet, or
-// one that reaches no other, starts without that.
+// knowsBlocks reports whether this VM knows which requests are blocked, as far as other VMs can tell it. One that reaches no storage VM, or no
+// other entry VM of those that it knows, waits no longer than startCopyTime.
 func (e *Entry) knowsBlocks() bool {
-	if e.blocks.hasCopied() {
-		return true
-	}
-	if e.mirrors[fleetKind].Version() == 0 {
-		return time.Since(e.started) > startCopyTime
-	}
-	if _, heard := e.rankHeard(); heard == 1 {
-		return true
-	}
-	return time.Since(e.started) > startCopyTime
+	return time.Since(e.started) > startCopyTime || e.backup.restored.Load() && (e.blocks.hasCopied() || e.isAlone())
+}
+
+// isAlone reports whether this VM knows the fleet and hears no other entry VM.
+func (e *Entry) isAlone() bool {
+	_, heard := e.rankHeard()
+	return heard == 1 && e.backup.known()
 }
--- a/role/crashes_test.go
+++ b/role/crashes_test.go
@@ -74,3 +74,28 @@
 	}
 	is.Equal(crashes.Load(), before)
 }
+
+// The block must outlast the processes of all entry VMs: storage VMs keep it. Each time that all of them ended, the request reached three
+// more instances.
+func TestBlockOutlastsAllEntryVMs(t *testing.T) {
+	is := is.New(t)
+	var crashes atomic.Int64
+	f := newFleet(t, 1, func(http.ResponseWriter, *http.Request) {
+		crashes.Add(1)
+		panic(http.ErrAbortHandler)
+	})
+	e, number := f.entries[0], 0
+	poison := func() int {
+		number++
+		return e.sendPoison(t, fmt.Sprint("p", number))
+	}
+	f.eventually("the storage VM keeps records", func() bool {
+		_, ok := f.platform.Get("fleet", "copies")
+		return ok
+	})
+	f.eventually("the request is blocked", func() bool { return poison() == http.StatusServiceUnavailable && crashes.Load() >= 3 })
+	before := crashes.Load()
+	f.restart(e)
+	f.eventually("the request is blocked again", func() bool { return poison() == http.StatusServiceUnavailable })
+	is.Equal(crashes.Load(), before)
+}
--- a/role/entry.go
+++ b/role/entry.go
@@ -58,6 +58,7 @@
 	checkpoint *checkpoint.Client
 	handler    *entry.Handler
 	blocks     *blockCopier
+	backup     *blockBackup
 	// share tells whether this VM may use its share of rates. Only trackFleet uses it, so it needs no lock.
 	share shareClaim
 	// following tells whether the list of instances has been followed without a gap.
@@ -84,6 +85,7 @@
 	e.start(ctx, g)
 	g.Go(func() error { return e.ledger.Run(ctx) })
 	g.Go(func() error { return e.checkpoint.Run(ctx) })
+	g.Go(func() error { return e.backup.run(ctx) })
 	g.Go(func() error { return e.poll(ctx) })
 	g.Go(func() error { return e.repeat(ctx, fleetCheckInterval, "reports of other VMs", e.trackFleet) })
 	g.Go(func() error {
--- a/role/store.go
+++ b/role/store.go
@@ -59,6 +59,11 @@
 	store.Register(s.mux)
 	checkpoints := &checkpoint.Store{Folder: filepath.Join(s.Settings.DataFolder, checkpointFolder)}
 	checkpoints.Register(s.mux)
+	blocks := &blockStore{path: filepath.Join(s.Settings.DataFolder, blocksFile)}
+	if err := blocks.read(); err != nil {
+		s.Observer.Emit(event.RecordsUnreadable, "error", err)
+	}
+	blocks.register(s.mux)
 	g, ctx := errgroup.WithContext(ctx)
 	s.build(ctx)
 	if err := s.listen(ctx); err != nil {
