Hand a relay's and a watcher's duty over before the VM is gone

Cause: a VM that shuts down stayed a relay until it was missed, 2.4 s in other groups; when both relays of a group ended within that time, the group learned nothing.

--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -60,6 +60,8 @@
 	// lastRemoteDigest is when this VM, as a relay, last sent to other groups, and lastForward when it last forwarded summaries to its
 	// own.
 	lastRemoteDigest, lastForward time.Time
+	// leaving is set once this VM's summaries say that it leaves.
+	leaving bool
 	// urgent is set while a change waits to be sent.
 	urgent    bool
 	lastGrant uint64
@@ -302,6 +304,7 @@
 	defer f.mu.Unlock()
 	f.sequence++
 	s.Member, s.Incarnation, s.Sequence = f.Self, f.incarnation, f.sequence
+	f.leaving = s.Leaving
 	urgent, f.urgent = f.urgent, false
 	return urgent
 }
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -125,21 +125,45 @@
 	return len(f.groups.members) > 1 && slices.Contains(f.relaysOf(f.groups.own), f.Self.VM)
 }
 
-// relaysOf returns the first VMs of a group that are heard, or a random one if none is. The caller holds f.mu.
+// relaysOf returns the first VMs of a group that are heard and stay, or else the first ones that are heard, or a random one if none is. A VM
+// that leaves hands over before it is gone. The caller holds f.mu.
 func (f *Fleet) relaysOf(g Group) []chestnutcleat.VMID {
-	var list []chestnutcleat.VMID
+	var list, leaving []chestnutcleat.VMID
 	members := f.groups.members[g]
 	for _, id := range members {
-		p := f.peers.byID[id]
-		if id != f.Self.VM && (p == nil || p.Silent() || g == f.groups.own && p.directlySilent()) {
+		switch {
+		case !f.canRelay(id, g):
 			continue
+		case f.isLeaving(id):
+			leaving = append(leaving, id)
+		default:
+			list = append(list, id)
 		}
-		if list = append(list, id); len(list) == relaysPerGroup {
+		if len(list) == relaysPerGroup {
 			return list
 		}
 	}
+	list = append(list, leaving[:min(len(leaving), relaysPerGroup-len(list))]...)
 	if len(list) == 0 && len(members) > 0 {
 		list = append(list, members[rand.IntN(len(members))])
 	}
 	return list
 }
+
+// canRelay reports whether a VM of a group is heard. The caller holds f.mu.
+func (f *Fleet) canRelay(id chestnutcleat.VMID, g Group) bool {
+	if id == f.Self.VM {
+		return true
+	}
+	p := f.peers.byID[id]
+	return p != nil && !p.Silent() && (g != f.groups.own || !p.directlySilent())
+}
+
+// isLeaving reports whether a VM shuts down. The caller holds f.mu.
+func (f *Fleet) isLeaving(id chestnutcleat.VMID) bool {
+	if id == f.Self.VM {
+		return f.leaving
+	}
+	p := f.peers.byID[id]
+	return p != nil && p.Leaving
+}
--- a/role/follow.go
+++ b/role/follow.go
@@ -69,10 +69,10 @@
 }
 
 // isWatcher reports whether a VM with these peers watches the platform: always in a small fleet; as one of the first VMs that
-// are heard; or, if it reaches the platform, in place of VMs that don't. In an outage only the first ones continue to watch.
+// are heard and stay; or, if it reaches the platform, in place of VMs that don't. In an outage only the first ones continue to watch.
 func isWatcher(self chestnutcleat.VMID, unreachable bool, peers iter.Seq[*peer.Peer]) bool {
-	rank, heard := rankHeard(self, peers, anyPeer)
-	reachingRank, _ := rankHeard(self, peers, func(p *peer.Peer) bool { return !p.PlatformUnreachable })
+	rank, heard := rankHeard(self, peers, func(p *peer.Peer) bool { return !p.Leaving })
+	reachingRank, _ := rankHeard(self, peers, func(p *peer.Peer) bool { return !p.Leaving && !p.PlatformUnreachable })
 	return heard <= maxAllWatchFleet || rank < watcherCount || !unreachable && reachingRank < watcherCount
 }
 
--- a/role/follow_test.go
+++ b/role/follow_test.go
@@ -28,6 +28,7 @@
 		{"the first are silent", 50, func(i int) string { return map[bool]string{i < 10: "silent"}[true] }, map[int]bool{10: true, 10 + watcherCount - 1: true, 10 + watcherCount: false}},
 		{"the first are cut off from the platform", 50, func(i int) string { return map[bool]string{i < 10: "away"}[true] }, map[int]bool{watcherCount - 1: true, 10: true, 10 + watcherCount - 1: true, 10 + watcherCount: false}},
 		{"the platform is down", 50, func(int) string { return "away" }, map[int]bool{watcherCount - 1: true, watcherCount: false, 49: false}},
+		{"the first leave", 50, func(i int) string { return map[bool]string{i < 3: "leaving"}[true] }, map[int]bool{3: true, 3 + watcherCount - 1: true, 3 + watcherCount: false}},
 		{"nobody is heard", 50, func(int) string { return "silent" }, map[int]bool{49: true}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -36,7 +37,7 @@
 				for self, want := range tt.want {
 					var peers []peer.Peer
 					for i := range tt.vms {
-						p := peer.Peer{Summary: peer.Summary{Member: peer.Member{VM: id(i)}, PlatformUnreachable: tt.state(i) == "away"}}
+						p := peer.Peer{Summary: peer.Summary{Member: peer.Member{VM: id(i)}, PlatformUnreachable: tt.state(i) == "away", Leaving: tt.state(i) == "leaving"}}
 						if tt.state(i) != "silent" {
 							p.LastHeard = time.Now()
 						}
