--- a/cmd/chestnutcleat/soak.go
+++ b/cmd/chestnutcleat/soak.go
@@ -22,6 +22,7 @@
 	kinds    string
 	planFile string
 	disks    string
+	size     soak.Size
 	print    bool
 	keep     bool
 }
@@ -36,7 +37,7 @@
 
 // Usage implements subcommands.Command.
 func (*soakCommand) Usage() string {
-	return "soak [-seed N] [-runs N] [-for DURATION] [-kinds LIST] [-plan FILE] [-disks FOLDER] [-print] [-keep]\n" +
+	return "soak [-seed N] [-runs N] [-for DURATION] [-kinds LIST] [-plan FILE] [-entries N] [-routes N] [-disks FOLDER] [-print] [-keep]\n" +
 		"\tViolated guarantees are printed, with the request if there is one; the logs of all processes are then kept, and the exit status is 1.\n"
 }
 
@@ -47,6 +48,8 @@
 	f.DurationVar(&c.length, "for", time.Minute, "length of a run; 8 s at its start and end are without faults")
 	f.StringVar(&c.kinds, "kinds", "", "kinds of faults, separated by commas; empty for all")
 	f.StringVar(&c.planFile, "plan", "", "file with a plan, as -print writes it")
+	f.IntVar(&c.size.Entries, "entries", 0, "number of entry VMs; 0 for a small fleet")
+	f.IntVar(&c.size.Routes, "routes", 0, "number of routes besides those that callers use")
 	f.StringVar(&c.disks, "disks", "", "folder for the storage VMs' disks, best in a file system in memory; empty for the folder of the run")
 	f.BoolVar(&c.keep, "keep", false, "keep the logs of all processes in any case")
 	f.BoolVar(&c.print, "print", false, "print the plan instead of running it")
@@ -101,5 +104,5 @@
 			kinds = append(kinds, soak.FaultKind(k))
 		}
 	}
-	return soak.NewPlan(seed, c.length, kinds...)
+	return soak.NewPlan(seed, c.length, c.size, kinds...)
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -1,12 +1,14 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -20,7 +22,7 @@
 )
 
 const (
-	entryCount, storeCount, toolCount, modelCount = 4, 3, 3, 4
+	defaultEntryCount, storeCount, toolCount, modelCount = 4, 3, 3, 4
 	// versionCount is the number of software versions of each service.
 	versionCount = 2
 
@@ -41,10 +43,10 @@
 	return list
 }
 
-// fleetNames returns the names of the VMs and instances of each run.
-func fleetNames() memberNames {
+// names returns the names of the VMs and instances.
+func (s Size) names() memberNames {
 	return memberNames{
-		entries: numberedNames("entry-", entryCount), stores: numberedNames("store-", storeCount),
+		entries: numberedNames("entry-", cmp.Or(s.Entries, defaultEntryCount)), stores: numberedNames("store-", storeCount),
 		instances: append(numberedNames(instance.ServiceTool+"-", toolCount), numberedNames(instance.ServiceModel+"-", modelCount)...),
 	}
 }
@@ -60,6 +62,7 @@
 
 // fleet holds the processes and stand-ins of a run.
 type fleet struct {
+	names            memberNames
 	log              *instance.Log
 	platform         *store.Store
 	processes        map[string]*process
@@ -79,28 +82,28 @@
 const spareStore = "store-spare"
 
 // newFleet starts the stand-ins and the VMs' processes; the processes' files are in dir, the storage VMs' disks in another folder.
-func newFleet(binary, dir, disks string, spare bool) (*fleet, error) {
+func newFleet(binary, dir, disks string, plan *Plan) (*fleet, error) {
+	names := plan.names()
 	f := &fleet{
-		log: &instance.Log{}, platform: store.New(), config: instance.Sample{Timeout: requestTimeout},
+		names: names, log: &instance.Log{}, platform: store.New(), config: instance.Sample{Timeout: requestTimeout, ExtraRoutes: plan.Routes},
 		processes: map[string]*process{}, standinInstances: map[string]*standinInstance{},
 	}
 	platform, err := f.serveStandin(f.platform.Handler())
 	if err != nil {
 		return nil, err
 	}
-	names := fleetNames()
 	for i, id := range names.instances {
 		if err := f.addInstance(id, domain(i)); err != nil {
 			return nil, err
 		}
 	}
 	f.updateConfig(func(*instance.Sample) {})
-	if spare {
+	if plan.Spare {
 		names.stores = append(names.stores, spareStore)
 	}
-	for i, id := range append(names.entries, names.stores...) {
+	for i, id := range slices.Concat(names.entries, names.stores) {
 		kind := settings.RoleEntry
-		if i >= entryCount {
+		if i >= len(names.entries) {
 			kind = settings.RoleStore
 		}
 		if err := f.addProcess(binary, dir, vmSettings(id, kind, i, platform.Addr().String(), disks)); err != nil {
@@ -202,8 +205,7 @@
 // outliers returns the VMs whose state differs from most VMs of their role.
 func (f *fleet) outliers(ctx context.Context) []string {
 	var out []string
-	names := fleetNames()
-	for _, id := range []string{names.entries[0], names.stores[0]} {
+	for _, id := range []string{f.names.entries[0], f.names.stores[0]} {
 		a := net.JoinHostPort(f.processes[id].settings.IP, fmt.Sprint(metricsPort))
 		answers, err := role.Survey(ctx, chestnutcleat.Address(a))
 		if err != nil {
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -63,7 +63,7 @@
 			p.signal(syscall.SIGKILL)
 		}
 	case KillEntries:
-		for _, id := range fleetNames().entries {
+		for _, id := range f.names.entries {
 			f.processes[id].signal(syscall.SIGKILL)
 		}
 	case MalformedMessages:
@@ -78,6 +78,10 @@
 		f.leaveOddEntries(ctx, duration)
 	case ChangeConfiguration:
 		f.updateConfig(func(s *instance.Sample) { s.Timeout = requestTimeout + duration })
+	case AddRoutes:
+		f.updateConfig(func(s *instance.Sample) { s.ExtraRoutes += routesPerChange })
+	case Release:
+		f.release(ctx, rand.New(rand.NewPCG(uint64(fault.At), releaseStream)), duration)
 	case WithdrawKey:
 		f.updateConfig(func(s *instance.Sample) { s.Withdrawn = true })
 		_ = chestnutcleat.Sleep(ctx, duration)
--- a/soak/malformed.go
+++ b/soak/malformed.go
@@ -34,14 +34,14 @@
 // vmMethods are the methods of the VMs.
 var vmMethods = []chestnutcleat.Method{
 	"ledger/append", "ledger/fetch", "ledger/adopt", "ledger/dump", "ledger/join", "ledger/origin", "mirror/packed", "checkpoint/save",
-	"checkpoint/load", "no/such",
+	"checkpoint/load", "entry/blocks", "entry/keep", "no/such",
 }
 
 // sendMalformed sends malformed datagrams, bytes and calls to all VMs in turn until ctx is done.
 func (f *fleet) sendMalformed(ctx context.Context, random *rand.Rand) {
 	client := vm.NewClient()
 	defer client.Close()
-	names := fleetNames()
+	names := f.names
 	all := append(names.entries, names.stores...)
 	for i := 0; chestnutcleat.Sleep(ctx, malformedInterval) == nil; i++ {
 		to := f.processes[all[i%len(all)]].settings.Internal()
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -40,6 +40,9 @@
 	PlatformCompact      FaultKind = "compact"
 	// OddEntries leaves entries of another writer, which can't be decoded, among the platform's objects of all kinds.
 	OddEntries FaultKind = "odd-entry"
+	// AddRoutes adds routes to the configuration, and Release stops entry VMs gracefully one after the other.
+	AddRoutes FaultKind = "routes"
+	Release   FaultKind = "release"
 	// MalformedMessages sends malformed datagrams, bytes and calls to the VMs' ports for each other.
 	MalformedMessages FaultKind = "malformed"
 	// InstanceErrors lets an instance answer with errors, LoseAnswers run requests but lose their answers, DuplicateAnswers send an
@@ -78,11 +81,15 @@
 	DripAnswers:         targetInstance,
 	ChangeConfiguration: targetNone, WithdrawKey: targetNone, DrainInstance: targetInstance,
 	LeavingAnswers: targetInstance, UnframedAnswers: targetInstance,
+	AddRoutes: targetNone, Release: targetNone,
 }
 
+// namedOnly are the kinds that a plan has only if they are named. The plans of seeds that name no kinds stay as they were without them.
+var namedOnly = map[FaultKind]bool{AddRoutes: true, Release: true}
+
 // checkDelays are added to the duration of changes, which can only be checked after the delay in which they take effect.
 var checkDelays = map[FaultKind]time.Duration{
-	WithdrawKey: maxApplyDelay, DrainInstance: maxApplyDelay, LeavingAnswers: maxDrainDelay + drainingTime,
+	AddRoutes: maxApplyDelay, WithdrawKey: maxApplyDelay, DrainInstance: maxApplyDelay, LeavingAnswers: maxDrainDelay + drainingTime,
 }
 
 // changeSubject is what a change acts on; a plan has only one change of each subject at a time.
@@ -91,11 +98,12 @@
 const (
 	subjectKey changeSubject = iota
 	subjectRegistrations
+	subjectRoutes
 )
 
 // changeSubjects maps the kinds in checkDelays to what they change.
 var changeSubjects = map[FaultKind]changeSubject{
-	WithdrawKey: subjectKey, DrainInstance: subjectRegistrations, LeavingAnswers: subjectRegistrations,
+	AddRoutes: subjectRoutes, WithdrawKey: subjectKey, DrainInstance: subjectRegistrations, LeavingAnswers: subjectRegistrations,
 }
 
 type targetKind int
@@ -141,10 +149,19 @@
 	Seed   uint64                 `json:"seed"`
 	Length chestnutcleat.Duration `json:"length"`
 	// Spare adds a storage VM that holds no records until it takes the place of one that is silent, which then comes back.
-	Spare  bool    `json:"spare,omitempty"`
+	Spare bool `json:"spare,omitempty"`
+	Size
 	Faults []Fault `json:"faults"`
 }
 
+// Size is the size of the fleet and its configuration; zero stands for a default.
+type Size struct {
+	// Entries is the number of entry VMs.
+	Entries int `json:"entries,omitempty"`
+	// Routes is the number of routes that the configuration has besides the sample's own.
+	Routes int `json:"routes,omitempty"`
+}
+
 // memberNames are the names of the VMs and instances that a plan may act on.
 type memberNames struct{ entries, stores, instances []string }
 
@@ -152,12 +169,13 @@
 const MinLength = 2*quietPeriod + maxFaultDuration
 
 // NewPlan draws a plan with faults of the given kinds, or of all kinds if none is given. The same arguments give the same plan.
-func NewPlan(seed uint64, length time.Duration, kinds ...FaultKind) (Plan, error) {
+func NewPlan(seed uint64, length time.Duration, size Size, kinds ...FaultKind) (Plan, error) {
 	random := rand.New(rand.NewPCG(seed, 7))
-	names := fleetNames()
-	p := Plan{Seed: seed, Length: chestnutcleat.Duration(length), Spare: seed%2 == 1}
+	names := size.names()
+	p := Plan{Seed: seed, Length: chestnutcleat.Duration(length), Spare: seed%2 == 1, Size: size}
 	if len(kinds) == 0 {
 		kinds = slices.Collect(maps.Keys(targets))
+		kinds = slices.DeleteFunc(kinds, func(k FaultKind) bool { return namedOnly[k] })
 	}
 	for _, k := range kinds {
 		if _, ok := targets[k]; !ok {
@@ -216,7 +234,7 @@
 	if err := json.Unmarshal(data, &p); err != nil {
 		return Plan{}, fmt.Errorf("plan %s: %w", path, err)
 	}
-	names := fleetNames()
+	names := p.names()
 	all := slices.Concat(names.entries, names.stores, names.instances)
 	for i, f := range p.Faults {
 		t, ok := targets[f.Kind]
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -195,7 +195,7 @@
 
 // nonDisruptive are the kinds of faults that must not interrupt any request; instances that answer slowly do so within the deadline.
 var nonDisruptive = map[FaultKind]bool{
-	Stop: true, ReloadSettings: true, PlatformDown: true, PlatformLoseAnswers: true, PlatformStallWatches: true, PlatformCompact: true,
+	Stop: true, Release: true, AddRoutes: true, ReloadSettings: true, PlatformDown: true, PlatformLoseAnswers: true, PlatformStallWatches: true, PlatformCompact: true,
 	MalformedMessages: true, DelayAnswers: true, ChangeConfiguration: true, WithdrawKey: true, DrainInstance: true, LeavingAnswers: true, UnframedAnswers: true, OddEntries: true,
 }
 
--- a/soak/recorder_test.go
+++ b/soak/recorder_test.go
@@ -125,9 +125,9 @@
 func TestNewPlan(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(50) {
-		p, err := NewPlan(seed, 2*time.Minute)
+		p, err := NewPlan(seed, 2*time.Minute, Size{})
 		is.NoErr(err)
-		again, err := NewPlan(seed, 2*time.Minute)
+		again, err := NewPlan(seed, 2*time.Minute, Size{})
 		is.NoErr(err)
 		is.Equal(p, again)
 		storeUnavailableUntil := time.Duration(0)
@@ -140,6 +140,6 @@
 			}
 		}
 	}
-	_, err := NewPlan(1, time.Minute, "earthquake")
+	_, err := NewPlan(1, time.Minute, Size{}, "earthquake")
 	is.True(err != nil)
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -54,7 +54,7 @@
 		return err
 	}
 	defer os.RemoveAll(disks)
-	f, err := newFleet(s.Binary, s.Dir, disks, s.Plan.Spare)
+	f, err := newFleet(s.Binary, s.Dir, disks, &s.Plan)
 	if err != nil {
 		return err
 	}
@@ -65,6 +65,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { w.run(ctx, f.processes) })
 	s.startCallers(ctx, &wg, f, r)
+	wg.Go(func() { f.probeRoutes(ctx, r, &s.Plan) })
 	for _, fault := range s.Plan.Faults {
 		if chestnutcleat.Sleep(ctx, time.Duration(fault.At)-time.Since(r.start)) != nil {
 			break
--- a/standin/instance/config.go
+++ b/standin/instance/config.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"fmt"
 	"maps"
 	"time"
 )
@@ -14,6 +15,8 @@
 	PathNonIdempotent = "/book/"
 	PathRetained      = StreamPrefix + "kept/"
 	PathResumable     = StreamPrefix + "moves/"
+	// PathExtra is the beginning of the paths of the idempotent routes that are added to the configuration.
+	PathExtra = "/extra/"
 	// ServiceTool and ServiceModel are the services of the sample configuration.
 	ServiceTool  = "tool"
 	ServiceModel = "model"
@@ -44,8 +47,13 @@
 	Withdrawn bool
 	// Timeout is the timeout of all routes.
 	Timeout time.Duration
+	// ExtraRoutes is the number of routes under PathExtra, each with a path prefix of its own.
+	ExtraRoutes int
 }
 
+// ExtraPath returns the path prefix of a route under PathExtra, from 0.
+func ExtraPath(n int) string { return fmt.Sprint(PathExtra, n, "/") }
+
 // Configuration returns a configuration with two services, in the format of the platform.
 func (s Sample) Configuration() any {
 	var customers []any
@@ -63,14 +71,18 @@
 		maps.Copy(out, options)
 		return out
 	}
+	routes := []any{
+		route("check", PathIdempotent, ServiceTool, map[string]any{"type": "idempotent", "max_attempts": 3}),
+		route("book", PathNonIdempotent, ServiceTool, map[string]any{"type": "non_idempotent", "max_attempts": 1}),
+		route("kept", PathRetained, ServiceModel, map[string]any{"type": "streaming", "max_attempts": 2, "gap_target_ms": 250, "retained": true, "retention_s": 60}),
+		route("moves", PathResumable, ServiceModel, map[string]any{"type": "streaming", "max_attempts": 3, "gap_target_ms": 250, "resumable": true}),
+	}
+	for i := range s.ExtraRoutes {
+		routes = append(routes, route(fmt.Sprint("extra-", i), ExtraPath(i), ServiceTool, map[string]any{"type": "idempotent", "max_attempts": 3}))
+	}
 	return map[string]any{
 		"version": s.Version,
-		"routes": []any{
-			route("check", PathIdempotent, ServiceTool, map[string]any{"type": "idempotent", "max_attempts": 3}),
-			route("book", PathNonIdempotent, ServiceTool, map[string]any{"type": "non_idempotent", "max_attempts": 1}),
-			route("kept", PathRetained, ServiceModel, map[string]any{"type": "streaming", "max_attempts": 2, "gap_target_ms": 250, "retained": true, "retention_s": 60}),
-			route("moves", PathResumable, ServiceModel, map[string]any{"type": "streaming", "max_attempts": 3, "gap_target_ms": 250, "resumable": true}),
-		},
+		"routes":  routes,
 		"services": []any{
 			map[string]any{"name": ServiceTool},
 			map[string]any{"name": ServiceModel, "engine": map[string]any{"chunk_tokens": TokensPerEvent}},
