Reject summaries without an incarnation, which silenced VMs for good

Cause: when the list of VMs changes, some come from one group to another; a relay knows those by digests only, and passed on their empty summary. Receivers took incarnation 0 for a new process and rejected the real one as a past one.

--- a/peer/relay.go
+++ b/peer/relay.go
@@ -86,12 +86,13 @@
 	return to
 }
 
-// forwardedSummaries returns the summaries of those VMs that are not silent.
+// forwardedSummaries returns the summaries of those VMs that are not silent. A VM that has just come from another group is known by the
+// digests of that group only and has no summary yet.
 func forwardedSummaries(peers []*Peer) []Forwarded {
 	now := time.Now()
 	list := make([]Forwarded, 0, len(peers))
 	for _, p := range peers {
-		if !p.silentAt(now) {
+		if !p.silentAt(now) && p.Incarnation != 0 {
 			v := Forwarded{Summary: p.Summary, Age: uint32(now.Sub(p.LastHeard).Milliseconds())}
 			v.Member = Member{VM: p.VM}
 			v.addAge(v.Age)
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -432,6 +432,7 @@
 		is := is.New(t)
 		const kind = chestnutcleat.ObjectKind("servers")
 		heard := newPeer(member(1))
+		heard.Incarnation = 1
 		heard.Confirmed, heard.LastHeard = map[chestnutcleat.ObjectKind]uint32{kind: 700}, time.Now()
 		time.Sleep(300 * time.Millisecond)
 		forwarded := forwardedSummaries([]*Peer{heard})
--- a/peer/sequence.go
+++ b/peer/sequence.go
@@ -2,7 +2,8 @@
 
 import "slices"
 
-// Incarnation identifies one process of a VM. It is random, as the clock may be behind after a restart.
+// Incarnation identifies one process of a VM. It is random, as the clock may be behind after a restart. Zero stands for a process that was
+// not heard yet.
 type Incarnation uint64
 
 // maxPastIncarnations bounds the past incarnations whose late datagrams can be rejected.
@@ -17,8 +18,11 @@
 }
 
 // accept reports whether a message is newer than all accepted ones, and records it. The first message of an unknown incarnation ends
-// the current one.
+// the current one, so one without an incarnation must not count.
 func (s *sequenceFilter) accept(i Incarnation, sequence uint64) bool {
+	if i == 0 {
+		return false
+	}
 	if i == s.incarnation {
 		if sequence <= s.sequence {
 			return false
