Use no share of a rate before this VM is listed

What was seen (72 real entry VMs): in the first second of a fleet 153 requests of a customer ran where a window of 5 s allows 152. Cause: the first list of the fleet is stale or empty, and a VM that was not listed yet counted itself to it, so each took the whole limit.

--- a/role/share.go
+++ b/role/share.go
@@ -18,20 +18,21 @@
 	wasListed bool
 }
 
-// holds reports whether the VM may use its share now: its object is listed, or not listed yet, and others can't have removed it
-// unnoticed. lastInformed is when the VM could last learn of changes at the platform.
-func (c *shareClaim) holds(listed bool, lastInformed time.Time) bool {
+// holds reports whether the VM may use its share now: its object is listed, or was never and the VM is settled, and others can't have removed
+// it unnoticed. A VM that has just started, and is not settled, may know a few of the others only, and would take too large a share.
+// lastInformed is when the VM could last learn of changes at the platform.
+func (c *shareClaim) holds(listed, settled bool, lastInformed time.Time) bool {
 	if lastInformed.After(c.informedAt) {
 		c.informedAt = lastInformed
 	}
 	c.wasListed = c.wasListed || listed
-	return (listed || !c.wasListed) && time.Since(c.informedAt) < shareExpiry
+	return (listed || !c.wasListed && settled) && time.Since(c.informedAt) < shareExpiry
 }
 
 // shareHolders returns the VMs that share the rates, without this one while it may not use its share.
 func (e *Entry) shareHolders() []chestnutcleat.VMID {
 	holders := e.fleet.VMs()
-	if e.share.holds(e.isListed(), e.lastInformed()) {
+	if e.share.holds(e.isListed(), e.settled(), e.lastInformed()) {
 		holders = append(holders, e.self.VM)
 	}
 	return holders
--- a/role/share_test.go
+++ b/role/share_test.go
@@ -141,3 +141,23 @@
 		is.Equal(fmt.Sprint(e.shareHolders()), "[v01 v02 v03 v04 v05 v06 v00]")
 	})
 }
+
+// A VM that has just started must not use a share before it is listed: its first list may be old and lack most of the others. Each VM of a fleet
+// that started took the whole limit for its own, and a customer got 153 requests in the first second where a window allows 152.
+func TestStartingVMWaitsForItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := silentEntry(0)
+		e.started = time.Now()
+		e.setListed(false)
+		is.Equal(len(e.shareHolders()), 0)
+		time.Sleep(maxSettleTime / 2)
+		is.Equal(len(e.shareHolders()), 0)
+		e.contactPlatform(2)
+		time.Sleep(maxSettleTime)
+		is.Equal(len(e.shareHolders()), 1) // it can't be listed, as the platform takes no writes
+		started := silentEntry(0)
+		started.started = time.Now()
+		is.Equal(len(started.shareHolders()), 1) // a VM that starts again is listed already
+	})
+}
