Give no VM the changes that another one asked for

Cause: the answer that is kept for many VMs was given to VMs of any older version if it held a single object; it holds changes since a version that a VM further behind lacks, so that VM drops it and asks again. Ruled out: believing such answers.

--- a/role/fetch.go
+++ b/role/fetch.go
@@ -83,15 +83,10 @@
 	if m == nil {
 		return packedObjects{}, fmt.Errorf("kind %q is not followed here", r.Kind)
 	}
-	s := m.SnapshotSince(r.Since)
-	since := s.Since
-	if len(s.Objects) == 1 && len(s.Retained) == 0 {
-		// The same object answers VMs of all older versions.
-		since = 0
-	}
+	s := wholeIfSingle(m, m.SnapshotSince(r.Since))
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if p := f.packed[r.Kind]; p.version == s.Version && p.since == since && len(s.Retained) == 0 {
+	if p := f.packed[r.Kind]; p.version == s.Version && p.since == s.Since && len(s.Retained) == 0 {
 		return p.packedObjects, nil
 	}
 	data, err := pack(s)
@@ -99,11 +94,22 @@
 		return packedObjects{}, err
 	}
 	if len(s.Retained) == 0 {
-		f.packed[r.Kind] = packedAnswer{since: since, version: s.Version, packedObjects: data}
+		f.packed[r.Kind] = packedAnswer{since: s.Since, version: s.Version, packedObjects: data}
 	}
 	return data, nil
 }
 
+// wholeIfSingle returns all of a kind that has a single object, in place of its changes: one answer then serves VMs of all older versions.
+func wholeIfSingle(m *mirror.Mirror, changes mirror.Snapshot) mirror.Snapshot {
+	if len(changes.Objects) != 1 {
+		return changes
+	}
+	if whole := m.SnapshotSince(0); len(whole.Objects) == 1 {
+		return whole
+	}
+	return changes
+}
+
 func pack(s mirror.Snapshot) (packedObjects, error) {
 	data, err := vm.Encoding{}.Marshal(s)
 	if err != nil {
--- a/role/fetch_test.go
+++ b/role/fetch_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -148,3 +149,45 @@
 		}
 	})
 }
+
+// An answer that was made for one VM must not be given to another one that is further behind: it holds the changes since a version that the
+// other lacks, so the other drops it and keeps an old configuration although it asks again and again.
+func TestAnswerOfAnotherVMIsNotReused(t *testing.T) {
+	object := func(name string, v chestnutcleat.Version) chestnutcleat.StoredObject {
+		return chestnutcleat.StoredObject{Name: name, Version: v}
+	}
+	for name, tt := range map[string]struct {
+		// others are objects besides the one that changes, and behind is the version of the VM that is further behind.
+		others []chestnutcleat.StoredObject
+		behind chestnutcleat.Version
+	}{
+		"a kind of one object":                  {nil, 10},
+		"several objects":                       {[]chestnutcleat.StoredObject{object("a", 9)}, 10},
+		"several objects, all of them are due":  {[]chestnutcleat.StoredObject{object("a", 9), object("b", 8)}, 5},
+		"a kind of one object, it is due whole": {nil, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				snapshot := func(v chestnutcleat.Version) mirror.Snapshot {
+					return mirror.Snapshot{Version: v, Objects: append(slices.Clone(tt.others), object("main", v))}
+				}
+				n := vm.NewNetwork(1)
+				relay, near, far := newFetchingVM(n, "relay"), newFetchingVM(n, "near"), newFetchingVM(n, "far")
+				far.mirrors[configKind].Merge(mirror.Snapshot{Version: tt.behind})
+				for v := chestnutcleat.Version(10); v <= 30; v += 10 {
+					relay.mirrors[configKind].Merge(snapshot(v))
+					if v < 30 {
+						near.mirrors[configKind].Merge(snapshot(v))
+					}
+				}
+				for _, behind := range []*fetchingVM{near, far} {
+					behind.catchUp(t.Context(), "relay", map[chestnutcleat.ObjectKind]chestnutcleat.Version{configKind: 30})
+					time.Sleep(time.Second)
+					is.Equal(behind.version(), chestnutcleat.Version(30))
+				}
+				is.Equal(len(near.mirrors[configKind].SnapshotSince(0).Objects), 1+len(tt.others))
+			})
+		})
+	}
+}
