Take a stale list of several pages as complete up to its oldest page only

What could happen: an object that was written on an earlier page while a later one was read was missing for good, at the VM that listed and at those that copy from it. Cause: the version of the list was that of its newest object, on whichever page. Ruled out: fresh lists.

--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -122,7 +122,7 @@
 		return err
 	}
 	if f == chestnutcleat.Stale {
-		version = newestVersion(list)
+		version = min(version, newestVersion(list))
 	}
 	m.replace(Snapshot{Version: version, Objects: list}, f, started)
 	return nil
--- a/mirror/stale_test.go
+++ b/mirror/stale_test.go
@@ -54,6 +54,22 @@
 	})
 }
 
+// A stale list of several pages may have newer objects than the version up to which it is complete: a VM that took their version for its own
+// never asked others for what it lacked.
+func TestStaleListOfPages(t *testing.T) {
+	runWithPlatform(t, func(t *testing.T, is *is.I, p *fakePlatform) {
+		p.set("a")
+		p.withLock(func(p *fakePlatform) {
+			p.staleObjects = maps.Clone(p.objects)
+			p.staleObjects["z"] = chestnutcleat.StoredObject{Name: "z", Version: p.version + 5}
+		})
+		m, known := runMirrorIf(t, p, func() bool { return false })
+		time.Sleep(time.Second)
+		is.Equal(known(), []string{"a", "z"})
+		is.Equal(m.Version(), p.version)
+	})
+}
+
 // A kind without objects must count as known after a stale list, or no VM would announce itself as the first.
 func TestEmptyStaleList(t *testing.T) {
 	runWithPlatform(t, func(t *testing.T, is *is.I, p *fakePlatform) {
--- a/objectstore.go
+++ b/objectstore.go
@@ -39,7 +39,8 @@
 const (
 	// Fresh lists include every write that was acknowledged before the call.
 	Fresh Freshness = iota
-	// Stale lists may be seconds older than the version that comes with them; they cost the platform a tenth of a fresh list.
+	// Stale lists may be seconds older than the version that comes with them; they cost the platform a tenth of a fresh list. They have all
+	// changes up to that version or up to their newest object, whichever is older.
 	Stale
 )
 
