--- a/entry/blocks.go
+++ b/entry/blocks.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// blockLifetime is how long a block is kept after the last crash, and its end after the answer that ended it.
+	// blockLifetime is how long a block is kept after it began, ended or was last tried.
 	blockLifetime = 24 * time.Hour
 	// maxBlocks bounds the blocked requests.
 	maxBlocks = 1024
-	// maxTrials is the number of crashed trials after which a request stays blocked until the block is forgotten.
+	// maxTrials is the number of trials without an answer after which a request stays blocked for blockLifetime.
 	maxTrials = 3
 	// trialBackoff multiplies the time until the next trial after each one that crashed; the first is due after crashWindow.
 	trialBackoff = 8
@@ -93,7 +93,7 @@
 	hash      uint64
 }
 
-// set stores a block. A full table drops what has expired, and then what changed first.
+// set stores a block. A full table drops the one that changed first.
 func (t *blockTable) set(f Fingerprint, b block) {
 	if t.byRequest == nil {
 		t.byRequest = map[Fingerprint]block{}
--- a/role/blocks.go
+++ b/role/blocks.go
@@ -42,8 +42,9 @@
 	// onPanic receives the panics of copies.
 	onPanic func(error)
 
-	mu       sync.Mutex
-	running  bool
+	mu      sync.Mutex
+	running bool
+	// next is when the next copy may begin, and interval the time that it waits after the last one.
 	next     time.Time
 	interval time.Duration
 	// copied is set once the blocks of another VM are known.
@@ -75,7 +76,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if same {
-		c.copied, c.interval = true, 0
+		c.copied, c.interval, c.next = true, 0, time.Time{}
 	}
 	if same || c.running || time.Now().Before(c.next) {
 		return false
