--- a/soak/malformed.go
+++ b/soak/malformed.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -41,8 +42,7 @@
 func (f *fleet) sendMalformed(ctx context.Context, random *rand.Rand) {
 	client := vm.NewClient()
 	defer client.Close()
-	names := f.names
-	all := append(names.entries, names.stores...)
+	all := slices.Concat(f.names.entries, f.names.stores)
 	for i := 0; chestnutcleat.Sleep(ctx, malformedInterval) == nil; i++ {
 		to := f.processes[all[i%len(all)]].settings.Internal()
 		switch random.IntN(3) {
