--- a/role/entry.go
+++ b/role/entry.go
@@ -209,8 +209,10 @@
 
 // handleSummary processes the summary of another VM.
 func (e *Entry) handleSummary(ctx context.Context, s *peer.Summary) {
-	// A process that starts counts anew, so its counts add to those of the one before.
-	e.handler.Crashes.Merge(fmt.Sprintf("%s/%x", s.VM, s.Incarnation), s.CrashCounts)
+	if len(s.CrashCounts) > 0 {
+		// A process that starts counts anew, so its counts add to those of the one before.
+		e.handler.Crashes.Merge(fmt.Sprintf("%s/%x", s.VM, s.Incarnation), s.CrashCounts)
+	}
 	e.blocks.catchUp(ctx, s.VM, s.Blocks)
 	e.applyConfirmed(s.Versions, s.Confirmed)
 	e.fetcher.catchUp(ctx, s.VM, s.Versions)
