Change the state of crashing requests in one place that reports it

The next generation of a block and the dropping of old counts are each in one function. Behaviour is unchanged.

--- a/entry/blocks.go
+++ b/entry/blocks.go
@@ -106,6 +106,11 @@
 	t.hash ^= b.hash(f)
 }
 
+// startGeneration begins the next generation of a request's block.
+func (t *blockTable) startGeneration(f Fingerprint) {
+	t.set(f, block{generation: t.byRequest[f].generation + 1, changed: time.Now()})
+}
+
 func (t *blockTable) remove(f Fingerprint) {
 	if b, ok := t.byRequest[f]; ok {
 		t.hash ^= b.hash(f)
@@ -169,23 +174,19 @@
 
 // mergeBlock merges one block and reports whether it changed more than the time.
 func (t *CrashTracker) mergeBlock(f Fingerprint, b block) bool {
-	t.mu.Lock()
-	known, ok := t.blocks.byRequest[f]
-	if ok && !b.newerThan(known) {
-		t.mu.Unlock()
-		return false
-	}
-	t.blocks.set(f, b)
-	changed := !ok || b.hash(f) != known.hash(f)
-	if changed && !b.active() {
-		// The answer that ended the block ended the counts as well.
-		t.forget(f)
-	}
-	t.mu.Unlock()
-	if changed {
-		t.notify(f, b)
-	}
-	return changed
+	return t.update(f, func() bool {
+		known, ok := t.blocks.byRequest[f]
+		if ok && !b.newerThan(known) {
+			return false
+		}
+		t.blocks.set(f, b)
+		changed := !ok || b.hash(f) != known.hash(f)
+		if changed && !b.active() {
+			// The answer that ended the block ended the counts as well.
+			t.forget(f)
+		}
+		return changed
+	})
 }
 
 // blockIfCrashing blocks a request whose crashes have reached crashThreshold, and reports whether it did. The caller holds mu.
@@ -194,17 +195,16 @@
 	if b.active() || t.count(f) < crashThreshold {
 		return false
 	}
-	t.blocks.set(f, block{generation: b.generation + 1, changed: time.Now()})
+	t.blocks.startGeneration(f)
 	return true
 }
 
 // endBlock ends the block of a request that was answered, and reports whether there was one. The caller holds mu.
 func (t *CrashTracker) endBlock(f Fingerprint) bool {
-	b := t.blocks.byRequest[f]
-	if !b.active() {
+	if !t.blocks.byRequest[f].active() {
 		return false
 	}
-	t.blocks.set(f, block{generation: b.generation + 1, changed: time.Now()})
+	t.blocks.startGeneration(f)
 	return true
 }
 
@@ -224,22 +224,17 @@
 // Begin records that the request is about to be sent to an instance. It returns false if the request is blocked. A request that is due for
 // a trial counts as crashed until it is answered, so that no other VM sends it meanwhile.
 func (t *CrashTracker) Begin(f Fingerprint) bool {
-	t.mu.Lock()
-	b := t.blocks.byRequest[f]
-	if !b.active() {
-		t.mu.Unlock()
-		return true
-	}
-	due := t.trialDue(b)
-	if due {
-		b = block{generation: b.generation, trials: min(b.trials+1, maxTrials), changed: time.Now()}
-		t.blocks.set(f, b)
-	}
-	t.mu.Unlock()
-	if due {
-		t.notify(f, b)
-	}
-	return due
+	blocked := false
+	t.update(f, func() (tried bool) {
+		b := t.blocks.byRequest[f]
+		tried = b.active() && t.trialDue(b)
+		blocked = b.active() && !tried
+		if tried {
+			t.blocks.set(f, block{generation: b.generation, trials: min(b.trials+1, maxTrials), changed: time.Now()})
+		}
+		return tried
+	})
+	return !blocked
 }
 
 // RetryAfter returns the time until a blocked request may be tried again.
@@ -249,9 +244,19 @@
 	return max(trialTurn, time.Until(t.blocks.byRequest[f].trialAt()))
 }
 
-// notify calls OnBlock. The caller does not hold mu.
-func (t *CrashTracker) notify(f Fingerprint, b block) {
-	if t.OnBlock != nil {
+// update changes the state of a request under the lock, and calls OnBlock if change reports that its block changed.
+func (t *CrashTracker) update(f Fingerprint, change func() bool) bool {
+	changed, b := t.locked(f, change)
+	if changed && t.OnBlock != nil {
 		t.OnBlock(f, b.active(), int(b.trials))
 	}
+	return changed
+}
+
+// locked calls change under the lock and returns its result and the block of the request after it.
+func (t *CrashTracker) locked(f Fingerprint, change func() bool) (changed bool, b block) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed = change()
+	return changed, t.blocks.byRequest[f]
 }
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -75,14 +75,10 @@
 
 // RecordCrash counts a crash that this VM observed.
 func (t *CrashTracker) RecordCrash(f Fingerprint) {
-	t.mu.Lock()
-	t.setLocal(f, t.local[f].count+1)
-	blocked := t.blockIfCrashing(f)
-	b := t.blocks.byRequest[f]
-	t.mu.Unlock()
-	if blocked {
-		t.notify(f, b)
-	}
+	t.update(f, func() bool {
+		t.setLocal(f, t.local[f].count+1)
+		return t.blockIfCrashing(f)
+	})
 }
 
 // setLocal sets this VM's count of a request as of now. The caller holds mu.
@@ -106,17 +102,14 @@
 // RecordAnswer ends the count and the block of a request that an instance has answered, here and, by a report of zero crashes, at the
 // other VMs: what broke its connections before was not the request.
 func (t *CrashTracker) RecordAnswer(f Fingerprint) {
-	t.mu.Lock()
-	ended := t.endBlock(f)
-	b := t.blocks.byRequest[f]
-	if ended || t.count(f) > 0 {
-		t.forget(f)
-		t.setLocal(f, 0)
-	}
-	t.mu.Unlock()
-	if ended {
-		t.notify(f, b)
-	}
+	t.update(f, func() bool {
+		ended := t.endBlock(f)
+		if ended || t.count(f) > 0 {
+			t.forget(f)
+			t.setLocal(f, 0)
+		}
+		return ended
+	})
 }
 
 // forget removes all counts of a request. The caller holds mu.
@@ -174,13 +167,7 @@
 func (t *CrashTracker) Merge(name string, counts map[uint64]int) {
 	for k, n := range counts {
 		f := Fingerprint(k)
-		t.mu.Lock()
-		changed := t.mergeCount(name, f, n)
-		b := t.blocks.byRequest[f]
-		t.mu.Unlock()
-		if changed {
-			t.notify(f, b)
-		}
+		t.update(f, func() bool { return t.mergeCount(name, f, n) })
 	}
 }
 
@@ -200,24 +187,27 @@
 	return t.blockIfCrashing(f)
 }
 
-// remoteCounts returns the counts that are kept under a name. It drops those of processes that have reported none for crashWindow. The
+// remoteCounts returns the counts that are kept under a name. Before it adds a name, or if there are too many counts, it drops old ones. The
 // caller holds mu.
 func (t *CrashTracker) remoteCounts(name string) map[Fingerprint]crashCount {
-	if m := t.remote[name]; m != nil && len(m) < maxFingerprints {
-		return m
+	if m := t.remote[name]; m == nil || len(m) >= maxFingerprints {
+		t.dropOldRemote()
 	}
 	if t.remote == nil {
 		t.remote = map[string]map[Fingerprint]crashCount{}
 	}
+	if m := t.remote[name]; m == nil || len(m) >= maxFingerprints {
+		t.remote[name] = map[Fingerprint]crashCount{}
+	}
+	return t.remote[name]
+}
+
+// dropOldRemote drops the counts that were not reported for crashWindow, and the names without counts. The caller holds mu.
+func (t *CrashTracker) dropOldRemote() {
 	for name, m := range t.remote {
 		maps.DeleteFunc(m, func(_ Fingerprint, c crashCount) bool { return time.Since(c.last) >= crashWindow })
 		if len(m) == 0 {
 			delete(t.remote, name)
 		}
 	}
-	if m := t.remote[name]; m != nil && len(m) < maxFingerprints {
-		return m
-	}
-	t.remote[name] = map[Fingerprint]crashCount{}
-	return t.remote[name]
 }
