Serve and copy blocked requests, and choose storage VMs, by one function each

Entry and storage VMs answered the same method by two functions, the copier and the restore after a start each called it and merged the answer, and the choice of storage VMs for blocks repeated that for checkpoints but for its order. Behaviour is unchanged.

--- a/role/blocks.go
+++ b/role/blocks.go
@@ -9,6 +9,7 @@
 	"chestnutcleat.example/chestnutcleat/entry"
 	"chestnutcleat.example/chestnutcleat/event"
 	"chestnutcleat.example/chestnutcleat/guard"
+	"chestnutcleat.example/chestnutcleat/vm"
 )
 
 const (
@@ -31,6 +32,22 @@
 	Blocks []entry.Block `json:"blocks"`
 }
 
+// handleBlocks registers the method by which other VMs copy the blocks of a tracker.
+func handleBlocks(m *vm.Mux, t *entry.CrashTracker) {
+	vm.Handle(m, methodBlocks, func(context.Context, blocksRequest) (blocksReply, error) {
+		return blocksReply{Blocks: t.Blocks()}, nil
+	})
+}
+
+// copyBlocks copies the blocks of the VM at an address and reports whether any was new.
+func copyBlocks(ctx context.Context, peers chestnutcleat.Peers, a chestnutcleat.Address, t *entry.CrashTracker) (changed bool, err error) {
+	var r blocksReply
+	if err := peers.Call(ctx, a, methodBlocks, blocksRequest{}, &r); err != nil {
+		return false, err
+	}
+	return t.MergeBlocks(r.Blocks), nil
+}
+
 // blockCopier keeps this VM's blocked requests equal to those of the other VMs. A VM that has just started, or was cut off from the others,
 // copies them from the first one that it hears.
 type blockCopier struct {
@@ -51,11 +68,6 @@
 	copied bool
 }
 
-// serve answers a VM whose blocks differ.
-func (c *blockCopier) serve(context.Context, blocksRequest) (blocksReply, error) {
-	return blocksReply{Blocks: c.tracker.Blocks()}, nil
-}
-
 // catchUp copies the blocks of another VM if theirs have another hash than its own.
 func (c *blockCopier) catchUp(ctx context.Context, id chestnutcleat.VMID, hash uint64) {
 	if !c.begin(hash == c.tracker.BlocksHash()) {
@@ -108,12 +120,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, blocksTimeout)
 	defer cancel()
-	var r blocksReply
-	if err := c.peers.Call(ctx, a, methodBlocks, blocksRequest{}, &r); err != nil {
+	if changed, err = copyBlocks(ctx, c.peers, a, c.tracker); err != nil {
 		c.observer.Emit(event.BlocksCopyFailed, "from", id, "error", err)
-		return false, err
 	}
-	return c.tracker.MergeBlocks(r.Blocks), nil
+	return changed, err
 }
 
 // hasCopied reports whether the blocks of another VM are known.
@@ -126,6 +136,7 @@
 // initBlocks connects the tracker of crashing requests with the other VMs.
 func (e *Entry) initBlocks() {
 	t := e.handler.Crashes
+	handleBlocks(e.mux, t)
 	t.Rank = e.rankHeard
 	t.OnBlock = func(f entry.Fingerprint, blocked bool, trials int) {
 		if blocked {
--- a/role/entry.go
+++ b/role/entry.go
@@ -25,7 +25,6 @@
 	"chestnutcleat.example/chestnutcleat/place"
 	"chestnutcleat.example/chestnutcleat/platform"
 	"chestnutcleat.example/chestnutcleat/rate"
-	"chestnutcleat.example/chestnutcleat/vm"
 )
 
 const (
@@ -138,7 +137,6 @@
 		OnPanic: func(err error) { e.reportPanic("request of a caller", err) },
 	}
 	e.initBlocks()
-	vm.Handle(e.mux, methodBlocks, e.blocks.serve)
 	e.polled = []chestnutcleat.ObjectKind{platform.ConfigKind, platform.InstanceKind}
 	e.follow(platform.ConfigKind, false, e.configChanged)
 	e.follow(platform.InstanceKind, true, e.instancesChanged)
@@ -152,10 +150,16 @@
 // checkpointStores returns the addresses of the storage VMs that keep this VM's reports: one more than may be lost at a time, by
 // rendezvous hashing over those that hold records.
 func (e *Entry) checkpointStores() []chestnutcleat.Address {
+	score := func(r chestnutcleat.Replica) uint64 { return chestnutcleat.Rendezvous(string(e.self.VM), r.VM) }
+	return e.firstStores(func(a, b chestnutcleat.Replica) int { return cmp.Compare(score(b), score(a)) })
+}
+
+// firstStores returns the addresses of the first storage VMs of those that hold records, in the given order: one more than may be lost at
+// a time.
+func (e *Entry) firstStores(compare func(a, b chestnutcleat.Replica) int) []chestnutcleat.Address {
 	set := e.ledger.ReplicaSet()
 	list := set.All()
-	score := func(r chestnutcleat.Replica) uint64 { return chestnutcleat.Rendezvous(string(e.self.VM), r.VM) }
-	slices.SortFunc(list, func(a, b chestnutcleat.Replica) int { return cmp.Compare(score(b), score(a)) })
+	slices.SortFunc(list, compare)
 	var out []chestnutcleat.Address
 	for _, r := range list[:min(len(list), e.Settings.Tolerance+1)] {
 		out = append(out, r.Address)
--- a/role/keptblocks.go
+++ b/role/keptblocks.go
@@ -49,14 +49,10 @@
 
 // register registers the store's methods.
 func (s *blockStore) register(m *vm.Mux) {
-	vm.Handle(m, methodBlocks, s.serve)
+	handleBlocks(m, &s.tracker)
 	vm.Handle(m, methodKeepBlocks, s.keep)
 }
 
-func (s *blockStore) serve(context.Context, blocksRequest) (blocksReply, error) {
-	return blocksReply{Blocks: s.tracker.Blocks()}, nil
-}
-
 // keep merges the blocks of an entry VM.
 func (s *blockStore) keep(_ context.Context, r blocksReply) (keepReply, error) {
 	s.mu.Lock()
@@ -176,26 +172,17 @@
 			return
 		}
 		for _, a := range stores {
-			var r blocksReply
-			if err := b.peers.Call(ctx, a, methodBlocks, blocksRequest{}, &r); err != nil {
+			if _, err := copyBlocks(ctx, b.peers, a, b.tracker); err != nil {
 				b.observer.Emit(event.BlocksCopyFailed, "address", a, "error", err)
 				continue
 			}
-			b.tracker.MergeBlocks(r.Blocks)
 			b.restored.Store(true)
 			return
 		}
 	}
 }
 
-// blockStores returns the addresses of the storage VMs that keep blocked requests: one more than may be lost at a time.
+// blockStores returns the addresses of the storage VMs that keep blocked requests, the same ones at all entry VMs.
 func (e *Entry) blockStores() []chestnutcleat.Address {
-	set := e.ledger.ReplicaSet()
-	list := set.All()
-	slices.SortFunc(list, func(a, b chestnutcleat.Replica) int { return cmp.Compare(a.VM, b.VM) })
-	var out []chestnutcleat.Address
-	for _, r := range list[:min(len(list), e.Settings.Tolerance+1)] {
-		out = append(out, r.Address)
-	}
-	return out
+	return e.firstStores(func(a, b chestnutcleat.Replica) int { return cmp.Compare(a.VM, b.VM) })
 }
