--- a/checkpoint/store.go
+++ b/checkpoint/store.go
@@ -64,11 +64,16 @@
 	if err := os.MkdirAll(s.Folder, 0o700); err != nil {
 		return err
 	}
-	temporary := s.path(r.VM) + "~"
+	return ReplaceFile(s.path(r.VM), data)
+}
+
+// ReplaceFile replaces a file as a whole, without syncing it: after the end of the process it has the old data or the new.
+func ReplaceFile(path string, data []byte) error {
+	temporary := path + "~"
 	if err := os.WriteFile(temporary, data, 0o600); err != nil {
 		return err
 	}
-	return os.Rename(temporary, s.path(r.VM))
+	return os.Rename(temporary, path)
 }
 
 // load returns the last report of a VM, or an empty one without a VM if there is none.
--- a/role/keptblocks.go
+++ b/role/keptblocks.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"chestnutcleat.example/chestnutcleat"
+	"chestnutcleat.example/chestnutcleat/checkpoint"
 	"chestnutcleat.example/chestnutcleat/entry"
 	"chestnutcleat.example/chestnutcleat/event"
 	"chestnutcleat.example/chestnutcleat/vm"
@@ -69,10 +70,7 @@
 	if err != nil {
 		return err
 	}
-	if err := os.WriteFile(s.path+"~", data, 0o600); err != nil {
-		return err
-	}
-	return os.Rename(s.path+"~", s.path)
+	return checkpoint.ReplaceFile(s.path, data)
 }
 
 // read reads the file of the process before. Without one nothing was kept.
