--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -122,22 +122,12 @@
 		return err
 	}
 	if f == chestnutcleat.Stale {
-		version = min(version, newestVersion(list))
+		version = min(version, chestnutcleat.NewestVersion(list))
 	}
 	m.replace(Snapshot{Version: version, Objects: list}, f, started)
 	return nil
 }
 
-// newestVersion returns the version up to which a stale list has all changes: that of its newest object, as the version that comes
-// with the list may be newer than its objects. A list without objects has the oldest version, which still counts as known.
-func newestVersion(list []chestnutcleat.StoredObject) chestnutcleat.Version {
-	newest := chestnutcleat.Version(1)
-	for _, o := range list {
-		newest = max(newest, o.Version)
-	}
-	return newest
-}
-
 func (m *Mirror) markUnreachable(err error) {
 	m.mu.Lock()
 	wasUnreachable := m.unreachable
--- a/objectstore.go
+++ b/objectstore.go
@@ -44,6 +44,16 @@
 	Stale
 )
 
+// NewestVersion returns the version up to which a page of a stale list has all changes: that of its newest object, as the version that comes
+// with the page may be newer than its objects. A page without objects has the oldest version, which still counts as known.
+func NewestVersion(list []StoredObject) Version {
+	newest := Version(1)
+	for i := range list {
+		newest = max(newest, list[i].Version)
+	}
+	return newest
+}
+
 // ObjectStore is the platform's store of objects by kind and name.
 type ObjectStore interface {
 	// List returns all objects of a kind and the version of the list.
