--- a/role/crashes_test.go
+++ b/role/crashes_test.go
@@ -4,14 +4,11 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
-
-	"chestnutcleat.example/chestnutcleat/role"
 )
 
 // restart stops an entry VM gracefully and starts it again.
@@ -25,77 +22,75 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	f.t.Cleanup(func() { cancel(); running.Wait() })
-	running.Go(func() {
-		p := role.Entry{Stop: e.stop}
-		p.Settings, p.Observer = e.settings, discardObserver{}
-		e.ended <- p.Run(ctx)
-	})
+	running.Go(func() { e.run(ctx) })
 	f.eventually("the restarted VM is ready", e.ready)
 }
 
-// sendPoison sends a request that crashes instances and returns the status.
-func (e *entry) sendPoison(t *testing.T, id string) int {
-	t.Helper()
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+string(e.settings.Listen.Callers)+"/check/x", strings.NewReader("poison"))
+// poisonFleet is a fleet whose instances all crash.
+type poisonFleet struct {
+	*fleet
+	crashes atomic.Int64
+	sent    int
+}
+
+func newPoisonFleet(t *testing.T, entries int) *poisonFleet {
+	f := &poisonFleet{}
+	f.fleet = newFleet(t, entries, func(http.ResponseWriter, *http.Request) {
+		f.crashes.Add(1)
+		panic(http.ErrAbortHandler)
+	})
+	return f
+}
+
+// send sends a request that crashes instances, and returns the status.
+func (f *poisonFleet) send(e *entry) int {
+	f.t.Helper()
+	f.sent++
+	req, err := newRequest(f.t.Context(), string(e.settings.Listen.Callers), fmt.Sprint("p", f.sent), "poison")
 	if err != nil {
-		t.Fatal(err)
+		f.t.Fatal(err)
 	}
-	req.Host = "h"
-	req.Header.Set("Authorization", "Bearer key")
-	req.Header.Set("Chestnutcleat-Request-Id", id)
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
-		t.Fatal(err)
+		f.t.Fatal(err)
 	}
 	resp.Body.Close()
 	return resp.StatusCode
 }
 
+// block sends the request until it is blocked, and returns the number of crashes.
+func (f *poisonFleet) block(e *entry) int64 {
+	f.t.Helper()
+	f.eventually("the request is blocked", func() bool { return f.send(e) == http.StatusServiceUnavailable && f.crashes.Load() >= 3 })
+	return f.crashes.Load()
+}
+
 // A VM that starts must refuse the requests that the others block because they crash instances: after a release that stopped and started
 // all VMs in turn, such a request reached three more instances through each of them (review/5).
 func TestRestartedVMsBlockCrashingRequest(t *testing.T) {
 	is := is.New(t)
-	var crashes atomic.Int64
-	f := newFleet(t, 2, func(http.ResponseWriter, *http.Request) {
-		crashes.Add(1)
-		panic(http.ErrAbortHandler)
-	})
-	number := 0
-	poison := func(e *entry) int {
-		number++
-		return e.sendPoison(t, fmt.Sprint("p", number))
-	}
-	f.eventually("the request is blocked", func() bool { return poison(f.entries[0]) == http.StatusServiceUnavailable && crashes.Load() >= 3 })
-	f.eventually("the other VM blocks it, too", func() bool { return poison(f.entries[1]) == http.StatusServiceUnavailable })
-	before := crashes.Load()
+	f := newPoisonFleet(t, 2)
+	f.block(f.entries[0])
+	before := f.block(f.entries[1])
 	for _, e := range f.entries {
 		f.restart(e)
-		is.Equal(poison(e), http.StatusServiceUnavailable)
+		is.Equal(f.send(e), http.StatusServiceUnavailable)
 	}
-	is.Equal(crashes.Load(), before)
+	is.Equal(f.crashes.Load(), before)
 }
 
 // The block must outlast the processes of all entry VMs: storage VMs keep it. Each time that all of them ended, the request reached three
 // more instances.
 func TestBlockOutlastsAllEntryVMs(t *testing.T) {
 	is := is.New(t)
-	var crashes atomic.Int64
-	f := newFleet(t, 1, func(http.ResponseWriter, *http.Request) {
-		crashes.Add(1)
-		panic(http.ErrAbortHandler)
-	})
-	e, number := f.entries[0], 0
-	poison := func() int {
-		number++
-		return e.sendPoison(t, fmt.Sprint("p", number))
-	}
+	f := newPoisonFleet(t, 1)
+	e := f.entries[0]
 	f.eventually("the storage VM keeps records", func() bool {
 		_, ok := f.platform.Get("fleet", "copies")
 		return ok
 	})
-	f.eventually("the request is blocked", func() bool { return poison() == http.StatusServiceUnavailable && crashes.Load() >= 3 })
-	before := crashes.Load()
+	before := f.block(e)
 	f.restart(e)
-	f.eventually("the request is blocked again", func() bool { return poison() == http.StatusServiceUnavailable })
-	is.Equal(crashes.Load(), before)
+	f.eventually("the request is blocked again", func() bool { return f.send(e) == http.StatusServiceUnavailable })
+	is.Equal(f.crashes.Load(), before)
 }
--- a/role/fleet_test.go
+++ b/role/fleet_test.go
@@ -113,11 +113,7 @@
 	for i := range entries {
 		e := &entry{settings: vmSettings(fmt.Sprint("e", i), settings.RoleEntry), stop: make(chan struct{}), ended: make(chan error, 1)}
 		f.entries = append(f.entries, e)
-		running.Go(func() {
-			p := role.Entry{Stop: e.stop}
-			p.Settings, p.Observer = e.settings, discardObserver{}
-			e.ended <- p.Run(ctx)
-		})
+		running.Go(func() { e.run(ctx) })
 	}
 	for _, e := range f.entries {
 		f.eventually("every VM lists all entry VMs", func() bool { return len(e.addresses()) == entries })
@@ -125,6 +121,25 @@
 	return f
 }
 
+// run runs the VM until ctx is done or it is stopped.
+func (e *entry) run(ctx context.Context) {
+	p := role.Entry{Stop: e.stop}
+	p.Settings, p.Observer = e.settings, discardObserver{}
+	e.ended <- p.Run(ctx)
+}
+
+// newRequest returns a request of the fleet's customer to a VM.
+func newRequest(ctx context.Context, address, id, body string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/check/x", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Host = "h"
+	req.Header.Set("Authorization", "Bearer key")
+	req.Header.Set("Chestnutcleat-Request-Id", id)
+	return req, nil
+}
+
 func (f *fleet) eventually(what string, reached func() bool) {
 	f.t.Helper()
 	for end := time.Now().Add(waitTimeout); !reached(); time.Sleep(5 * time.Millisecond) {
@@ -200,13 +215,10 @@
 			}
 			continue
 		}
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.list[c.random.IntN(len(c.list))]+"/check/x", strings.NewReader(id))
+		req, err := newRequest(ctx, c.list[c.random.IntN(len(c.list))], id, id)
 		if err != nil {
 			return err
 		}
-		req.Host = "h"
-		req.Header.Set("Authorization", "Bearer key")
-		req.Header.Set("Chestnutcleat-Request-Id", id)
 		resp, err := c.client.Do(req)
 		if isRefused(err) {
 			c.list = nil
--- a/role/following_test.go
+++ b/role/following_test.go
@@ -31,10 +31,10 @@
 func TestInstancesAreFollowedWithoutGap(t *testing.T) {
 	errDown := errors.New("down")
 	for name, tt := range map[string]struct {
-		pass        func(f *instanceFollower, s *listStore)
-		checked     error
-		confirmed   error
-		listsToTest int
+		pass      func(f *instanceFollower, s *listStore)
+		checked   error
+		confirmed error
+		lists     int
 	}{
 		"others confirm the list": {func(*instanceFollower, *listStore) {}, nil, nil, 1},
 		"no news of others": {func(f *instanceFollower, _ *listStore) {
@@ -61,7 +61,7 @@
 				}
 				tt.pass(f, s)
 				is.True(errors.Is(f.confirm(t.Context()), tt.confirmed))
-				is.Equal(s.lists, tt.listsToTest)
+				is.Equal(s.lists, tt.lists)
 				is.True(errors.Is(f.check(), tt.checked))
 			})
 		})
--- a/role/late_test.go
+++ b/role/late_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -95,13 +94,10 @@
 // sendLate sends a request that the instance works on for a while, and that the caller waits a number of milliseconds for. It returns
 // the status if the whole answer arrived.
 func sendLate(ctx context.Context, client *http.Client, e *entry, id string, work time.Duration, wait int) (int, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(e.settings.Listen.Callers)+"/check/x", strings.NewReader(id))
+	req, err := newRequest(ctx, string(e.settings.Listen.Callers), id, id)
 	if err != nil {
 		return 0, err
 	}
-	req.Host = "h"
-	req.Header.Set("Authorization", "Bearer key")
-	req.Header.Set("Chestnutcleat-Request-Id", id)
 	req.Header.Set("Chestnutcleat-Deadline-Ms", fmt.Sprint(wait))
 	req.Header.Set("Work", work.String())
 	resp, err := client.Do(req)
