--- a/soak/routes.go
+++ b/soak/routes.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -13,6 +11,7 @@
 
 	"chestnutcleat.example/chestnutcleat"
 	"chestnutcleat.example/chestnutcleat/standin/instance"
+	"chestnutcleat.example/chestnutcleat/standin/program"
 )
 
 const (
@@ -57,6 +56,10 @@
 
 // probeAll sends a request for an added route to every entry VM.
 func (f *fleet) probeAll(ctx context.Context, r *recorder, p *Plan, path string, added time.Duration) {
+	// A connection of its own for each probe, as a VM may close idle ones.
+	client := program.Client{
+		Host: instance.SampleHost, Key: "key-" + instance.SampleCustomers[0], HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
 	var probes sync.WaitGroup
 	for _, id := range f.names.entries {
 		proc := f.processes[id]
@@ -65,34 +68,16 @@
 			continue
 		}
 		probes.Go(func() {
-			status, err := probe(ctx, proc, path)
-			if err == nil && (status == http.StatusNotFound || status == http.StatusUnauthorized) {
-				r.addRunViolation(time.Since(r.start), "%s answers %d to %s, a route that was added at %v", id, status, path, added)
+			q := program.Request{ID: fmt.Sprint("probe-", rand.Uint64()), Path: path, Timeout: probeTimeout}
+			a := client.Send(ctx, string(proc.settings.Listen.Callers), &q)
+			if a.Status == http.StatusNotFound || a.Status == http.StatusUnauthorized {
+				r.addRunViolation(time.Since(r.start), "%s answers %d to %s, a route that was added at %v", id, a.Status, path, added)
 			}
 		})
 	}
 	probes.Wait()
 }
 
-// probe sends one request to a VM and returns the status of the answer.
-func probe(ctx context.Context, p *process, path string) (status int, err error) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprint("http://", p.settings.Listen.Callers, path), nil)
-	if err != nil {
-		return 0, err
-	}
-	q.Host, q.Close = instance.SampleHost, true
-	q.Header.Set("Authorization", "Bearer key-"+instance.SampleCustomers[0])
-	q.Header.Set("Chestnutcleat-Request-Id", fmt.Sprint("probe-", rand.Uint64()))
-	resp, err := http.DefaultClient.Do(q)
-	if err != nil {
-		return 0, err
-	}
-	_, err = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode, errors.Join(err, resp.Body.Close())
-}
-
 // steady reports whether the process has run for a time without being told to stop.
 func (p *process) steady(uptime time.Duration) bool {
 	p.mu.Lock()
--- a/standin/program/client.go
+++ b/standin/program/client.go
@@ -120,13 +120,13 @@
 		return Result{Err: fmt.Errorf("no addresses of %s", c.Host)}
 	}
 	address := list[rand.IntN(len(list))]
-	out := c.send(ctx, address, &req)
+	out := c.Send(ctx, address, &req)
 	out.Address = address
 	return out
 }
 
-// send sends the request to one VM.
-func (c *Client) send(ctx context.Context, address string, req *Request) Result {
+// Send sends the request to the VM at an address.
+func (c *Client) Send(ctx context.Context, address string, req *Request) Result {
 	ctx, cancel := context.WithTimeout(ctx, req.Timeout+req.Slack)
 	defer cancel()
 	httpReq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+req.Path, strings.NewReader(req.Body))
